--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,182 @@
+// Package agent is the process beside each endpoint. It owns the endpoint's
+// places, carries out the orders of entries, and is the only one of our
+// processes that talks to the endpoint.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"crocusstep/auth"
+	"crocusstep/common"
+	"crocusstep/engine"
+	"crocusstep/gate"
+	"crocusstep/ident"
+	"crocusstep/ledger"
+	"crocusstep/spec"
+	"crocusstep/store"
+	"crocusstep/wire"
+)
+
+// Config configures an Agent.
+type Config struct {
+	Instance ident.InstanceName
+	Endpoint ident.EndpointName
+	// Kind says whether an engine or a plain service listens at the endpoint.
+	Kind spec.ServiceKind
+	// EndpointAddress is where the endpoint listens.
+	EndpointAddress ident.Address
+	// Slots is how many requests decode at once at the endpoint.
+	Slots int
+	// Lanes is how many prompts are read at once at the endpoint.
+	Lanes int
+	// MaxHold is the longest time that a place is kept without being used.
+	MaxHold time.Duration
+	// SweepInterval is the time between two comparisons with the engine's list.
+	SweepInterval time.Duration
+	// HTTP carries calls to the endpoint.
+	HTTP *http.Client
+	// Store keeps the records of actions.
+	Store   store.Store
+	Keyring *auth.Keyring
+}
+
+// Agent serves one endpoint.
+type Agent struct {
+	*common.Common
+	config      Config
+	incarnation string
+	engine      *engine.Client
+	ledger      *ledger.Ledger
+	calls       *calls
+	// slots and lanes bound what the engine holds.
+	slots *gate.Gate
+	lanes *gate.Gate
+	// known is every attempt that may hold memory in the engine because this
+	// agent wants it to; all else in the engine's list is an orphan.
+	known    attempts
+	costs    costs
+	sequence atomic.Int64
+	draining atomic.Bool
+	tasks    conc.WaitGroup
+	ctx      context.Context
+}
+
+// NewAgent returns an agent whose work ends with the context.
+func NewAgent(ctx context.Context, c *common.Common, config Config) *Agent {
+	incarnation := ident.NewNonce()
+	a := &Agent{
+		Common:      c,
+		config:      config,
+		incarnation: incarnation,
+		engine: engine.NewClient(engine.ClientConfig{
+			Address: config.EndpointAddress,
+			HTTP:    config.HTTP,
+			Timeout: cancelTimeout,
+		}),
+		ledger: ledger.NewLedger(ctx, c, ledger.Config{
+			Store:       config.Store,
+			Holder:      config.Instance,
+			Incarnation: incarnation,
+		}),
+		slots: gate.NewGate(config.Slots),
+		lanes: gate.NewGate(config.Lanes),
+		known: attempts{ids: map[ident.AttemptID]bool{}},
+		ctx:   ctx,
+	}
+	a.calls = newCalls()
+	return a
+}
+
+// Run does the agent's background work and returns some time after the context
+// has ended, when all of it has.
+func (a *Agent) Run() {
+	if a.config.Kind == spec.LanguageModel {
+		a.tasks.Go(func() { a.sweepLoop(a.ctx) })
+	}
+	<-a.ctx.Done()
+	a.tasks.Wait()
+	a.ledger.Wait()
+}
+
+// Drain refuses new work and returns when all present work has ended, or the
+// context ends.
+func (a *Agent) Drain(ctx context.Context) {
+	const interval = 20 * time.Millisecond
+	a.draining.Store(true)
+	for ctx.Err() == nil && a.busy() {
+		pause(ctx, interval)
+	}
+	a.ledger.Flush(ctx)
+}
+
+// Draining reports whether the agent refuses new work.
+func (a *Agent) Draining() bool { return a.draining.Load() }
+
+func (a *Agent) busy() bool {
+	return a.slots.Held()+a.lanes.Held()+a.known.count()+a.calls.count() > 0
+}
+
+// load describes the endpoint at the moment.
+func (a *Agent) load() wire.Load {
+	slots := a.slots.State()
+	lanes := a.lanes.State()
+	lookups, actions := a.calls.running()
+	return wire.Load{
+		Endpoint:        a.config.Endpoint,
+		Sequence:        a.sequence.Add(1),
+		Incarnation:     a.incarnation,
+		Free:            slots.Free,
+		Waiting:         slots.Waiting,
+		Backlog:         ident.TokenCount(lanes.Cost),
+		PrefillPerToken: a.costs.prefillPerToken(),
+		StepTime:        a.costs.stepTime(),
+		Lookups:         lookups,
+		Actions:         actions,
+		Draining:        a.draining.Load(),
+	}
+}
+
+// attempts is a set of attempt ids.
+type attempts struct {
+	mutex sync.Mutex
+	ids   map[ident.AttemptID]bool
+}
+
+func (s *attempts) add(id ident.AttemptID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ids[id] = true
+}
+
+func (s *attempts) remove(id ident.AttemptID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.ids, id)
+}
+
+func (s *attempts) has(id ident.AttemptID) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.ids[id]
+}
+
+func (s *attempts) count() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.ids)
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/agent/call_helper.go
@@ -0,0 +1,129 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"crocusstep/fault"
+	"crocusstep/ledger"
+	"crocusstep/spec"
+	"crocusstep/store"
+	"crocusstep/wire"
+)
+
+const (
+	// maxAnswer is the longest answer of a plain service, in bytes.
+	maxAnswer = 4 << 20
+	// fencingHeader carries the version of the write that started an action.
+	fencingHeader = "Fencing-Token"
+)
+
+// call makes a plain service's call.
+func (a *Agent) call(ctx context.Context, order wire.CallOrder) (wire.CallReply, error) {
+	if a.Draining() {
+		return wire.CallReply{}, a.drainingRefusal()
+	}
+	if order.Class == spec.Action {
+		return a.action(ctx, order)
+	}
+	return a.lookup(ctx, order)
+}
+
+func (a *Agent) lookup(ctx context.Context, order wire.CallOrder) (wire.CallReply, error) {
+	return a.bounded(ctx, order, 0)
+}
+
+func (a *Agent) action(ctx context.Context, order wire.CallOrder) (wire.CallReply, error) {
+	var header http.Header
+	result, err := a.ledger.Run(ctx, ledger.Action{
+		Service: order.Ticket.Service,
+		Shards:  order.Shards,
+		KeepFor: order.KeepFor,
+		Key:     order.Key,
+		Digest:  order.Digest,
+		Attempt: order.Ticket.Attempt,
+	}, func(ctx context.Context, token store.Version) (ledger.Answer, error) {
+		reply, err := a.bounded(ctx, order, token)
+		header = reply.Header
+		return ledger.Answer{
+			Status:      reply.Status,
+			ContentType: reply.Header.Get("Content-Type"),
+			Body:        reply.Body,
+		}, err
+	})
+	if err != nil {
+		return wire.CallReply{Consulted: true}, err
+	}
+	if result.Replayed {
+		header = http.Header{"Content-Type": {result.Answer.ContentType}}
+	}
+	return wire.CallReply{
+		Status:    result.Answer.Status,
+		Header:    header,
+		Body:      result.Answer.Body,
+		Replayed:  result.Replayed,
+		Truncated: result.Answer.Truncated,
+		Consulted: true,
+	}, nil
+}
+
+// bounded makes a call within the limit of its class.
+func (a *Agent) bounded(ctx context.Context, order wire.CallOrder, token store.Version) (wire.CallReply, error) {
+	kind := callKind{service: order.Ticket.Service, class: order.Class}
+	if !a.calls.enter(kind, order.Limit) {
+		refusal := fault.New(fault.EndpointBusy, "%d calls run already", order.Limit).After(busyRetry)
+		return wire.CallReply{}, errors.Join(ledger.ErrNotSent, refusal)
+	}
+	defer a.calls.leave(kind)
+	ctx, cancel := context.WithTimeout(ctx, order.Timeout)
+	defer cancel()
+	return a.send(ctx, order, token)
+}
+
+func (a *Agent) send(ctx context.Context, order wire.CallOrder, token store.Version) (reply wire.CallReply, err error) {
+	address := "http://" + string(a.config.EndpointAddress) + order.Path
+	request, err := http.NewRequestWithContext(ctx, order.Method, address, bytes.NewReader(order.Body))
+	if err != nil {
+		return reply, errors.Join(ledger.ErrNotSent, err)
+	}
+	// Nothing retries once the call may have left, the transport included.
+	request.GetBody = nil
+	request.Header = order.Header.Clone()
+	if request.Header == nil {
+		request.Header = http.Header{}
+	}
+	if token != 0 {
+		request.Header.Set(fencingHeader, strconv.FormatInt(int64(token), 10))
+		request.Header.Set("Idempotency-Key", string(order.Key))
+	}
+	request.Header.Set("X-Request-Id", string(order.Ticket.Request))
+	response, err := a.config.HTTP.Do(request)
+	if err != nil {
+		return reply, sendError(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil {
+		return reply, err
+	}
+	if len(body) > maxAnswer {
+		return reply, fault.NewUnknown(fault.EndpointFailed, "the endpoint's answer is too long")
+	}
+	return wire.CallReply{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+// sendError tells a call that never left from one that may have run.
+func sendError(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		refusal := fault.New(fault.EndpointFailed, "the endpoint cannot be reached").After(time.Second)
+		return errors.Join(ledger.ErrNotSent, refusal)
+	}
+	return err
+}
--- /dev/null
+++ b/agent/model_helper.go
@@ -0,0 +1,160 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"crocusstep/engine"
+	"crocusstep/fault"
+	"crocusstep/gate"
+	"crocusstep/wire"
+)
+
+// busyRetry is when to come back to an agent that is draining.
+const busyRetry = time.Second
+
+// turn grants the right to prefill next.
+func (a *Agent) turn(ctx context.Context, order wire.TurnOrder) error {
+	if a.Draining() {
+		return a.drainingRefusal()
+	}
+	wait := time.Until(order.Ticket.Deadline)
+	return a.lanes.Enter(ctx, gateTicket(order.Ticket, float64(order.Tokens)), wait, a.config.MaxHold)
+}
+
+// reserve grants a decode slot.
+func (a *Agent) reserve(ctx context.Context, order wire.ReserveOrder) error {
+	if a.Draining() {
+		return a.drainingRefusal()
+	}
+	holdFor := min(order.HoldFor, a.config.MaxHold)
+	return a.slots.Enter(ctx, gateTicket(order.Ticket, 1), order.Wait, holdFor)
+}
+
+// release gives a turn or a slot back that is not in use.
+func (a *Agent) release(order wire.ReleaseOrder) {
+	if a.known.has(order.Attempt) {
+		return
+	}
+	a.lanes.Leave(order.Attempt)
+	a.slots.Leave(order.Attempt)
+}
+
+// prefill reads a prompt under a turn.
+func (a *Agent) prefill(ctx context.Context, order wire.PrefillOrder) (result engine.PrefillResult, err error) {
+	attempt := order.Ticket.Attempt
+	defer fault.Annotate(&err, "prefill %s", attempt)
+	if !a.lanes.Use(attempt) {
+		return result, fault.New(fault.EndpointBusy, "the turn has expired")
+	}
+	defer a.lanes.Leave(attempt)
+	a.known.add(attempt)
+	started := time.Now()
+	result, err = a.engine.Prefill(ctx, engine.PrefillOrder{
+		Attempt:   attempt,
+		Prompt:    order.Prompt,
+		Generated: order.Generated,
+		Priority:  order.Ticket.Priority,
+	})
+	if err != nil {
+		a.forget(attempt)
+		return result, endpointRefusal(err)
+	}
+	// The KV cache waits for its import; the engine evicts it by itself.
+	a.known.remove(attempt)
+	a.costs.observePrefill(result.Tokens-result.CachedTokens, time.Since(started))
+	return result, nil
+}
+
+// decode generates an answer in a reserved slot and sends it in frames.
+func (a *Agent) decode(ctx context.Context, order wire.DecodeOrder, send func(wire.Frame) error) (err error) {
+	attempt := order.Ticket.Attempt
+	defer fault.Annotate(&err, "decode %s", attempt)
+	if !a.slots.Use(attempt) {
+		return fault.New(fault.EndpointBusy, "the reservation has expired")
+	}
+	defer a.slots.Leave(attempt)
+	a.known.add(attempt)
+	defer a.forget(attempt)
+	if err := a.importKV(ctx, order); err != nil {
+		return err
+	}
+	return a.generate(ctx, order, send)
+}
+
+func (a *Agent) importKV(ctx context.Context, order wire.DecodeOrder) error {
+	ctx, cancel := context.WithTimeout(ctx, order.TransferTimeout)
+	defer cancel()
+	err := a.engine.Import(ctx, engine.ImportOrder{
+		Attempt: order.Ticket.Attempt,
+		Source:  order.Source,
+		Handle:  order.Handle,
+	})
+	switch {
+	case errors.Is(err, engine.ErrKVGone), errors.Is(err, context.DeadlineExceeded):
+		return fault.New(fault.KVLost, "the KV cache did not arrive")
+	case err != nil:
+		return endpointRefusal(err)
+	}
+	return nil
+}
+
+func (a *Agent) generate(ctx context.Context, order wire.DecodeOrder, send func(wire.Frame) error) error {
+	last := time.Now()
+	err := a.engine.Decode(ctx, engine.DecodeOrder{
+		Attempt:   order.Ticket.Attempt,
+		Priority:  order.Ticket.Priority,
+		From:      order.From,
+		MaxTokens: order.MaxTokens,
+	}, func(token engine.Token) error {
+		a.costs.observeStep(time.Since(last))
+		last = time.Now()
+		return send(a.frame(order.Ticket, token))
+	})
+	if err != nil {
+		return endpointRefusal(err)
+	}
+	return nil
+}
+
+func (a *Agent) frame(ticket wire.Ticket, token engine.Token) wire.Frame {
+	frame := wire.Frame{
+		Request:  ticket.Request,
+		Attempt:  ticket.Attempt,
+		Kind:     wire.PieceFrame,
+		Position: token.Position,
+		Text:     token.Text,
+	}
+	if token.Finish != "" {
+		frame.Kind = wire.EndFrame
+		frame.Finish = token.Finish
+	}
+	return frame
+}
+
+func (a *Agent) drainingRefusal() *fault.Refusal {
+	return fault.New(fault.Draining, "the agent is shutting down").After(busyRetry)
+}
+
+// endpointRefusal turns an engine's error into one that an entry understands.
+func endpointRefusal(err error) error {
+	if errors.Is(err, engine.ErrFull) {
+		return fault.New(fault.EndpointBusy, "the engine has no free slot")
+	}
+	if errors.Is(err, engine.ErrKVGone) {
+		return fault.New(fault.KVLost, "the KV cache is gone")
+	}
+	return fault.New(fault.EndpointFailed, "%v", err)
+}
+
+func gateTicket(ticket wire.Ticket, cost float64) gate.Ticket {
+	return gate.Ticket{
+		Attempt:   ticket.Attempt,
+		Workspace: ticket.Workspace,
+		Weight:    ticket.Weight,
+		Priority:  ticket.Priority,
+		Deadline:  ticket.Deadline,
+		Cost:      cost,
+	}
+}
--- /dev/null
+++ b/burn/collector.go
@@ -0,0 +1,54 @@
+package burn
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"crocusstep/fault"
+	"crocusstep/ident"
+)
+
+// Collector reads the series of many entries.
+type Collector struct {
+	http  *http.Client
+	token string
+}
+
+// NewCollector returns a collector with the administration token.
+func NewCollector(client *http.Client, token string) *Collector {
+	return &Collector{http: client, token: strings.TrimSpace(token)}
+}
+
+// Collect returns all series that could be read, and why others could not.
+func (c *Collector) Collect(ctx context.Context, entries []ident.Address) (series []Series, missing []error) {
+	for _, address := range entries {
+		list, err := c.read(ctx, address)
+		if err != nil {
+			missing = append(missing, err)
+			continue
+		}
+		series = append(series, list...)
+	}
+	return series, missing
+}
+
+func (c *Collector) read(ctx context.Context, address ident.Address) (series []Series, err error) {
+	defer fault.Annotate(&err, "read the series of %s", address)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(address)+"/burn", nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", response.StatusCode)
+	}
+	return series, json.NewDecoder(response.Body).Decode(&series)
+}
--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,130 @@
+package burn
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"crocusstep/ident"
+)
+
+// Window is a service's figures over one span.
+type Window struct {
+	Span time.Duration `json:"span-ns"`
+	Sample
+	// WithinShare is 1 if there were no requests.
+	WithinShare float64 `json:"within-share"`
+	// BurnRate is 1 if the error budget would last just as long as it should.
+	BurnRate float64 `json:"burn-rate"`
+	// Goodput is requests within target per second.
+	Goodput float64 `json:"goodput"`
+	// WastedShare is the share of prefilled tokens that was for nothing.
+	WastedShare float64 `json:"wasted-share"`
+}
+
+// Row is one service in a report.
+type Row struct {
+	Service          ident.ServiceName `json:"service"`
+	ObjectivePercent float64           `json:"objective-percent"`
+	Short            Window            `json:"short"`
+	Long             Window            `json:"long"`
+	// BudgetLeft is the share of the long window's error budget that is left;
+	// it is negative once the budget is overdrawn.
+	BudgetLeft float64 `json:"budget-left"`
+	Points     []Point `json:"points"`
+}
+
+// Report is all services at one time.
+type Report struct {
+	At   time.Time `json:"at"`
+	Rows []Row     `json:"rows"`
+}
+
+// NewReport adds up the series of all entries.
+func NewReport(series []Series, now time.Time) Report {
+	merged := map[ident.ServiceName]*Row{}
+	points := map[ident.ServiceName]map[int64]*Point{}
+	for _, s := range series {
+		if merged[s.Service] == nil {
+			merged[s.Service] = &Row{Service: s.Service}
+			points[s.Service] = map[int64]*Point{}
+		}
+		merged[s.Service].ObjectivePercent = s.ObjectivePercent
+		mergePoints(points[s.Service], s.Points)
+	}
+	report := Report{At: now}
+	for service, row := range merged {
+		row.Points = sortedPoints(points[service])
+		row.Short = windowOf(*row, now, ShortWindow)
+		row.Long = windowOf(*row, now, LongWindow)
+		row.BudgetLeft = 1 - row.Long.BurnRate
+		report.Rows = append(report.Rows, *row)
+	}
+	sort.Slice(report.Rows, func(i, j int) bool { return report.Rows[i].Service < report.Rows[j].Service })
+	return report
+}
+
+func mergePoints(into map[int64]*Point, points []Point) {
+	for _, p := range points {
+		if into[p.Start] == nil {
+			into[p.Start] = &Point{Start: p.Start}
+		}
+		into[p.Start].Sample.add(p.Sample)
+	}
+}
+
+func sortedPoints(points map[int64]*Point) []Point {
+	sorted := []Point{}
+	for _, p := range points {
+		sorted = append(sorted, *p)
+	}
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Start < sorted[j].Start })
+	return sorted
+}
+
+func windowOf(row Row, now time.Time, span time.Duration) Window {
+	w := Window{Span: span, WithinShare: 1}
+	oldest := now.Add(-span).Unix()
+	for _, p := range row.Points {
+		if p.Start > oldest {
+			w.add(p.Sample)
+		}
+	}
+	if w.Requests > 0 {
+		w.WithinShare = float64(w.Within) / float64(w.Requests)
+	}
+	if allowed := 1 - row.ObjectivePercent/100; allowed > 0 {
+		w.BurnRate = (1 - w.WithinShare) / allowed
+	}
+	if w.Prefilled > 0 {
+		w.WastedShare = float64(w.Wasted) / float64(w.Prefilled)
+	}
+	w.Goodput = float64(w.Within) / span.Seconds()
+	return w
+}
+
+// Write renders the report as text, json or html.
+func (r Report) Write(w io.Writer, format string) error {
+	switch format {
+	case "json":
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(r)
+	case "html":
+		return r.writePage(w)
+	}
+	return r.writeText(w)
+}
+
+func (r Report) writeText(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "service\tobjective\twithin 1h\tbudget left\tburn 5m\tburn 1h\tgoodput 5m\twasted prefill 1h")
+	for _, row := range r.Rows {
+		_, _ = fmt.Fprintf(table, "%s\t%.1f%%\t%.2f%%\t%.0f%%\t%.2f\t%.2f\t%.2f/s\t%.2f%%\n", row.Service, row.ObjectivePercent,
+			100*row.Long.WithinShare, 100*row.BudgetLeft, row.Short.BurnRate, row.Long.BurnRate, row.Short.Goodput, 100*row.Long.WastedShare)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/burn/tracker.go
@@ -0,0 +1,107 @@
+// Package burn reports how fast services use up their error budgets.
+package burn
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"crocusstep/ident"
+)
+
+const (
+	// bucketSpan is the grain of the windows.
+	bucketSpan = 15 * time.Second
+	// ShortWindow shows a fire that burns now.
+	ShortWindow = 5 * time.Minute
+	// LongWindow shows a slow leak.
+	LongWindow = time.Hour
+
+	bucketCount = int(LongWindow / bucketSpan)
+)
+
+// Sample is what one ended request adds.
+type Sample struct {
+	Requests int `json:"requests"`
+	// Within is the requests that met all targets of their service.
+	Within int `json:"within"`
+	// Prefilled and Wasted are prompt tokens.
+	Prefilled ident.TokenCount `json:"prefilled"`
+	Wasted    ident.TokenCount `json:"wasted"`
+}
+
+func (s *Sample) add(other Sample) {
+	s.Requests += other.Requests
+	s.Within += other.Within
+	s.Prefilled += other.Prefilled
+	s.Wasted += other.Wasted
+}
+
+// Point is one bucket of a service's history.
+type Point struct {
+	// Start is when the bucket begins, in Unix seconds.
+	Start  int64  `json:"start"`
+	Sample Sample `json:"sample"`
+}
+
+// Series is what one process knows of one service.
+type Series struct {
+	Service ident.ServiceName `json:"service"`
+	// ObjectivePercent is the share of requests that should be within target.
+	ObjectivePercent float64 `json:"objective-percent"`
+	// Points covers the long window, oldest first, without empty buckets.
+	Points []Point `json:"points"`
+}
+
+// Tracker keeps the long window of each service in one process.
+type Tracker struct {
+	mutex    sync.Mutex
+	services map[ident.ServiceName]*history
+}
+
+type history struct {
+	objective float64
+	// buckets is a ring; a bucket is stale unless its start fits its place.
+	buckets [bucketCount]Point
+}
+
+// NewTracker returns a tracker that knows nothing.
+func NewTracker() *Tracker { return &Tracker{services: map[ident.ServiceName]*history{}} }
+
+// Record adds a sample at a time.
+func (t *Tracker) Record(service ident.ServiceName, objectivePercent float64, sample Sample, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	h, ok := t.services[service]
+	if !ok {
+		h = &history{}
+		t.services[service] = h
+	}
+	h.objective = objectivePercent
+	start := now.Truncate(bucketSpan).Unix()
+	bucket := &h.buckets[int(start/int64(bucketSpan.Seconds()))%bucketCount]
+	if bucket.Start != start {
+		*bucket = Point{Start: start}
+	}
+	bucket.Sample.add(sample)
+}
+
+// Series returns the long window of every service, by name.
+func (t *Tracker) Series(now time.Time) []Series {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	oldest := now.Add(-LongWindow).Unix()
+	list := []Series{}
+	for service, h := range t.services {
+		series := Series{Service: service, ObjectivePercent: h.objective}
+		for _, point := range h.buckets {
+			if point.Start > oldest {
+				series.Points = append(series.Points, point)
+			}
+		}
+		sort.Slice(series.Points, func(i, j int) bool { return series.Points[i].Start < series.Points[j].Start })
+		list = append(list, series)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Service < list[j].Service })
+	return list
+}
--- /dev/null
+++ b/entry/chat_pair.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"crocusstep/fault"
+	"crocusstep/ident"
+	"crocusstep/roster"
+	"crocusstep/route"
+	"crocusstep/wire"
+)
+
+const (
+	// triedPrefills and triedDecodes bound how many endpoints one attempt asks
+	// before it waits or gives up.
+	triedPrefills = 3
+	triedDecodes  = 3
+	// slotWait is how long an attempt waits at one decode endpoint before it
+	// looks at the others again.
+	slotWait = 200 * time.Millisecond
+	// releaseTimeout bounds the giving back of a place.
+	releaseTimeout = time.Second
+	// transferAllowance is the time taken for a KV transfer and a first step
+	// when estimating whether a target can be met.
+	transferAllowance = 100 * time.Millisecond
+)
+
+// pair is a prefill turn and a decode slot that an attempt holds.
+type pair struct {
+	prefill roster.Member
+	decode  roster.Member
+	// prefilled is the tokens ordered to be read.
+	prefilled    ident.TokenCount
+	prefillEnded func()
+	release      func()
+}
+
+// reservePair gets a turn at a prefill endpoint and then, for the time that the
+// prefill will finish, a decode slot in the same region. A turn is only asked
+// for where the targets can still be met.
+func (c *chatRun) reservePair(ctx context.Context, ticket wire.Ticket) (*pair, error) {
+	prefills := c.roster.Pool(c.document.Pools.Prefill)
+	decodes := c.roster.Pool(c.document.Pools.Decode)
+	var refusal error = fault.New(fault.NoEndpoint, "no region has endpoints for both steps").After(time.Second)
+	for _, region := range route.Regions(c.config.Region, &c.document, prefills) {
+		near := route.InRegion(decodes, region)
+		if len(near) == 0 {
+			continue
+		}
+		p, err := c.reserveIn(ctx, ticket, route.InRegion(prefills, region))
+		if err == nil {
+			return p, nil
+		}
+		refusal = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, refusal
+}
+
+func (c *chatRun) reserveIn(ctx context.Context, ticket wire.Ticket, prefills []roster.Member) (*pair, error) {
+	p := &pair{}
+	if err := c.takeTurn(ctx, ticket, prefills, p); err != nil {
+		return nil, err
+	}
+	if err := c.takeSlot(ctx, ticket, p); err != nil {
+		p.prefillEnded()
+		c.giveBack(p.prefill, ticket.Attempt)
+		return nil, err
+	}
+	p.release = func() {
+		p.prefillEnded()
+		c.giveBack(p.prefill, ticket.Attempt)
+		c.giveBack(p.decode, ticket.Attempt)
+	}
+	return p, nil
+}
+
+// deadline is the latest time at which a prefill must start for the first
+// token to meet its target. A stream that goes on elsewhere has met it already
+// and only has to beat the caller's patience.
+func (c *chatRun) deadline(m roster.Member) time.Time {
+	if c.assembler.Next() > 0 {
+		return time.Now().Add(c.document.Targets.Patience.Std())
+	}
+	own := roster.Member{Load: wire.Load{PrefillPerToken: m.Load.PrefillPerToken}}
+	reading := route.PrefillTime(own, c.tokens-c.affinity.Cached(c.prompt)(m.Instance.Endpoint))
+	return c.arrived.Add(c.document.Targets.FirstToken.Std() - reading - transferAllowance)
+}
+
+func (c *chatRun) takeTurn(ctx context.Context, ticket wire.Ticket, members []roster.Member, p *pair) error {
+	ranked := route.Prefill(members, c.tokens, c.affinity.Cached(c.prompt), c.dice())
+	var refusal error = fault.New(fault.NoEndpoint, "no prefill endpoint").After(time.Second)
+	for _, m := range ranked[:min(triedPrefills, len(ranked))] {
+		ticket.Deadline = c.deadline(m)
+		ended := c.roster.Began(m.Instance.Endpoint, c.tokens)
+		reply, err := wire.Call[wire.Reply](ctx, c.config.Peers, m.Instance.Address, wire.TurnPath, wire.TurnOrder{Ticket: ticket, Tokens: c.tokens})
+		err = c.judge(ctx, m, reply.Load, reply.Fault, err)
+		if err == nil {
+			p.prefill = m
+			p.prefillEnded = ended
+			return nil
+		}
+		ended()
+		refusal = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return refusal
+}
+
+// takeSlot first asks several decode endpoints for a slot at once and then
+// waits at the best; it looks again at all of them every slotWait.
+func (c *chatRun) takeSlot(ctx context.Context, ticket wire.Ticket, p *pair) error {
+	ticket.Deadline = c.deadline(p.prefill)
+	var refusal error = fault.New(fault.NoEndpoint, "no decode endpoint").After(time.Second)
+	for round := 0; round == 0 || time.Now().Before(ticket.Deadline); round++ {
+		near := route.InRegion(c.roster.Pool(c.document.Pools.Decode), p.prefill.Instance.Region)
+		ranked := route.Decode(near, c.dice())
+		for i, m := range ranked[:min(triedDecodes, len(ranked))] {
+			err := c.askSlot(ctx, ticket, m, slotPatience(round, i))
+			if err == nil {
+				p.decode = m
+				return nil
+			}
+			refusal = err
+			if ctx.Err() != nil {
+				return err
+			}
+		}
+		if len(ranked) == 0 {
+			return refusal
+		}
+	}
+	if fault.Is(refusal, fault.EndpointBusy) {
+		return fault.New(fault.TargetUnreachable, "no decode slot became free in time").After(fault.AsRefusal(refusal).RetryAfter)
+	}
+	return refusal
+}
+
+// slotPatience is how long to wait at the i-th choice of a round.
+func slotPatience(round, i int) time.Duration {
+	if round > 0 && i == 0 {
+		return slotWait
+	}
+	return 0
+}
+
+func (c *chatRun) askSlot(ctx context.Context, ticket wire.Ticket, m roster.Member, wait time.Duration) error {
+	reply, err := wire.Call[wire.Reply](ctx, c.config.Peers, m.Instance.Address, wire.ReservePath, wire.ReserveOrder{
+		Ticket:  ticket,
+		Wait:    wait,
+		HoldFor: c.holdFor(m),
+	})
+	return c.judge(ctx, m, reply.Load, reply.Fault, err)
+}
+
+// holdFor is how long a slot must be kept until its decode is ordered: twice
+// the estimated prefill, since an estimate that is a little short would waste
+// the whole prefill.
+func (c *chatRun) holdFor(m roster.Member) time.Duration {
+	reading := route.PrefillTime(roster.Member{Load: wire.Load{PrefillPerToken: m.Load.PrefillPerToken}}, c.tokens)
+	return 2*reading + time.Second
+}
+
+// giveBack releases a place without holding up the request.
+func (c *chatRun) giveBack(m roster.Member, attempt ident.AttemptID) {
+	c.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		reply, err := wire.Call[wire.Reply](ctx, c.config.Peers, m.Instance.Address, wire.ReleasePath, wire.ReleaseOrder{Attempt: attempt})
+		if err == nil {
+			c.roster.Observe(reply.Load)
+		}
+	})
+}
--- /dev/null
+++ b/fault/refusal.go
@@ -0,0 +1,151 @@
+// Package fault holds the typed errors that cross process borders: refusals
+// with a stable code, and whether the refused work may have run.
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Outcome states whether the refused work may have taken effect.
+type Outcome string
+
+const (
+	// NotRun promises that the work did not and will not run.
+	NotRun Outcome = "not-run"
+	// Unknown states that nobody can tell whether the work ran.
+	Unknown Outcome = "unknown"
+)
+
+// Code is the stable, machine-readable reason of a refusal.
+type Code string
+
+// The codes are part of the callers' interface and never change meaning.
+const (
+	BadRequest         Code = "bad-request"
+	MalformedJSON      Code = "malformed-json"
+	Unauthorized       Code = "unauthorized"
+	UnknownRoute       Code = "unknown-route"
+	UnknownService     Code = "unknown-service"
+	UnknownCall        Code = "unknown-call"
+	BodyTooLarge       Code = "body-too-large"
+	PromptTooLong      Code = "prompt-too-long"
+	SlowClient         Code = "slow-client"
+	KeyRequired        Code = "idempotency-key-required"
+	KeyReused          Code = "idempotency-key-reused"
+	ActionInProgress   Code = "action-in-progress"
+	ActionUnknown      Code = "action-outcome-unknown"
+	LedgerUnavailable  Code = "ledger-unavailable"
+	LedgerFull         Code = "ledger-full"
+	Overloaded         Code = "overloaded"
+	TargetUnreachable  Code = "target-unreachable"
+	NoEndpoint         Code = "no-endpoint"
+	EndpointFailed     Code = "endpoint-failed"
+	EndpointBusy       Code = "endpoint-busy"
+	Draining           Code = "draining"
+	PatienceExceeded   Code = "patience-exceeded"
+	RequestBlocked     Code = "request-blocked"
+	KVLost             Code = "kv-lost"
+	Cancelled          Code = "cancelled"
+	DocumentsNotLoaded Code = "documents-not-loaded"
+	Internal           Code = "internal"
+)
+
+// statuses gives each code its HTTP status; a code that is missing maps to 500.
+var statuses = map[Code]int{
+	BadRequest:         http.StatusBadRequest,
+	MalformedJSON:      http.StatusBadRequest,
+	Unauthorized:       http.StatusUnauthorized,
+	UnknownRoute:       http.StatusNotFound,
+	UnknownService:     http.StatusNotFound,
+	UnknownCall:        http.StatusNotFound,
+	BodyTooLarge:       http.StatusRequestEntityTooLarge,
+	PromptTooLong:      http.StatusRequestEntityTooLarge,
+	SlowClient:         http.StatusRequestTimeout,
+	KeyRequired:        http.StatusBadRequest,
+	KeyReused:          http.StatusUnprocessableEntity,
+	ActionInProgress:   http.StatusConflict,
+	ActionUnknown:      http.StatusConflict,
+	LedgerUnavailable:  http.StatusServiceUnavailable,
+	LedgerFull:         http.StatusServiceUnavailable,
+	Overloaded:         http.StatusServiceUnavailable,
+	TargetUnreachable:  http.StatusServiceUnavailable,
+	NoEndpoint:         http.StatusServiceUnavailable,
+	EndpointFailed:     http.StatusBadGateway,
+	EndpointBusy:       http.StatusServiceUnavailable,
+	Draining:           http.StatusServiceUnavailable,
+	PatienceExceeded:   http.StatusGatewayTimeout,
+	RequestBlocked:     http.StatusUnprocessableEntity,
+	KVLost:             http.StatusBadGateway,
+	Cancelled:          499,
+	DocumentsNotLoaded: http.StatusServiceUnavailable,
+	Internal:           http.StatusInternalServerError,
+}
+
+// Refusal is an error that is shown to a caller or to another process of ours.
+type Refusal struct {
+	Code    Code    `json:"code"`
+	Outcome Outcome `json:"outcome"`
+	Detail  string  `json:"detail,omitempty"`
+	// RetryAfter is the time after which coming back helps; zero means never.
+	RetryAfter time.Duration `json:"retry-after-ns,omitempty"`
+}
+
+// New returns a refusal of work that was not run.
+func New(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Outcome: NotRun, Detail: fmt.Sprintf(format, args...)}
+}
+
+// NewUnknown returns a refusal of work that may have run.
+func NewUnknown(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Outcome: Unknown, Detail: fmt.Sprintf(format, args...)}
+}
+
+// After returns a copy of the refusal that tells the caller when to come back.
+func (r *Refusal) After(wait time.Duration) *Refusal {
+	later := *r
+	later.RetryAfter = wait
+	return &later
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.Outcome, r.Detail)
+}
+
+// Status returns the HTTP status of the refusal's code.
+func (r *Refusal) Status() int {
+	status, ok := statuses[r.Code]
+	if !ok {
+		return http.StatusInternalServerError
+	}
+	return status
+}
+
+// AsRefusal finds the refusal inside an error. An error without one becomes an
+// internal refusal whose outcome is unknown, since nothing is known about it.
+func AsRefusal(err error) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return NewUnknown(Internal, "%v", err)
+}
+
+// Is reports whether the error carries a refusal with the code.
+func Is(err error, code Code) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal) && refusal.Code == code
+}
+
+// Annotate wraps a function's named error result once; use it with defer.
+func Annotate(err *error, format string, args ...any) {
+	if *err == nil {
+		return
+	}
+	*err = eris.Wrapf(*err, format, args...)
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,375 @@
+// Package fleet runs a whole small deployment in one process, over in-memory
+// connections: a platform, endpoints, agents and entries, which tests and
+// measurements can kill, freeze, cut off and restart.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"crocusstep/agent"
+	"crocusstep/auth"
+	"crocusstep/caller"
+	"crocusstep/common"
+	"crocusstep/docset"
+	"crocusstep/entry"
+	"crocusstep/fake"
+	"crocusstep/ident"
+	"crocusstep/memnet"
+	"crocusstep/meter"
+	"crocusstep/spec"
+	"crocusstep/store"
+	"crocusstep/strict"
+	"crocusstep/wire"
+)
+
+const (
+	platformAddress ident.Address = "platform:1"
+	callerHost      memnet.Host   = "caller"
+
+	platformTimeout = 2 * time.Second
+	sweepInterval   = 2 * time.Second
+	maxHold         = 10 * time.Second
+)
+
+// Config configures a Fleet.
+type Config struct {
+	Platform fake.PlatformConfig
+	// Engine is the timing of every engine; its client is set by the fleet.
+	Engine fake.EngineConfig
+	Plain  fake.PlainConfig
+	// Log gets the logs of all processes.
+	Log  *slog.Logger
+	Seed uint64
+}
+
+// Endpoint is one back end with its agent.
+type Endpoint struct {
+	Name   ident.EndpointName
+	Pool   ident.PoolName
+	Region ident.RegionName
+	// Engine is set for model endpoints, Plain for plain services.
+	Engine *fake.Engine
+	Plain  *fake.Plain
+	Agent  *agent.Agent
+
+	agentProcess  *process
+	engineProcess *process
+}
+
+func (e *Endpoint) kind() spec.ServiceKind {
+	if e.Plain != nil {
+		return spec.Plain
+	}
+	return spec.LanguageModel
+}
+
+// Fleet is one small deployment.
+type Fleet struct {
+	Network  *memnet.Network
+	Platform *fake.Platform
+
+	config    Config
+	keyring   *auth.Keyring
+	platform  *process
+	endpoints map[ident.EndpointName]*Endpoint
+	entries   map[ident.InstanceName]*process
+	// Entries gives access to the entries themselves.
+	Entries map[ident.InstanceName]*entry.Entry
+	clients []*http.Client
+}
+
+// process is one killable process.
+type process struct {
+	host   memnet.Host
+	ctx    context.Context
+	cancel context.CancelFunc
+	server *http.Server
+	done   chan struct{}
+}
+
+// NewFleet starts a platform and nothing else.
+func NewFleet(config Config) (*Fleet, error) {
+	keyring, err := auth.NewKeyring([]auth.Key{{ID: "test", Secret: "secret of the fleet"}})
+	if err != nil {
+		return nil, err
+	}
+	if config.Log == nil {
+		config.Log = slog.New(slog.DiscardHandler)
+	}
+	f := &Fleet{
+		Network:   memnet.NewNetwork(),
+		Platform:  fake.NewPlatform(config.Platform),
+		config:    config,
+		keyring:   keyring,
+		endpoints: map[ident.EndpointName]*Endpoint{},
+		entries:   map[ident.InstanceName]*process{},
+		Entries:   map[ident.InstanceName]*entry.Entry{},
+	}
+	f.platform = f.start("platform", platformAddress, f.Platform.Handler())
+	return f, nil
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	for _, p := range f.entries {
+		f.kill(p)
+	}
+	for _, e := range f.endpoints {
+		f.kill(e.agentProcess)
+		f.kill(e.engineProcess)
+	}
+	f.kill(f.platform)
+	for _, client := range f.clients {
+		client.CloseIdleConnections()
+	}
+}
+
+func (f *Fleet) start(host memnet.Host, address ident.Address, handler http.Handler) *process {
+	p := f.prepare(host)
+	f.listen(p, address, handler)
+	return p
+}
+
+func (f *Fleet) prepare(host memnet.Host) *process {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &process{host: host, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+}
+
+func (f *Fleet) listen(p *process, address ident.Address, handler http.Handler) {
+	p.server = &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(f.config.Log.Handler(), slog.LevelDebug)}
+	listener := f.Network.Listen(p.host, string(address))
+	go func() {
+		defer close(p.done)
+		_ = p.server.Serve(listener)
+	}()
+}
+
+// kill ends a process as SIGKILL does: nothing of it runs on or says goodbye.
+func (f *Fleet) kill(p *process) {
+	f.Network.Kill(p.host)
+	p.cancel()
+	_ = p.server.Close()
+	<-p.done
+}
+
+func (f *Fleet) client(host memnet.Host) *http.Client {
+	client := f.Network.Client(host)
+	f.clients = append(f.clients, client)
+	return client
+}
+
+// Store returns a client of the platform for a host.
+func (f *Fleet) Store(host memnet.Host) store.Store {
+	return store.NewClient(store.ClientConfig{Address: platformAddress, HTTP: f.client(host), Timeout: platformTimeout})
+}
+
+func (f *Fleet) common(name string) (*common.Common, error) {
+	m, err := meter.NewMeter()
+	if err != nil {
+		return nil, err
+	}
+	return common.NewCommon(f.config.Log.With("instance", name), m), nil
+}
+
+// AddModel adds an engine with its agent.
+func (f *Fleet) AddModel(name ident.EndpointName, pool ident.PoolName, region ident.RegionName) error {
+	e := &Endpoint{Name: name, Pool: pool, Region: region}
+	f.endpoints[name] = e
+	f.startEngine(e)
+	return f.startAgent(e)
+}
+
+// AddPlain adds a plain service with its agent.
+func (f *Fleet) AddPlain(name ident.EndpointName, pool ident.PoolName, region ident.RegionName) error {
+	e := &Endpoint{Name: name, Pool: pool, Region: region, Plain: fake.NewPlain(f.config.Plain)}
+	f.endpoints[name] = e
+	e.engineProcess = f.start(engineHost(name), engineAddress(name), e.Plain.Handler())
+	return f.startAgent(e)
+}
+
+func (f *Fleet) startEngine(e *Endpoint) {
+	config := f.config.Engine
+	config.HTTP = f.client(engineHost(e.Name))
+	var p *process
+	e.Engine = fake.NewEngine(config, func() {
+		f.Network.Kill(p.host)
+		p.cancel()
+	})
+	p = f.prepare(engineHost(e.Name))
+	f.listen(p, engineAddress(e.Name), e.Engine.Handler())
+	e.engineProcess = p
+}
+
+func (f *Fleet) startAgent(e *Endpoint) error {
+	c, err := f.common(string(e.Name))
+	if err != nil {
+		return err
+	}
+	p := f.prepare(agentHost(e.Name))
+	slots := f.config.Engine.Slots
+	e.Agent = agent.NewAgent(p.ctx, c, agent.Config{
+		Instance:        ident.InstanceName(e.Name),
+		Endpoint:        e.Name,
+		Kind:            e.kind(),
+		EndpointAddress: engineAddress(e.Name),
+		Slots:           slots,
+		Lanes:           1,
+		MaxHold:         maxHold,
+		SweepInterval:   sweepInterval,
+		HTTP:            f.client(p.host),
+		Store:           f.Store(p.host),
+		Keyring:         f.keyring,
+	})
+	go e.Agent.Run()
+	f.listen(p, agentAddress(e.Name), e.Agent.Handler())
+	e.agentProcess = p
+	f.Platform.SetInstance(f.instance(e, store.Live))
+	return nil
+}
+
+func (f *Fleet) instance(e *Endpoint, state store.InstanceState) store.Instance {
+	return store.Instance{
+		Name:     ident.InstanceName(e.Name),
+		Role:     store.AgentRole,
+		Address:  agentAddress(e.Name),
+		Endpoint: e.Name,
+		Pool:     e.Pool,
+		Region:   e.Region,
+		State:    state,
+	}
+}
+
+// Endpoint returns a back end by its name.
+func (f *Fleet) Endpoint(name ident.EndpointName) *Endpoint { return f.endpoints[name] }
+
+// Endpoints returns all back ends of a pool.
+func (f *Fleet) Endpoints(pool ident.PoolName) []*Endpoint {
+	var list []*Endpoint
+	for _, e := range f.endpoints {
+		if e.Pool == pool {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// KillAgent ends an agent as SIGKILL does; its endpoint runs on.
+func (f *Fleet) KillAgent(name ident.EndpointName) { f.kill(f.endpoints[name].agentProcess) }
+
+// RestartAgent starts an agent anew after KillAgent or StopAgent.
+func (f *Fleet) RestartAgent(name ident.EndpointName) error { return f.startAgent(f.endpoints[name]) }
+
+// StopAgent stops an agent gracefully and returns when it has ended.
+func (f *Fleet) StopAgent(name ident.EndpointName, limit time.Duration) {
+	e := f.endpoints[name]
+	f.Platform.SetInstance(f.instance(e, store.Leaving))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	e.Agent.Drain(ctx)
+	_ = e.agentProcess.server.Shutdown(ctx)
+	f.kill(e.agentProcess)
+}
+
+// KillEngine ends an engine as a crash does.
+func (f *Fleet) KillEngine(name ident.EndpointName) { f.kill(f.endpoints[name].engineProcess) }
+
+// RestartEngine starts an engine anew, with nothing in its memory.
+func (f *Fleet) RestartEngine(name ident.EndpointName) {
+	<-f.endpoints[name].engineProcess.done
+	f.startEngine(f.endpoints[name])
+}
+
+// AddEntry adds an entry.
+func (f *Fleet) AddEntry(name ident.InstanceName, region ident.RegionName) error {
+	c, err := f.common(string(name))
+	if err != nil {
+		return err
+	}
+	p := f.prepare(memnet.Host(name))
+	e := entry.NewEntry(c, entry.Config{
+		Instance:        name,
+		Region:          region,
+		Store:           f.Store(p.host),
+		Peers:           wire.NewClient(f.client(p.host), f.keyring),
+		BodyTimeout:     10 * time.Second,
+		WriteTimeout:    10 * time.Second,
+		MaxBody:         4 * strict.MiB,
+		TransferTimeout: 2 * time.Second,
+		Seed:            f.config.Seed + uint64(len(f.entries)),
+	})
+	go e.Run(p.ctx)
+	f.listen(p, entryAddress(name), e.Handler())
+	f.entries[name] = p
+	f.Entries[name] = e
+	f.Platform.SetInstance(store.Instance{Name: name, Role: store.EntryRole, Address: entryAddress(name), Region: region, State: store.Live})
+	return nil
+}
+
+// KillEntry ends an entry as SIGKILL does.
+func (f *Fleet) KillEntry(name ident.InstanceName) {
+	f.kill(f.entries[name])
+	f.Platform.RemoveInstance(name)
+}
+
+// StopEntry stops an entry gracefully and returns when it has ended.
+func (f *Fleet) StopEntry(name ident.InstanceName, limit time.Duration) {
+	f.Entries[name].StartDraining()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	_ = f.entries[name].server.Shutdown(ctx)
+	f.KillEntry(name)
+}
+
+// Caller returns a caller of an entry.
+func (f *Fleet) Caller(entry ident.InstanceName) *caller.Client {
+	return caller.NewClient(f.client(callerHost), entryAddress(entry))
+}
+
+// Put puts a document in force.
+func (f *Fleet) Put(ctx context.Context, file string, text []byte) error {
+	document, err := spec.Parse(file, text)
+	if err != nil {
+		return err
+	}
+	_, err = docset.NewBook(f.Store("operator")).Put(ctx, document, text, docset.Newest)
+	return err
+}
+
+// PutExamples puts all documents of a folder in force.
+func (f *Fleet) PutExamples(ctx context.Context, folder string) error {
+	files, err := filepath.Glob(filepath.Join(folder, "*.yaml"))
+	if err != nil {
+		return err
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		if err := f.Put(ctx, file, text); err != nil {
+			return fmt.Errorf("%s: %w", file, err)
+		}
+	}
+	return nil
+}
+
+// AgentHost names an agent's host on the network.
+func AgentHost(name ident.EndpointName) memnet.Host { return agentHost(name) }
+
+func agentHost(name ident.EndpointName) memnet.Host  { return memnet.Host("agent-" + name) }
+func engineHost(name ident.EndpointName) memnet.Host { return memnet.Host("engine-" + name) }
+
+func agentAddress(name ident.EndpointName) ident.Address {
+	return ident.Address("agent-" + name + ":1")
+}
+
+func engineAddress(name ident.EndpointName) ident.Address {
+	return ident.Address("engine-" + name + ":1")
+}
+func entryAddress(name ident.InstanceName) ident.Address { return ident.Address(name + ":1") }
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,192 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"crocusstep/fault"
+	"crocusstep/ident"
+)
+
+// Gate lets a bounded number of attempts hold a place at once; the others wait
+// in a queue. A place that is held without being used expires.
+type Gate struct {
+	mutex    sync.Mutex
+	capacity int
+	queue    *Queue
+	waiters  map[ident.AttemptID]chan struct{}
+	// held never has more than capacity places.
+	held map[ident.AttemptID]*place
+	// pace is the learned time between two departures per unit of cost.
+	pace pace
+}
+
+type place struct {
+	cost float64
+	// expiry ends a place that is not in use; nil once it is.
+	expiry *time.Timer
+	since  time.Time
+}
+
+// NewGate returns a gate with the capacity in places.
+func NewGate(capacity int) *Gate {
+	return &Gate{
+		capacity: capacity,
+		queue:    NewQueue(),
+		waiters:  map[ident.AttemptID]chan struct{}{},
+		held:     map[ident.AttemptID]*place{},
+	}
+}
+
+// State is a gate's load.
+type State struct {
+	Free    int
+	Waiting int
+	// Cost is the work that waits or is held.
+	Cost float64
+}
+
+// State returns the gate's load at the moment.
+func (g *Gate) State() State {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	cost := g.queue.Cost()
+	for _, p := range g.held {
+		cost += p.cost
+	}
+	return State{Free: g.capacity - len(g.held), Waiting: g.queue.Len(), Cost: cost}
+}
+
+// SetCapacity changes the number of places; those held stay held.
+func (g *Gate) SetCapacity(capacity int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.capacity = capacity
+	g.advance()
+}
+
+// Enter waits for a place until the ticket's deadline or the context's end.
+// The place is given back after holdFor unless Use is called before. A ticket
+// that cannot start in time is refused at once.
+func (g *Gate) Enter(ctx context.Context, ticket Ticket, wait, holdFor time.Duration) error {
+	now := time.Now()
+	entered, refusal := g.join(ticket, now, wait)
+	if refusal != nil {
+		return refusal
+	}
+	timer := time.NewTimer(min(wait, max(0, ticket.Deadline.Sub(now))))
+	defer timer.Stop()
+	select {
+	case <-entered:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.settle(ticket, holdFor, ctx.Err() != nil)
+}
+
+func (g *Gate) join(ticket Ticket, now time.Time, wait time.Duration) (chan struct{}, *fault.Refusal) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	expected := g.expectedWait()
+	latest := min(wait, ticket.Deadline.Sub(now))
+	if expected > latest {
+		return nil, fault.New(fault.TargetUnreachable, "the expected wait is %s", expected.Round(time.Millisecond)).After(expected)
+	}
+	entered := make(chan struct{})
+	g.waiters[ticket.Attempt] = entered
+	g.queue.Push(ticket)
+	g.advance()
+	return entered, nil
+}
+
+// expectedWait is how long a ticket that comes now would wait.
+func (g *Gate) expectedWait() time.Duration {
+	if len(g.held) < g.capacity && g.queue.Len() == 0 {
+		return 0
+	}
+	return time.Duration(g.queue.Cost() * float64(g.pace.perCost()) / float64(max(1, g.capacity)))
+}
+
+// settle ends a wait: the place may have been granted at the last moment.
+func (g *Gate) settle(ticket Ticket, holdFor time.Duration, gone bool) error {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	delete(g.waiters, ticket.Attempt)
+	p, granted := g.held[ticket.Attempt]
+	switch {
+	case granted && gone:
+		g.drop(ticket.Attempt)
+		return fault.New(fault.Cancelled, "the request was cancelled while it waited")
+	case granted:
+		p.expiry = time.AfterFunc(holdFor, func() { g.Leave(ticket.Attempt) })
+		return nil
+	}
+	g.queue.Remove(ticket.Workspace, ticket.Attempt)
+	if gone {
+		return fault.New(fault.Cancelled, "the request was cancelled while it waited")
+	}
+	return fault.New(fault.EndpointBusy, "no place became free in time").After(g.expectedWait())
+}
+
+// Use keeps a held place until Leave; it reports whether it was still held.
+func (g *Gate) Use(attempt ident.AttemptID) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	p, ok := g.held[attempt]
+	if !ok {
+		return false
+	}
+	if p.expiry != nil {
+		p.expiry.Stop()
+		p.expiry = nil
+	}
+	return true
+}
+
+// Holds reports whether the attempt holds a place.
+func (g *Gate) Holds(attempt ident.AttemptID) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	_, ok := g.held[attempt]
+	return ok
+}
+
+// Held returns how many places are held.
+func (g *Gate) Held() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.held)
+}
+
+// Leave gives a place back.
+func (g *Gate) Leave(attempt ident.AttemptID) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.drop(attempt)
+}
+
+func (g *Gate) drop(attempt ident.AttemptID) {
+	p, ok := g.held[attempt]
+	if !ok {
+		return
+	}
+	if p.expiry != nil {
+		p.expiry.Stop()
+	}
+	delete(g.held, attempt)
+	g.pace.observe(p.cost, time.Since(p.since))
+	g.advance()
+}
+
+// advance grants free places to those who wait.
+func (g *Gate) advance() {
+	for len(g.held) < g.capacity {
+		ticket, found := g.queue.Pop()
+		if !found {
+			return
+		}
+		g.held[ticket.Attempt] = &place{cost: ticket.Cost, since: time.Now()}
+		close(g.waiters[ticket.Attempt])
+	}
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,149 @@
+// Package meter holds the metrics of one process, by OpenTelemetry with an
+// exporter that Prometheus reads.
+package meter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"crocusstep/fault"
+	"crocusstep/ident"
+)
+
+// The buckets lie dense around the targets: 1.2 s to the first token, 76 ms
+// between tokens. All bounds are in seconds.
+var (
+	firstTokenBuckets = []float64{0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.2, 1.5, 2, 3, 5, 10, 30}
+	betweenBuckets    = []float64{0.01, 0.02, 0.03, 0.04, 0.05, 0.06, 0.07, 0.076, 0.09, 0.12, 0.2, 0.5, 1, 5}
+	wholeBuckets      = []float64{0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60}
+)
+
+// Meter is the instruments of one process.
+type Meter struct {
+	registry *prometheus.Registry
+
+	requests      metric.Int64Counter
+	withinTarget  metric.Int64Counter
+	firstToken    metric.Float64Histogram
+	betweenTokens metric.Float64Histogram
+	wholeAnswer   metric.Float64Histogram
+	prefill       metric.Int64Counter
+	wasted        metric.Int64Counter
+	control       metric.Int64Counter
+	controlBytes  metric.Int64Counter
+	linkBytes     metric.Int64Counter
+}
+
+// NewMeter returns instruments that count from zero.
+func NewMeter() (m *Meter, err error) {
+	defer fault.Annotate(&err, "set up metrics")
+	registry := prometheus.NewRegistry()
+	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithNamespace("crocusstep"), exporter.WithoutScopeInfo())
+	if err != nil {
+		return nil, err
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(reader))
+	b := &builder{meter: provider.Meter("crocusstep")}
+	m = &Meter{
+		registry:      registry,
+		requests:      b.counter("requests", "Requests of callers by service and outcome."),
+		withinTarget:  b.counter("requests.within.target", "Requests answered within all targets of their service."),
+		firstToken:    b.histogram("first.token", "Time to the first token.", firstTokenBuckets),
+		betweenTokens: b.histogram("between.tokens", "Time between two tokens.", betweenBuckets),
+		wholeAnswer:   b.histogram("whole.answer", "Time to the whole answer.", wholeBuckets),
+		prefill:       b.counter("prefill.tokens", "Prompt tokens sent to prefill endpoints."),
+		wasted:        b.counter("wasted.prefill.tokens", "Prefilled tokens whose result no caller got."),
+		control:       b.counter("control.messages", "Control messages by kind."),
+		controlBytes:  b.counter("control.bytes", "Bytes of control messages by kind."),
+		linkBytes:     b.counter("region.link.bytes", "Bytes sent to another region."),
+	}
+	return m, b.err
+}
+
+// Handler serves the metrics to Prometheus.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Request counts an ended request by service and outcome.
+func (m *Meter) Request(service ident.ServiceName, outcome string, within bool) {
+	of := serviceOption(service)
+	m.requests.Add(context.Background(), 1, of, metric.WithAttributes(attribute.String("outcome", outcome)))
+	if within {
+		m.withinTarget.Add(context.Background(), 1, of)
+	}
+}
+
+// FirstToken records the time from a request's arrival to its first token.
+func (m *Meter) FirstToken(service ident.ServiceName, span time.Duration) {
+	m.firstToken.Record(context.Background(), span.Seconds(), serviceOption(service))
+}
+
+// BetweenTokens records the time between two tokens of one answer.
+func (m *Meter) BetweenTokens(service ident.ServiceName, span time.Duration) {
+	m.betweenTokens.Record(context.Background(), span.Seconds(), serviceOption(service))
+}
+
+// WholeAnswer records the time from a request's arrival to its answer's end.
+func (m *Meter) WholeAnswer(service ident.ServiceName, span time.Duration) {
+	m.wholeAnswer.Record(context.Background(), span.Seconds(), serviceOption(service))
+}
+
+// Prefill counts tokens that a prefill endpoint was asked to read.
+func (m *Meter) Prefill(service ident.ServiceName, tokens ident.TokenCount) {
+	m.prefill.Add(context.Background(), int64(tokens), serviceOption(service))
+}
+
+// WastedPrefill counts tokens that were read for nothing.
+func (m *Meter) WastedPrefill(service ident.ServiceName, tokens ident.TokenCount) {
+	m.wasted.Add(context.Background(), int64(tokens), serviceOption(service))
+}
+
+// Control counts one control message of a kind and its size.
+func (m *Meter) Control(kind string, size ident.ByteCount) {
+	of := metric.WithAttributes(attribute.String("kind", kind))
+	m.control.Add(context.Background(), 1, of)
+	m.controlBytes.Add(context.Background(), int64(size), of)
+}
+
+// RegionLink counts bytes that left for another region.
+func (m *Meter) RegionLink(service ident.ServiceName, size ident.ByteCount) {
+	m.linkBytes.Add(context.Background(), int64(size), serviceOption(service))
+}
+
+func serviceOption(service ident.ServiceName) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String("service", string(service)))
+}
+
+// builder makes instruments and keeps the first error.
+type builder struct {
+	meter metric.Meter
+	err   error
+}
+
+func (b *builder) counter(name, description string) metric.Int64Counter {
+	counter, err := b.meter.Int64Counter(name, metric.WithDescription(description))
+	b.keep(err)
+	return counter
+}
+
+func (b *builder) histogram(name, description string, bounds []float64) metric.Float64Histogram {
+	histogram, err := b.meter.Float64Histogram(name,
+		metric.WithDescription(description), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(bounds...))
+	b.keep(err)
+	return histogram
+}
+
+func (b *builder) keep(err error) {
+	if b.err == nil {
+		b.err = err
+	}
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,231 @@
+// Package roster is an entry's view of the agents: who is there, by the
+// platform's lagging list, and how loaded they are, by their own replies.
+package roster
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"crocusstep/common"
+	"crocusstep/ident"
+	"crocusstep/store"
+	"crocusstep/wire"
+)
+
+const (
+	// listInterval is the time between two readings of the platform's list; at
+	// 370 nodes that is 185 calls a second of the platform's 2,000.
+	listInterval = 2 * time.Second
+	// suspendFor is the first pause after a failure; it doubles up to suspendMost.
+	suspendFor  = 500 * time.Millisecond
+	suspendMost = 8 * time.Second
+	// drainingFor is how long an agent's word that it is draining counts; it is
+	// gone or replaced by then.
+	drainingFor = 30 * time.Second
+)
+
+// Member is one agent with what is known of it. It is a copy and never changes.
+type Member struct {
+	Instance store.Instance
+	Load     wire.Load
+	// LoadKnown is false until the agent replied for the first time.
+	LoadKnown bool
+	// Outstanding is this entry's own orders there that have not ended.
+	Outstanding int
+	// OutstandingTokens is the prompt tokens among them that are not yet read.
+	OutstandingTokens ident.TokenCount
+	// Suspended is true for a while after failures.
+	Suspended bool
+}
+
+type member struct {
+	instance    store.Instance
+	load        wire.Load
+	known       bool
+	outstanding int
+	tokens      ident.TokenCount
+	failures    int
+	// suspended ends the pause after a failure.
+	suspended time.Time
+	// draining ends the time for which the agent's own word counts.
+	draining time.Time
+}
+
+// Roster holds the agents. It is safe for concurrent use.
+type Roster struct {
+	*common.Common
+	store store.Store
+
+	mutex   sync.Mutex
+	members map[ident.EndpointName]*member
+}
+
+// NewRoster returns an empty roster; Run fills it.
+func NewRoster(c *common.Common, s store.Store) *Roster {
+	return &Roster{Common: c, store: s, members: map[ident.EndpointName]*member{}}
+}
+
+// Run keeps the roster up to date until the context ends.
+func (r *Roster) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.refresh(ctx)
+		pause(ctx, listInterval/2+rand.N(listInterval))
+	}
+}
+
+func (r *Roster) refresh(ctx context.Context) {
+	instances, err := r.store.Instances(ctx)
+	if err != nil {
+		// An outage of the platform says nothing about the agents.
+		r.Log.Warn("the list of instances was not read", "error", err)
+		return
+	}
+	r.Replace(instances)
+}
+
+// Replace takes over the platform's list.
+func (r *Roster) Replace(instances []store.Instance) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	listed := map[ident.EndpointName]bool{}
+	for _, instance := range instances {
+		if instance.Role != store.AgentRole {
+			continue
+		}
+		listed[instance.Endpoint] = true
+		r.place(instance)
+	}
+	for name := range r.members {
+		if !listed[name] {
+			delete(r.members, name)
+		}
+	}
+}
+
+// place adds or updates a member. A new address means a new process, so what
+// was known of the old one is dropped.
+func (r *Roster) place(instance store.Instance) {
+	m, ok := r.members[instance.Endpoint]
+	if !ok || m.instance.Address != instance.Address || m.instance.Name != instance.Name {
+		m = &member{}
+		r.members[instance.Endpoint] = m
+	}
+	m.instance = instance
+}
+
+// Pool returns the members of a pool that may get new work, by name.
+func (r *Roster) Pool(pool ident.PoolName) []Member {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	var members []Member
+	for _, m := range r.members {
+		if m.instance.Pool != pool || m.instance.State == store.Leaving || now.Before(m.draining) {
+			continue
+		}
+		members = append(members, m.snapshot(now))
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Instance.Endpoint < members[j].Instance.Endpoint })
+	return unsuspended(members)
+}
+
+// unsuspended leaves suspended members out, unless that would take more than
+// half of a pool away: then the cause is not likely to be the members.
+func unsuspended(members []Member) []Member {
+	var healthy []Member
+	for _, m := range members {
+		if !m.Suspended {
+			healthy = append(healthy, m)
+		}
+	}
+	if 2*len(healthy) < len(members) {
+		return members
+	}
+	return healthy
+}
+
+func (m *member) snapshot(now time.Time) Member {
+	return Member{
+		Instance:          m.instance,
+		Load:              m.load,
+		LoadKnown:         m.known,
+		Outstanding:       m.outstanding,
+		OutstandingTokens: m.tokens,
+		Suspended:         now.Before(m.suspended),
+	}
+}
+
+// Observe takes over an agent's own report, unless a newer one is known.
+func (r *Roster) Observe(load wire.Load) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	m, ok := r.members[load.Endpoint]
+	if !ok {
+		return
+	}
+	if m.known && m.load.Incarnation == load.Incarnation && m.load.Sequence >= load.Sequence {
+		return
+	}
+	m.load = load
+	m.known = true
+	m.draining = time.Time{}
+	if load.Draining {
+		m.draining = time.Now().Add(drainingFor)
+	}
+}
+
+// Began counts an order of this entry, until the returned function is called.
+func (r *Roster) Began(endpoint ident.EndpointName, tokens ident.TokenCount) (ended func()) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	m, ok := r.members[endpoint]
+	if !ok {
+		return func() {}
+	}
+	m.outstanding++
+	m.tokens += tokens
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			r.mutex.Lock()
+			defer r.mutex.Unlock()
+			m.outstanding--
+			m.tokens -= tokens
+		})
+	}
+}
+
+// Failed suspends a member for a while.
+func (r *Roster) Failed(endpoint ident.EndpointName) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	m, ok := r.members[endpoint]
+	if !ok {
+		return
+	}
+	wait := min(suspendFor<<min(m.failures, 8), suspendMost)
+	m.failures++
+	m.suspended = time.Now().Add(wait)
+}
+
+// Succeeded ends what failures have led to.
+func (r *Roster) Succeeded(endpoint ident.EndpointName) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if m, ok := r.members[endpoint]; ok {
+		m.failures = 0
+		m.suspended = time.Time{}
+	}
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/start/process.go
@@ -0,0 +1,193 @@
+package start
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"crocusstep/auth"
+	"crocusstep/common"
+	"crocusstep/conf"
+	"crocusstep/fault"
+	"crocusstep/ident"
+	"crocusstep/meter"
+	"crocusstep/socket"
+	"crocusstep/store"
+)
+
+const (
+	// keysInterval is how soon a changed peer keys file is in force.
+	keysInterval = 5 * time.Second
+	// forcedExit is the exit code after a second signal.
+	forcedExit = 130
+
+	adminHeaderTimeout = 5 * time.Second
+)
+
+// process is what every role has: shared things, signals and listeners.
+type process struct {
+	*common.Common
+	// ctx ends all work; stop ends it.
+	ctx  context.Context
+	stop context.CancelFunc
+	// asked is closed by the first signal.
+	asked chan struct{}
+	tasks conc.WaitGroup
+	http  *http.Client
+}
+
+func newProcess(settings conf.Log, place conf.Place, stderr io.Writer) (p *process, err error) {
+	defer fault.Annotate(&err, "set up the process")
+	m, err := meter.NewMeter()
+	if err != nil {
+		return nil, err
+	}
+	log := newLogger(settings, stderr).With("instance", place.Instance)
+	ctx, stop := context.WithCancel(context.Background())
+	p = &process{
+		Common: common.NewCommon(log, m),
+		ctx:    ctx,
+		stop:   stop,
+		asked:  make(chan struct{}),
+		http:   socket.NewClient(),
+	}
+	p.watchSignals()
+	return p, nil
+}
+
+func newLogger(settings conf.Log, stderr io.Writer) *slog.Logger {
+	var level slog.Level
+	// The level was checked with the settings.
+	_ = level.UnmarshalText([]byte(settings.Level))
+	options := &slog.HandlerOptions{Level: level}
+	if settings.Format == "json" {
+		return slog.New(slog.NewJSONHandler(stderr, options))
+	}
+	return slog.New(slog.NewTextHandler(stderr, options))
+}
+
+// watchSignals begins a graceful shutdown at the first signal and ends the
+// process at the second.
+func (p *process) watchSignals() {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		p.Log.Info("shutting down; a second signal ends the process at once")
+		close(p.asked)
+		<-signals
+		os.Exit(forcedExit)
+	}()
+}
+
+func (p *process) newStore(settings conf.Platform) *store.Client {
+	return store.NewClient(store.ClientConfig{
+		Address: settings.Address,
+		HTTP:    p.http,
+		Timeout: settings.Timeout.Std(),
+		Observe: func(call string, size ident.ByteCount) { p.Meter.Control("platform-"+call, size) },
+	})
+}
+
+// newKeyring reads the peer keys and follows changes of their file.
+func (p *process) newKeyring(file string) (ring *auth.Keyring, err error) {
+	defer fault.Annotate(&err, "read the peer keys")
+	keys, err := readKeys(file)
+	if err != nil {
+		return nil, err
+	}
+	ring, err = auth.NewKeyring(keys)
+	if err != nil {
+		return nil, err
+	}
+	p.tasks.Go(func() { p.followKeys(file, ring) })
+	return ring, nil
+}
+
+func (p *process) followKeys(file string, ring *auth.Keyring) {
+	ticker := time.NewTicker(keysInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		keys, err := readKeys(file)
+		if err == nil {
+			err = ring.Replace(keys)
+		}
+		if err != nil {
+			p.Log.Error("the peer keys in force stay, as the file cannot be read", "error", err)
+		}
+	}
+}
+
+func readKeys(file string) ([]auth.Key, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return conf.ParsePeerKeys(file, data)
+}
+
+// serve opens a listener and serves it until the server is shut down.
+func (p *process) serve(address ident.Address, server *http.Server) (err error) {
+	defer fault.Annotate(&err, "listen on %s", address)
+	listener, err := socket.Listen(p.ctx, string(address))
+	if err != nil {
+		return err
+	}
+	server.ErrorLog = slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug)
+	p.tasks.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.Log.Error("a listener failed", "address", address, "error", err)
+		}
+	})
+	return nil
+}
+
+// adminRoutes is what a role adds to the administration listener.
+type adminRoutes struct {
+	ready func() bool
+	// guarded routes need the credential.
+	guarded map[string]http.Handler
+}
+
+func (p *process) serveAdmin(settings conf.Admin, routes adminRoutes) (*http.Server, error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !routes.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ok\n")
+	})
+	mux.Handle("GET /metrics", p.Meter.Handler())
+	for pattern, handler := range routes.guarded {
+		mux.Handle(pattern, auth.RequireToken(settings.Token, handler))
+	}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
+	return server, p.serve(settings.Listen, server)
+}
+
+// shutDown lets work under way end, but not for longer than the timeout.
+func (p *process) shutDown(timeout time.Duration, servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			p.Log.Warn("work was cut off at the shutdown's time limit", "error", err)
+			_ = server.Close()
+		}
+	}
+}
--- /dev/null
+++ b/start/report.go
@@ -0,0 +1,45 @@
+package start
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"crocusstep/burn"
+	"crocusstep/ident"
+	"crocusstep/socket"
+)
+
+func (c *cli) addReport() {
+	report := c.app.Command("report", "Reports for operators.")
+	command := report.Command("burn", "Show how fast services use up their error budgets.")
+	entries := command.Flag("entry", "IP number and port of an entry's administration listener; repeat for each.").Required().Strings()
+	token := command.Flag("token-file", "File with the administration token.").Required().String()
+	format := command.Flag("format", "text, json or html").Default("text").Enum("text", "json", "html")
+	c.add(command, func() error { return c.reportBurn(*entries, *token, *format) })
+}
+
+func (c *cli) reportBurn(entries []string, tokenFile, format string) error {
+	ctx, cancel := operatorContext()
+	defer cancel()
+	token, err := os.ReadFile(tokenFile)
+	if err != nil {
+		return err
+	}
+	collector := burn.NewCollector(socket.NewClient(), string(token))
+	addresses := make([]ident.Address, len(entries))
+	for i, address := range entries {
+		addresses[i] = ident.Address(address)
+	}
+	series, missing := collector.Collect(ctx, addresses)
+	for _, problem := range missing {
+		_, _ = fmt.Fprintf(c.stderr, "crocusstep: %v\n", problem)
+	}
+	if err := burn.NewReport(series, time.Now()).Write(c.stdout, format); err != nil {
+		return err
+	}
+	if len(missing) > 0 {
+		return fmt.Errorf("the report lacks %d of %d entries", len(missing), len(entries))
+	}
+	return nil
+}
--- /dev/null
+++ b/start/start.go
@@ -0,0 +1,92 @@
+// Package start wires the parts together: command line, settings, listeners
+// and signals. It is the only place that knows all of them.
+package start
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"crocusstep/strict"
+)
+
+// The exit codes of the program.
+const (
+	exitOK = 0
+	// exitFailed means that the command was understood and did not succeed.
+	exitFailed = 1
+	// exitUsage means that the command line was wrong.
+	exitUsage = 2
+	// exitFaults means that a document or settings file has faults.
+	exitFaults = 3
+)
+
+// Build is what the linker knows of this program.
+type Build struct {
+	Version string
+}
+
+// cli is the command line of one run of the program.
+type cli struct {
+	build  Build
+	app    *kingpin.Application
+	stdout io.Writer
+	stderr io.Writer
+	// commands maps each full command to what it does.
+	commands map[string]func() error
+}
+
+// Run runs one command and returns its exit code.
+func Run(build Build, args []string, stdout, stderr io.Writer) int {
+	c := &cli{
+		build:    build,
+		app:      kingpin.New("crocusstep", "Routes requests to prefill and decode pools and to plain services."),
+		stdout:   stdout,
+		stderr:   stderr,
+		commands: map[string]func() error{},
+	}
+	terminated := false
+	c.app.Terminate(func(int) { terminated = true })
+	c.app.UsageWriter(stdout)
+	c.app.ErrorWriter(stderr)
+	c.app.HelpFlag.Short('h')
+	c.addProcesses()
+	c.addSettings()
+	c.addService()
+	c.addAction()
+	c.addReport()
+	c.add(c.app.Command("version", "Print the version."), c.printVersion)
+	command, err := c.app.Parse(args)
+	switch {
+	case terminated:
+		return exitOK
+	case err != nil:
+		_, _ = fmt.Fprintf(stderr, "crocusstep: %v; see crocusstep --help\n", err)
+		return exitUsage
+	}
+	return c.exitCode(c.commands[command]())
+}
+
+func (c *cli) add(command *kingpin.CmdClause, run func() error) {
+	c.commands[command.FullCommand()] = run
+}
+
+func (c *cli) exitCode(err error) int {
+	var faults strict.Faults
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &faults):
+		_, _ = fmt.Fprintln(c.stderr, faults.Error())
+		return exitFaults
+	}
+	_, _ = fmt.Fprintf(c.stderr, "crocusstep: %v\n", err)
+	return exitFailed
+}
+
+func (c *cli) printVersion() error {
+	_, err := fmt.Fprintln(c.stdout, c.build.Version)
+	return err
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,114 @@
+// Package store is the client of the platform's object API, the only place
+// where anything of ours is agreed or kept.
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"crocusstep/ident"
+)
+
+// Kind groups objects that are listed and watched together.
+type Kind string
+
+// Key names one object.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// String renders the key as kind/name.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Version grows with every write to the store; zero means that the object
+// does not exist.
+type Version int64
+
+// Object is a stored value with the version of its last write.
+type Object struct {
+	Name    string  `json:"name"`
+	Version Version `json:"version"`
+	// Value is at most MaxValue bytes.
+	Value []byte `json:"value,omitempty"`
+	// Deleted is set in events only.
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// Listing is every object of a kind at one version of the store.
+type Listing struct {
+	Version Version  `json:"version"`
+	Objects []Object `json:"objects"`
+}
+
+// Batch is the events of a kind after one version and up to another.
+type Batch struct {
+	Version Version  `json:"version"`
+	Events  []Object `json:"events"`
+}
+
+// InstanceState is what the platform says of an instance.
+type InstanceState string
+
+const (
+	// Live means that the instance runs.
+	Live InstanceState = "live"
+	// Leaving means that the instance will be taken away soon.
+	Leaving InstanceState = "leaving"
+)
+
+// Role is what a process of ours does on its instance.
+type Role string
+
+const (
+	// EntryRole marks the processes that callers talk to.
+	EntryRole Role = "entry"
+	// AgentRole marks the processes beside endpoints.
+	AgentRole Role = "agent"
+)
+
+// Instance is one row of the platform's list of instances, which lags.
+type Instance struct {
+	Name     ident.InstanceName `json:"name"`
+	Role     Role               `json:"role"`
+	Address  ident.Address      `json:"address"`
+	Endpoint ident.EndpointName `json:"endpoint,omitempty"`
+	Pool     ident.PoolName     `json:"pool,omitempty"`
+	Region   ident.RegionName   `json:"region"`
+	Zone     ident.ZoneName     `json:"zone"`
+	State    InstanceState      `json:"state"`
+}
+
+// MaxValue is the largest value in bytes that the platform takes.
+const MaxValue = 1 << 20
+
+var (
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = errors.New("object not found")
+	// ErrConflict means that the object is not at the expected version.
+	ErrConflict = errors.New("object is at another version")
+	// ErrGap means that the events asked for are no longer kept.
+	ErrGap = errors.New("events since that version are gone")
+	// ErrUnavailable means that the call certainly had no effect.
+	ErrUnavailable = errors.New("the platform did not take the call")
+	// ErrAmbiguous means that a write may or may not have taken effect.
+	ErrAmbiguous = errors.New("the platform's answer was lost")
+)
+
+// Store is the platform's object API.
+type Store interface {
+	// Get returns an object or ErrNotFound.
+	Get(ctx context.Context, key Key) (Object, error)
+	// List returns all objects of a kind.
+	List(ctx context.Context, kind Kind) (Listing, error)
+	// Put writes the value if the object is at the expected version, where
+	// zero expects that it does not exist, and returns the new version.
+	Put(ctx context.Context, key Key, value []byte, expected Version) (Version, error)
+	// Delete removes the object if it is at the expected version.
+	Delete(ctx context.Context, key Key, expected Version) error
+	// Watch waits for events of a kind after a version, at most for the wait.
+	Watch(ctx context.Context, kind Kind, since Version, wait time.Duration) (Batch, error)
+	// Instances returns the platform's list, which lags behind the truth.
+	Instances(ctx context.Context) ([]Instance, error)
+}
--- /dev/null
+++ b/strict/strict.go
@@ -0,0 +1,261 @@
+// Package strict decodes YAML into structs and reports every fault with its
+// file, line and key, so that an operator mends a document in one go.
+package strict
+
+import (
+	"encoding"
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Fault is one thing that is wrong with a document.
+type Fault struct {
+	File string `json:"file"`
+	// Line counts from one; zero means that the whole file is at fault.
+	Line    int    `json:"line"`
+	Key     string `json:"key,omitempty"`
+	Problem string `json:"problem"`
+}
+
+// String renders the fault in the form that editors can jump to.
+func (f Fault) String() string {
+	place := fmt.Sprintf("%s:%d", f.File, f.Line)
+	if f.Key == "" {
+		return place + ": " + f.Problem
+	}
+	return place + ": " + f.Key + ": " + f.Problem
+}
+
+// Faults is every fault of one document, in the order of its lines.
+type Faults []Fault
+
+// Error implements error.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Source is a decoded document that still knows where each key stood.
+type Source struct {
+	file   string
+	lines  map[string]int
+	faults Faults
+}
+
+// Decode fills target, a pointer to a struct, from YAML. Keys come from the
+// yaml tags; a field tagged required:"true" must be present and not empty.
+func Decode(file string, data []byte, target any) *Source {
+	s := &Source{file: file, lines: map[string]int{}}
+	var document yaml.Node
+	if err := yaml.Unmarshal(data, &document); err != nil {
+		s.syntax(err)
+		return s
+	}
+	if len(document.Content) == 0 {
+		s.Report("", "the document is empty")
+		return s
+	}
+	s.value(document.Content[0], reflect.ValueOf(target).Elem(), "")
+	return s
+}
+
+// Report adds a fault at the line of the key, or of its nearest parent.
+func (s *Source) Report(key, format string, args ...any) {
+	s.faults = append(s.faults, Fault{
+		File:    s.file,
+		Line:    s.line(key),
+		Key:     key,
+		Problem: fmt.Sprintf(format, args...),
+	})
+}
+
+// Has reports whether the document names the key.
+func (s *Source) Has(key string) bool {
+	_, ok := s.lines[key]
+	return ok
+}
+
+// Err returns all faults, or nil if there are none.
+func (s *Source) Err() error {
+	if len(s.faults) == 0 {
+		return nil
+	}
+	return s.faults
+}
+
+func (s *Source) line(key string) int {
+	for key != "" {
+		if line, ok := s.lines[key]; ok {
+			return line
+		}
+		cut := strings.LastIndexAny(key, ".[")
+		if cut < 0 {
+			break
+		}
+		key = key[:cut]
+	}
+	return 1
+}
+
+func (s *Source) syntax(err error) {
+	line := 1
+	var typeError *yaml.TypeError
+	if !errors.As(err, &typeError) {
+		// The parser gives the line only inside its text.
+		_, _ = fmt.Sscanf(err.Error(), "yaml: line %d:", &line)
+	}
+	s.faults = append(s.faults, Fault{File: s.file, Line: line, Problem: err.Error()})
+}
+
+func (s *Source) at(node *yaml.Node, key, format string, args ...any) {
+	s.faults = append(s.faults, Fault{File: s.file, Line: node.Line, Key: key, Problem: fmt.Sprintf(format, args...)})
+}
+
+func (s *Source) value(node *yaml.Node, target reflect.Value, key string) {
+	if key != "" {
+		s.lines[key] = node.Line
+	}
+	if node.Kind == yaml.AliasNode {
+		s.at(node, key, "aliases are not allowed")
+		return
+	}
+	if s.text(node, target, key) {
+		return
+	}
+	switch target.Kind() {
+	case reflect.Struct:
+		s.structure(node, target, key)
+	case reflect.Slice:
+		s.sequence(node, target, key)
+	case reflect.Pointer:
+		target.Set(reflect.New(target.Type().Elem()))
+		s.value(node, target.Elem(), key)
+	default:
+		s.scalar(node, target, key)
+	}
+}
+
+// text handles types that parse themselves, such as durations with units.
+func (s *Source) text(node *yaml.Node, target reflect.Value, key string) bool {
+	parser, ok := target.Addr().Interface().(encoding.TextUnmarshaler)
+	if !ok {
+		return false
+	}
+	if node.Kind != yaml.ScalarNode {
+		s.at(node, key, "expected a single value")
+		return true
+	}
+	if err := parser.UnmarshalText([]byte(node.Value)); err != nil {
+		s.at(node, key, "%v", err)
+	}
+	return true
+}
+
+func (s *Source) structure(node *yaml.Node, target reflect.Value, key string) {
+	if node.Kind != yaml.MappingNode {
+		s.at(node, key, "expected keys with values")
+		return
+	}
+	fields := fieldsOf(target.Type())
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		name := node.Content[i].Value
+		path := join(key, name)
+		index, known := fields[name]
+		switch {
+		case !known:
+			s.at(node.Content[i], path, "unknown key")
+		case seen[name]:
+			s.at(node.Content[i], path, "the key stands twice")
+		default:
+			s.value(node.Content[i+1], target.Field(index), path)
+		}
+		seen[name] = true
+	}
+	s.required(node, target, key, seen)
+}
+
+func (s *Source) required(node *yaml.Node, target reflect.Value, key string, seen map[string]bool) {
+	for i := range target.NumField() {
+		field := target.Type().Field(i)
+		name := field.Tag.Get("yaml")
+		if field.Tag.Get("required") == "true" && !seen[name] {
+			s.at(node, join(key, name), "missing")
+		}
+	}
+}
+
+func (s *Source) sequence(node *yaml.Node, target reflect.Value, key string) {
+	if node.Kind != yaml.SequenceNode {
+		s.at(node, key, "expected a list")
+		return
+	}
+	list := reflect.MakeSlice(target.Type(), len(node.Content), len(node.Content))
+	for i, item := range node.Content {
+		s.value(item, list.Index(i), fmt.Sprintf("%s[%d]", key, i))
+	}
+	target.Set(list)
+}
+
+func (s *Source) scalar(node *yaml.Node, target reflect.Value, key string) {
+	if node.Kind != yaml.ScalarNode {
+		s.at(node, key, "expected a single value")
+		return
+	}
+	switch target.Kind() {
+	case reflect.String:
+		if node.Tag != "!!str" || node.Value == "" {
+			s.at(node, key, "expected text, not %q", node.Value)
+			return
+		}
+		target.SetString(node.Value)
+	case reflect.Bool:
+		flag, err := strconv.ParseBool(node.Value)
+		if err != nil || node.Tag != "!!bool" {
+			s.at(node, key, "expected true or false, not %q", node.Value)
+			return
+		}
+		target.SetBool(flag)
+	case reflect.Int, reflect.Int64:
+		number, err := strconv.ParseInt(node.Value, 10, 64)
+		if err != nil {
+			s.at(node, key, "expected a whole number, not %q", node.Value)
+			return
+		}
+		target.SetInt(number)
+	case reflect.Float64:
+		number, err := strconv.ParseFloat(node.Value, 64)
+		if err != nil {
+			s.at(node, key, "expected a number, not %q", node.Value)
+			return
+		}
+		target.SetFloat(number)
+	default:
+		s.at(node, key, "values of type %s cannot be set", target.Type())
+	}
+}
+
+func fieldsOf(structure reflect.Type) map[string]int {
+	fields := map[string]int{}
+	for i := range structure.NumField() {
+		if name := structure.Field(i).Tag.Get("yaml"); name != "" {
+			fields[name] = i
+		}
+	}
+	return fields
+}
+
+func join(parent, name string) string {
+	if parent == "" {
+		return name
+	}
+	return parent + "." + name
+}
--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,175 @@
+// Package wire is the protocol between entries and agents: HTTP with JSON, and
+// a stream of numbered frames for an answer. See docs/protocols/peer.md.
+package wire
+
+import (
+	"net/http"
+	"time"
+
+	"crocusstep/engine"
+	"crocusstep/fault"
+	"crocusstep/ident"
+	"crocusstep/spec"
+)
+
+// The paths of an agent's peer listener.
+const (
+	TurnPath    = "/peer/turn"
+	ReservePath = "/peer/reserve"
+	ReleasePath = "/peer/release"
+	PrefillPath = "/peer/prefill"
+	DecodePath  = "/peer/decode"
+	CallPath    = "/peer/call"
+	LoadPath    = "/peer/load"
+)
+
+// Load is what an agent says of its endpoint on every reply.
+type Load struct {
+	Endpoint ident.EndpointName `json:"endpoint"`
+	// Sequence grows with every report of one incarnation of the agent.
+	Sequence    int64  `json:"sequence"`
+	Incarnation string `json:"incarnation"`
+	// Free is the number of free decode slots, or prefill lanes.
+	Free    int `json:"free"`
+	Waiting int `json:"waiting"`
+	// Backlog is the number of prompt tokens that wait or are being read.
+	Backlog ident.TokenCount `json:"backlog"`
+	// PrefillPerToken is the learned time to read one token.
+	PrefillPerToken time.Duration `json:"prefill-per-token-ns,omitempty"`
+	// StepTime is the learned time between two tokens.
+	StepTime time.Duration `json:"step-time-ns,omitempty"`
+	// Lookups and Actions are the calls that run at the moment.
+	Lookups  int  `json:"lookups"`
+	Actions  int  `json:"actions"`
+	Draining bool `json:"draining,omitempty"`
+}
+
+// Ticket says whose work it is and how urgent.
+type Ticket struct {
+	Request   ident.RequestID     `json:"request"`
+	Attempt   ident.AttemptID     `json:"attempt"`
+	Service   ident.ServiceName   `json:"service"`
+	Workspace ident.WorkspaceName `json:"workspace"`
+	Weight    int                 `json:"weight"`
+	Priority  int                 `json:"priority"`
+	// Deadline is the latest time at which starting still helps.
+	Deadline time.Time `json:"deadline"`
+}
+
+// TurnOrder asks for the right to prefill next.
+type TurnOrder struct {
+	Ticket Ticket           `json:"ticket"`
+	Tokens ident.TokenCount `json:"tokens"`
+}
+
+// ReserveOrder asks for a decode slot.
+type ReserveOrder struct {
+	Ticket Ticket `json:"ticket"`
+	// Wait bounds the time to wait for a slot; zero asks for one at once.
+	Wait time.Duration `json:"wait-ns"`
+	// HoldFor is how long the slot is kept without a decode.
+	HoldFor time.Duration `json:"hold-for-ns"`
+}
+
+// ReleaseOrder gives a turn or a slot back.
+type ReleaseOrder struct {
+	Attempt ident.AttemptID `json:"attempt"`
+}
+
+// Reply is the answer to orders that return nothing but success.
+type Reply struct {
+	Load  Load           `json:"load"`
+	Fault *fault.Refusal `json:"fault,omitempty"`
+}
+
+// PrefillOrder asks for a prompt to be read under a turn.
+type PrefillOrder struct {
+	Ticket    Ticket `json:"ticket"`
+	Prompt    string `json:"prompt"`
+	Generated string `json:"generated,omitempty"`
+}
+
+// PrefillReply says where the KV cache lies.
+type PrefillReply struct {
+	Load   Load                 `json:"load"`
+	Fault  *fault.Refusal       `json:"fault,omitempty"`
+	Source ident.Address        `json:"source"`
+	Result engine.PrefillResult `json:"result"`
+}
+
+// DecodeOrder asks for an answer to be generated in a reserved slot.
+type DecodeOrder struct {
+	Ticket    Ticket           `json:"ticket"`
+	Source    ident.Address    `json:"source"`
+	Handle    engine.KVHandle  `json:"handle"`
+	From      ident.TokenCount `json:"from"`
+	MaxTokens ident.TokenCount `json:"max-tokens"`
+	// TransferTimeout bounds the KV transfer.
+	TransferTimeout time.Duration `json:"transfer-timeout-ns"`
+}
+
+// FrameKind is what a frame of an answer carries.
+type FrameKind string
+
+const (
+	// PieceFrame carries one token.
+	PieceFrame FrameKind = "piece"
+	// EndFrame closes a whole answer and carries its count of pieces.
+	EndFrame FrameKind = "end"
+	// FaultFrame closes an attempt that failed.
+	FaultFrame FrameKind = "fault"
+	// IdleFrame says that the attempt lives although no token is ready.
+	IdleFrame FrameKind = "idle"
+)
+
+// Frame is one line of an answer's stream.
+type Frame struct {
+	Request ident.RequestID `json:"request"`
+	Attempt ident.AttemptID `json:"attempt"`
+	Kind    FrameKind       `json:"kind"`
+	// Position is that of the piece in the whole answer; in an end frame it is
+	// the count of all pieces.
+	Position ident.TokenCount `json:"position"`
+	Text     string           `json:"text,omitempty"`
+	Finish   string           `json:"finish,omitempty"`
+	Fault    *fault.Refusal   `json:"fault,omitempty"`
+	// Load is set in frames that close an attempt.
+	Load *Load `json:"load,omitempty"`
+}
+
+// CallOrder asks for a call of a plain service.
+type CallOrder struct {
+	Ticket Ticket         `json:"ticket"`
+	Class  spec.CallClass `json:"class"`
+	Method string         `json:"method"`
+	// Path is the path and query at the endpoint.
+	Path   string      `json:"path"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+	// Key is set for actions only.
+	Key ident.IdempotencyKey `json:"key,omitempty"`
+	// Digest tells two bodies under one key apart.
+	Digest ident.Digest `json:"digest,omitempty"`
+	// Limit is how many calls of the class may run at the endpoint.
+	Limit   int           `json:"limit"`
+	Shards  int           `json:"shards,omitempty"`
+	KeepFor time.Duration `json:"keep-for-ns,omitempty"`
+	// Timeout bounds the call at the endpoint.
+	Timeout time.Duration `json:"timeout-ns"`
+}
+
+// CallReply is a plain service's answer.
+type CallReply struct {
+	Load   Load           `json:"load"`
+	Fault  *fault.Refusal `json:"fault,omitempty"`
+	Status int            `json:"status,omitempty"`
+	Header http.Header    `json:"header,omitempty"`
+	Body   []byte         `json:"body,omitempty"`
+	// Replayed is true for the recorded answer of an action that ran before.
+	Replayed bool `json:"replayed,omitempty"`
+	// Truncated is true if the recorded answer's body was too large to keep.
+	Truncated bool `json:"truncated,omitempty"`
+	// Consulted is true if the ledger was asked, so that an outcome of not-run
+	// covers earlier attempts under the same key too.
+	Consulted bool `json:"consulted,omitempty"`
+}
