Accept a document only when every entry has confirmed it; count crashes over the fleet

Cause: a document that is merely written reaches a node that is cut off never, and that node would serve the old one as if it were current. A request that crashes its engine was retried without bound over entries and resends.

Crashes are counted durably per fingerprint before a further attempt; suspects never share an endpoint.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -57,6 +57,9 @@
 	// slots and lanes bound what the engine holds.
 	slots *gate.Gate
 	lanes *gate.Gate
+	// suspects lets one suspect at a time hold a slot, so that a crash never
+	// adds to the blame of an innocent one.
+	suspects *gate.Gate
 	// known is every attempt that may hold memory in the engine because this
 	// agent wants it to; all else in the engine's list is an orphan.
 	known    attempts
@@ -84,10 +87,11 @@
 			Holder:      config.Instance,
 			Incarnation: incarnation,
 		}),
-		slots: gate.NewGate(config.Slots),
-		lanes: gate.NewGate(config.Lanes),
-		known: attempts{ids: map[ident.AttemptID]bool{}},
-		ctx:   ctx,
+		slots:    gate.NewGate(config.Slots),
+		lanes:    gate.NewGate(config.Lanes),
+		suspects: gate.NewGate(1),
+		known:    attempts{ids: map[ident.AttemptID]bool{}},
+		ctx:      ctx,
 	}
 	a.calls = newCalls()
 	return a
@@ -110,7 +114,7 @@
 	const interval = 20 * time.Millisecond
 	a.draining.Store(true)
 	for ctx.Err() == nil && a.busy() {
-		pause(ctx, interval)
+		common.Pause(ctx, interval)
 	}
 	a.ledger.Flush(ctx)
 }
@@ -171,12 +175,3 @@
 	defer s.mutex.Unlock()
 	return len(s.ids)
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/agent/model_helper.go
+++ b/agent/model_helper.go
@@ -11,8 +11,15 @@
 	"crocusstep/wire"
 )
 
-// busyRetry is when to come back to an agent that is draining.
-const busyRetry = time.Second
+const (
+	// busyRetry is when to come back to an agent that is draining.
+	busyRetry = time.Second
+	// stallLimit is how long an engine may take for one token.
+	stallLimit = 3 * time.Second
+)
+
+// errStalled ends a decode whose engine says nothing more.
+var errStalled = errors.New("the engine has stalled")
 
 // turn grants the right to prefill next.
 func (a *Agent) turn(ctx context.Context, order wire.TurnOrder) error {
@@ -29,7 +36,17 @@
 		return a.drainingRefusal()
 	}
 	holdFor := min(order.HoldFor, a.config.MaxHold)
-	return a.slots.Enter(ctx, gateTicket(order.Ticket, 1), order.Wait, holdFor)
+	ticket := gateTicket(order.Ticket, 1)
+	if order.Ticket.Suspect {
+		if err := a.suspects.Enter(ctx, ticket, order.Wait, holdFor); err != nil {
+			return err
+		}
+	}
+	err := a.slots.Enter(ctx, ticket, order.Wait, holdFor)
+	if err != nil {
+		a.suspects.Leave(ticket.Attempt)
+	}
+	return err
 }
 
 // release gives a turn or a slot back that is not in use.
@@ -39,6 +56,7 @@
 	}
 	a.lanes.Leave(order.Attempt)
 	a.slots.Leave(order.Attempt)
+	a.suspects.Leave(order.Attempt)
 }
 
 // prefill reads a prompt under a turn.
@@ -75,8 +93,18 @@
 		return fault.New(fault.EndpointBusy, "the reservation has expired")
 	}
 	defer a.slots.Leave(attempt)
+	defer a.suspects.Leave(attempt)
+	if order.Ticket.Suspect && !a.suspects.Use(attempt) {
+		return fault.New(fault.EndpointBusy, "the reservation has expired")
+	}
 	a.known.add(attempt)
-	defer a.forget(attempt)
+	defer func() {
+		if err == nil {
+			a.known.remove(attempt)
+			return
+		}
+		a.forget(attempt)
+	}()
 	if err := a.importKV(ctx, order); err != nil {
 		return err
 	}
@@ -101,6 +129,10 @@
 }
 
 func (a *Agent) generate(ctx context.Context, order wire.DecodeOrder, send func(wire.Frame) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := time.AfterFunc(stallLimit, func() { cancel(errStalled) })
+	defer stall.Stop()
 	last := time.Now()
 	err := a.engine.Decode(ctx, engine.DecodeOrder{
 		Attempt:   order.Ticket.Attempt,
@@ -108,14 +140,20 @@
 		From:      order.From,
 		MaxTokens: order.MaxTokens,
 	}, func(token engine.Token) error {
+		stall.Reset(stallLimit)
 		a.costs.observeStep(time.Since(last))
 		last = time.Now()
 		return send(a.frame(order.Ticket, token))
 	})
-	if err != nil {
-		return endpointRefusal(err)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(context.Cause(ctx), errStalled):
+		return fault.New(fault.EndpointFailed, "%v", errStalled)
+	case ctx.Err() != nil:
+		return fault.New(fault.Cancelled, "the entry is gone")
 	}
-	return nil
+	return endpointRefusal(err)
 }
 
 func (a *Agent) frame(ticket wire.Ticket, token engine.Token) wire.Frame {
@@ -145,6 +183,9 @@
 	if errors.Is(err, engine.ErrKVGone) {
 		return fault.New(fault.KVLost, "the KV cache is gone")
 	}
+	if engine.Crashed(err) {
+		return fault.New(fault.EndpointCrashed, "%v", err)
+	}
 	return fault.New(fault.EndpointFailed, "%v", err)
 }
 
--- a/agent/sweep.go
+++ b/agent/sweep.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"crocusstep/common"
+
 	"crocusstep/ident"
 )
 
@@ -20,7 +22,7 @@
 func (a *Agent) sweepLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		a.sweep(ctx)
-		pause(ctx, a.config.SweepInterval)
+		common.Pause(ctx, a.config.SweepInterval)
 	}
 }
 
@@ -53,6 +55,6 @@
 			return
 		}
 		a.Log.Warn("a cancel failed", "attempt", attempt, "error", err)
-		pause(a.ctx, 100*time.Millisecond)
+		common.Pause(a.ctx, 100*time.Millisecond)
 	}
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -145,7 +145,16 @@
 	if err != nil {
 		return err
 	}
-	return f.start(name, &process{listen: listen, admin: admin}, f.binary, "entry", "--settings", file)
+	if err := f.start(name, &process{listen: listen, admin: admin}, f.binary, "entry", "--settings", file); err != nil {
+		return err
+	}
+	return f.register(store.Instance{
+		Name:    ident.InstanceName(name),
+		Role:    store.EntryRole,
+		Address: listen,
+		Region:  ident.RegionName(region),
+		State:   store.Live,
+	})
 }
 
 func (f *fleet) keysFile() string { return filepath.Join(f.folder, "peer-keys.yaml") }
--- a/demo/steps.go
+++ b/demo/steps.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -39,9 +40,11 @@
 const longPrompt = "summarise the permit packet length=150 of the contractor"
 
 const (
-	maxOutput      = 1500
-	lookupCount    = 200
-	loadPerEntry   = 8
+	maxOutput    = 1500
+	lookupCount  = 200
+	loadPerEntry = 8
+	settleTime   = time.Second
+
 	untilFirstKill = 500 * time.Millisecond
 )
 
@@ -54,6 +57,7 @@
 	{"an action sent twice with one key runs once", actionTwice},
 	{"a renewal sent again with a new key runs once", renewalTwice},
 	{"lookups are answered", lookups},
+	{"a changed document is in force at both entries", changedDocument},
 	{"an agent killed in mid-stream cuts no answer", killedAgent},
 	{"an entry stopped under load cuts nothing", stoppedEntry},
 	{"the burn report shows the services", burnReport},
@@ -76,7 +80,7 @@
 				if time.Now().After(deadline) {
 					return fmt.Errorf("%s does not serve %s: %v %+v", entry, service, err, chat.Problem)
 				}
-				time.Sleep(100 * time.Millisecond)
+				time.Sleep(time.Second)
 			}
 		}
 	}
@@ -175,6 +179,33 @@
 	return seen, nil
 }
 
+// changedDocument adds a call to a service and uses it through both entries.
+func changedDocument(ctx context.Context, f *fleet) (string, error) {
+	text, err := os.ReadFile("examples/khuzam/kiosk-app.yaml")
+	if err != nil {
+		return "", err
+	}
+	changed := strings.Replace(string(text), "calls:", "calls:\n  - match: GET /kiosks/{kiosk}/helmets\n    class: lookup", 1)
+	file, err := f.writeFile("kiosk-app.yaml", changed)
+	if err != nil {
+		return "", err
+	}
+	started := time.Now()
+	said, err := f.run("service", "--platform", string(f.platform), "put", file)
+	if err != nil {
+		return "", err
+	}
+	took := time.Since(started).Round(time.Millisecond)
+	time.Sleep(settleTime)
+	for _, entry := range []string{"entry-1", "entry-2"} {
+		reply, err := f.caller(entry).Call(ctx, "kiosk-app", http.MethodGet, "/kiosks/3/helmets", "", "")
+		if err != nil || reply.Problem != nil {
+			return "", fmt.Errorf("%s still serves the old document: %v %+v", entry, err, reply.Problem)
+		}
+	}
+	return fmt.Sprintf("accepted after %s: %s", took, strings.TrimSpace(said)), nil
+}
+
 func killedAgent(ctx context.Context, f *fleet) (string, error) {
 	var tasks conc.WaitGroup
 	var chat caller.Chat
--- a/docset/book.go
+++ b/docset/book.go
@@ -2,37 +2,50 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sort"
+	"strings"
 	"time"
 
+	"crocusstep/common"
+
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/spec"
 	"crocusstep/store"
 )
 
-// historyKind is the kind of the objects that hold each service's revisions.
-const historyKind store.Kind = "service-history"
-
-// keptRevisions bounds a service's history.
-const keptRevisions = 100
+const (
+	// historyKind is the kind of the objects that hold each service's revisions.
+	historyKind store.Kind = "service-history"
+	// keptRevisions bounds a service's history.
+	keptRevisions = 50
+	// ackTimeout is how long a proposal waits for all entries.
+	ackTimeout = 10 * time.Second
+	// ackInterval is the time between two looks at the acknowledgements.
+	ackInterval = 300 * time.Millisecond
+	// settlePause is the time between two tries to learn a lost answer.
+	settlePause = 100 * time.Millisecond
+)
 
-// Newest as a base version means whatever is in force at the moment.
-const Newest store.Version = -1
+// Newest as a base number means whatever is in force at the moment.
+const Newest Number = -1
 
 // ErrRace means that another operator changed the document in between.
 var ErrRace = errors.New("the document was changed by somebody else; read it again")
 
-// Revision is one accepted version of a document.
+// ErrUnconfirmed means that a change was withdrawn because not every entry
+// confirmed it; nothing has changed.
+var ErrUnconfirmed = errors.New("not accepted, nothing has changed: not every entry confirmed the change")
+
+// Revision is one accepted document.
 type Revision struct {
-	// Base is the version that the revision replaced.
-	Base   store.Version `json:"base"`
-	At     time.Time     `json:"at"`
-	Digest ident.Digest  `json:"digest"`
+	Number Number    `json:"number"`
+	At     time.Time `json:"at"`
+	// Text is the document, so that an operator can put it in force again.
+	Text string `json:"text"`
 }
 
 // Book is the operators' side of the documents.
@@ -43,77 +56,191 @@
 // NewBook returns the documents that the platform keeps.
 func NewBook(s store.Store) *Book { return &Book{store: s} }
 
-// Put stores a checked document if it still is at the base version. It returns
-// only once it is known whether the document was accepted.
-func (b *Book) Put(ctx context.Context, document spec.Document, text []byte, base store.Version) (version store.Version, err error) {
+// page is a service's sheet with the version of its object.
+type page struct {
+	key     store.Key
+	version store.Version
+	sheet   Sheet
+}
+
+// Put puts a checked document in force if the one in force has the base number.
+// The change is proposed first, and accepted once every entry on the platform's
+// list has confirmed that it will not serve the old document unheard; else it
+// is withdrawn. So an accepted change holds everywhere within ConfirmLimit.
+func (b *Book) Put(ctx context.Context, document spec.Document, text []byte, base Number) (number Number, err error) {
 	defer fault.Annotate(&err, "put %s", document.Service)
-	key := store.Key{Kind: Kind, Name: string(document.Service)}
-	current, err := b.current(ctx, key)
+	p, err := b.read(ctx, document.Service)
 	if err != nil {
 		return 0, err
 	}
-	if base != Newest && current.Version != base {
-		return 0, fmt.Errorf("%w: it is at version %d, not %d", ErrRace, current.Version, base)
+	if base != Newest && p.sheet.Current.Number != base {
+		return 0, fmt.Errorf("%w: it is number %d, not %d", ErrRace, p.sheet.Current.Number, base)
 	}
-	if err := sameOwner(current, document); err != nil {
+	if err := sameOwner(p.sheet, document); err != nil {
 		return 0, err
 	}
-	version, err = b.settle(ctx, key, text, current.Version)
-	if err != nil {
+	draft := Draft{Number: p.sheet.Current.Number + 1, Text: string(text)}
+	if err := b.propose(ctx, &p, draft); err != nil {
+		return 0, err
+	}
+	if err := b.awaitAcks(ctx, p); err != nil {
+		return 0, errors.Join(err, b.withdraw(ctx, &p))
+	}
+	if err := b.accept(ctx, &p); err != nil {
 		return 0, err
 	}
 	// The history is for reading only, so its loss does not undo the change.
-	_ = b.remember(ctx, document.Service, Revision{Base: current.Version, At: time.Now().UTC(), Digest: digestOf(text)})
-	return version, nil
+	_ = b.remember(ctx, document.Service, Revision{Number: draft.Number, At: time.Now().UTC(), Text: draft.Text})
+	return draft.Number, nil
 }
 
 // sameOwner keeps one workspace from taking over another's service.
-func sameOwner(current store.Object, document spec.Document) error {
-	if current.Version == 0 {
+func sameOwner(sheet Sheet, document spec.Document) error {
+	if sheet.Current.Number == 0 {
 		return nil
 	}
-	old, err := spec.Parse(current.Name, current.Value)
+	old, err := spec.Parse(string(document.Service), []byte(sheet.Current.Text))
 	if err == nil && old.Workspace != document.Workspace {
 		return fmt.Errorf("the service belongs to the workspace %s", old.Workspace)
 	}
 	return nil
 }
 
-// settle writes and, if the answer was lost, finds out what became of it.
-func (b *Book) settle(ctx context.Context, key store.Key, text []byte, base store.Version) (store.Version, error) {
-	version, err := b.store.Put(ctx, key, text, base)
-	for errors.Is(err, store.ErrAmbiguous) && ctx.Err() == nil {
-		current, readError := b.current(ctx, key)
-		switch {
-		case readError != nil:
-			pause(ctx, retryWait/10)
-		case current.Version == base:
-			// The lost write may still be on its way; writing again fences it.
-			version, err = b.store.Put(ctx, key, text, base)
-		case digestOf(current.Value) == digestOf(text):
-			return current.Version, nil
-		default:
-			return 0, ErrRace
-		}
+func (b *Book) propose(ctx context.Context, p *page, draft Draft) error {
+	return b.write(ctx, p, Sheet{Current: p.sheet.Current, Staged: &draft, Proposal: ident.NewNonce()})
+}
+
+func (b *Book) accept(ctx context.Context, p *page) error {
+	return b.write(ctx, p, Sheet{Current: *p.sheet.Staged})
+}
+
+// withdraw must not give up early: until it is written, entries that were cut
+// off after their acknowledgement refuse the service.
+func (b *Book) withdraw(ctx context.Context, p *page) error {
+	return b.write(context.WithoutCancel(ctx), p, Sheet{Current: p.sheet.Current})
+}
+
+// write replaces a sheet and returns only when it is known whether that took
+// effect. A write whose answer was lost is told by its content.
+func (b *Book) write(ctx context.Context, p *page, next Sheet) error {
+	value, err := next.Encode()
+	if err != nil {
+		return err
+	}
+	limit, cancel := context.WithTimeout(ctx, ackTimeout)
+	defer cancel()
+	version, err := b.store.Put(limit, p.key, value, p.version)
+	for errors.Is(err, store.ErrAmbiguous) && limit.Err() == nil {
+		version, err = b.resolve(limit, p, value)
 	}
 	if errors.Is(err, store.ErrConflict) {
-		return 0, ErrRace
+		return ErrRace
+	}
+	if err != nil {
+		return err
+	}
+	p.version = version
+	p.sheet = next
+	return nil
+}
+
+// resolve finds out what became of a write whose answer was lost.
+func (b *Book) resolve(ctx context.Context, p *page, value []byte) (store.Version, error) {
+	object, err := b.current(ctx, p.key)
+	switch {
+	case err != nil:
+		common.Pause(ctx, settlePause)
+		return 0, store.ErrAmbiguous
+	case object.Version == p.version:
+		// The lost write may still be on its way; writing again fences it.
+		return b.store.Put(ctx, p.key, value, p.version)
+	case string(object.Value) == string(value):
+		return object.Version, nil
+	}
+	return 0, store.ErrConflict
+}
+
+// awaitAcks waits until every listed entry has confirmed the proposal.
+func (b *Book) awaitAcks(ctx context.Context, p page) error {
+	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+	defer cancel()
+	missing := []string{"all: the platform was not reached"}
+	for ctx.Err() == nil {
+		found, err := b.missingAcks(ctx, p)
+		if err == nil {
+			missing = found
+		}
+		if err == nil && len(missing) == 0 {
+			return nil
+		}
+		common.Pause(ctx, ackInterval)
+	}
+	return fmt.Errorf("%w: %s", ErrUnconfirmed, strings.Join(missing, ", "))
+}
+
+func (b *Book) missingAcks(ctx context.Context, p page) ([]string, error) {
+	instances, err := b.store.Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	listing, err := b.store.List(ctx, ackKind)
+	if err != nil {
+		return nil, err
 	}
-	return version, err
+	return missingAcks(instances, listing.Objects, ident.ServiceName(p.key.Name), p.sheet.Proposal), nil
+}
+
+// missingAcks names the listed entries that have not confirmed a proposal.
+func missingAcks(instances []store.Instance, objects []store.Object, service ident.ServiceName, proposal string) []string {
+	confirmed := map[string]bool{}
+	for _, object := range objects {
+		acks, err := ParseAcks(object.Value)
+		confirmed[object.Name] = err == nil && acks.Proposals[service] == proposal
+	}
+	var missing []string
+	for _, instance := range instances {
+		if instance.Role == store.EntryRole && !confirmed[string(instance.Name)] {
+			missing = append(missing, string(instance.Name))
+		}
+	}
+	sort.Strings(missing)
+	return missing
 }
 
 // Get returns a service's document in force.
-func (b *Book) Get(ctx context.Context, service ident.ServiceName) (store.Object, error) {
-	return b.store.Get(ctx, store.Key{Kind: Kind, Name: string(service)})
+func (b *Book) Get(ctx context.Context, service ident.ServiceName) (draft Draft, err error) {
+	defer fault.Annotate(&err, "get %s", service)
+	p, err := b.read(ctx, service)
+	if err == nil && p.sheet.Current.Number == 0 {
+		return draft, store.ErrNotFound
+	}
+	return p.sheet.Current, err
+}
+
+// Row is one service in a list.
+type Row struct {
+	Service ident.ServiceName
+	Sheet   Sheet
 }
 
-// List returns all documents in force.
-func (b *Book) List(ctx context.Context) ([]store.Object, error) {
+// List returns all services.
+func (b *Book) List(ctx context.Context) (rows []Row, err error) {
+	defer fault.Annotate(&err, "list services")
 	listing, err := b.store.List(ctx, Kind)
-	return listing.Objects, err
+	if err != nil {
+		return nil, err
+	}
+	for _, object := range listing.Objects {
+		sheet, err := ParseSheet(object.Value)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, Row{Service: ident.ServiceName(object.Name), Sheet: sheet})
+	}
+	return rows, nil
 }
 
-// History returns the accepted versions of a document, oldest first.
+// History returns the accepted documents of a service, oldest first.
 func (b *Book) History(ctx context.Context, service ident.ServiceName) (revisions []Revision, err error) {
 	defer fault.Annotate(&err, "history of %s", service)
 	object, err := b.current(ctx, historyKey(service))
@@ -124,23 +251,9 @@
 }
 
 func (b *Book) remember(ctx context.Context, service ident.ServiceName, revision Revision) (err error) {
-	for range 3 {
-		var object store.Object
-		object, err = b.current(ctx, historyKey(service))
-		if err != nil {
-			return err
-		}
-		var revisions []Revision
-		if object.Version != 0 {
-			_ = json.Unmarshal(object.Value, &revisions)
-		}
-		revisions = append(revisions, revision)
-		revisions = revisions[max(0, len(revisions)-keptRevisions):]
-		value, encodeError := json.Marshal(revisions)
-		if encodeError != nil {
-			return encodeError
-		}
-		_, err = b.store.Put(ctx, historyKey(service), value, object.Version)
+	const tries = 3
+	for range tries {
+		err = b.tryRemember(ctx, service, revision)
 		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
@@ -148,6 +261,35 @@
 	return err
 }
 
+func (b *Book) tryRemember(ctx context.Context, service ident.ServiceName, revision Revision) error {
+	object, err := b.current(ctx, historyKey(service))
+	if err != nil {
+		return err
+	}
+	var revisions []Revision
+	if object.Version != 0 {
+		_ = json.Unmarshal(object.Value, &revisions)
+	}
+	revisions = append(revisions, revision)
+	value, err := json.Marshal(revisions[max(0, len(revisions)-keptRevisions):])
+	if err != nil {
+		return err
+	}
+	_, err = b.store.Put(ctx, historyKey(service), value, object.Version)
+	return err
+}
+
+func (b *Book) read(ctx context.Context, service ident.ServiceName) (page, error) {
+	p := page{key: store.Key{Kind: Kind, Name: string(service)}}
+	object, err := b.current(ctx, p.key)
+	if err != nil || object.Version == 0 {
+		return p, err
+	}
+	p.version = object.Version
+	p.sheet, err = ParseSheet(object.Value)
+	return p, err
+}
+
 // current returns an object, or one at version zero if there is none.
 func (b *Book) current(ctx context.Context, key store.Key) (store.Object, error) {
 	object, err := b.store.Get(ctx, key)
@@ -160,8 +302,3 @@
 func historyKey(service ident.ServiceName) store.Key {
 	return store.Key{Kind: historyKind, Name: string(service)}
 }
-
-func digestOf(text []byte) ident.Digest {
-	sum := sha256.Sum256(text)
-	return ident.Digest(hex.EncodeToString(sum[:]))
-}
--- a/docset/docset.go
+++ b/docset/docset.go
@@ -1,194 +1,174 @@
 // Package docset is the set of service documents in force at one process, kept
-// up to date by a watch on the platform.
+// up to date by a watch on the platform, and the operators' way to change them.
+// See docs/design/documents.md.
 package docset
 
 import (
 	"context"
-	"errors"
+	"encoding/json"
 	"math/rand/v2"
-	"sort"
 	"sync"
 	"time"
 
 	"crocusstep/common"
 	"crocusstep/ident"
-	"crocusstep/spec"
 	"crocusstep/store"
 )
 
-// Kind is the kind of the platform's objects that hold service documents.
-const Kind store.Kind = "service"
+const (
+	// Kind is the kind of the objects that hold service documents.
+	Kind store.Kind = "service"
+	// ackKind is the kind of the objects that hold each entry's
+	// acknowledgements.
+	ackKind store.Kind = "service-ack"
+)
 
 const (
-	// watchWait is how long a watch waits, and so how often a node confirms
-	// that its documents are current: one call in this time.
+	// watchWait is how long a watch waits: one call in this time.
 	watchWait = 5 * time.Second
+	// pendingWait takes its place while a change is on its way. Twice this time
+	// is well below ConfirmLimit.
+	pendingWait = 2 * time.Second
 	// retryWait is the longest pause after a failed call; the pause is drawn at
 	// random so that nodes do not come back together after an outage.
 	retryWait = 2 * time.Second
+	// ackSpread is the time over which nodes spread their acknowledgements, so
+	// that 370 of them stay well below the platform's writes per second.
+	ackSpread = 2 * time.Second
 )
 
-// Entry is one document in force.
-type Entry struct {
-	Document spec.Document
-	Version  store.Version
-}
-
 // Set holds the documents in force. It is safe for concurrent use.
 type Set struct {
 	*common.Common
 	store store.Store
+	// instance names this node in its acknowledgements.
+	instance ident.InstanceName
 
 	mutex sync.RWMutex
-	// documents never goes back to an older version of a service.
-	documents map[ident.ServiceName]Entry
-	// version is that of the newest event applied.
-	version store.Version
-	// loaded is true once a whole listing was read.
-	loaded bool
-	// confirmed is when the platform last said that version is current.
-	confirmed time.Time
-	ready     chan struct{}
+	view  *View
+	// ackVersion is that of this node's acknowledgement object, zero if unknown.
+	ackVersion store.Version
+	// acking is true while an acknowledgement is on its way.
+	acking bool
 }
 
 // NewSet returns an empty set; Run fills it.
-func NewSet(c *common.Common, s store.Store) *Set {
-	return &Set{
-		Common:    c,
-		store:     s,
-		documents: map[ident.ServiceName]Entry{},
-		ready:     make(chan struct{}),
-	}
+func NewSet(c *common.Common, s store.Store, instance ident.InstanceName) *Set {
+	return &Set{Common: c, store: s, instance: instance, view: NewView()}
 }
 
-// Find returns the document in force for a service.
-func (s *Set) Find(service ident.ServiceName) (entry Entry, found bool) {
+// Find returns a service's document and whether it may be served now.
+func (s *Set) Find(service ident.ServiceName) (Entry, Standing) {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
-	entry, found = s.documents[service]
-	return entry, found
+	return s.view.Find(service, time.Now())
 }
 
 // All returns every document in force, by name.
 func (s *Set) All() []Entry {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
-	all := make([]Entry, 0, len(s.documents))
-	for _, entry := range s.documents {
-		all = append(all, entry)
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Document.Service < all[j].Document.Service })
-	return all
+	return s.view.All()
 }
 
-// Ready is closed once the documents were read for the first time.
-func (s *Set) Ready() <-chan struct{} { return s.ready }
-
 // Loaded reports whether the documents were read at all.
 func (s *Set) Loaded() bool {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
-	return s.loaded
-}
-
-// Confirmed returns the newest version applied and when the platform last
-// confirmed that it is current.
-func (s *Set) Confirmed() (store.Version, time.Time) {
-	s.mutex.RLock()
-	defer s.mutex.RUnlock()
-	return s.version, s.confirmed
+	return s.view.loaded
 }
 
 // Run keeps the set up to date until the context ends.
 func (s *Set) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := s.follow(ctx); err != nil && ctx.Err() == nil {
-			s.Log.Warn("service documents cannot be followed", "error", err)
-			pause(ctx, rand.N(retryWait))
-		}
-	}
+	store.NewFollower(s.Common, s.store, Kind, s).Run(ctx)
 }
 
-func (s *Set) follow(ctx context.Context) error {
-	if !s.Loaded() {
-		if err := s.load(ctx); err != nil {
-			return err
-		}
-	}
-	version, _ := s.Confirmed()
-	batch, err := s.store.Watch(ctx, Kind, version, watchWait)
-	if errors.Is(err, store.ErrGap) {
-		return s.load(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	s.apply(batch)
-	return nil
+// Load implements store.Reader.
+func (s *Set) Load(listing store.Listing, asked time.Time) {
+	s.mutex.Lock()
+	faults := s.view.Load(listing, asked)
+	s.mutex.Unlock()
+	s.logFaults(faults)
 }
 
-func (s *Set) load(ctx context.Context) error {
-	listing, err := s.store.List(ctx, Kind)
-	if err != nil {
-		return err
-	}
+// Apply implements store.Reader.
+func (s *Set) Apply(batch store.Batch, asked time.Time) {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	// A listing that is older than what was applied would take changes back.
-	if listing.Version < s.version {
-		return store.ErrUnavailable
-	}
-	documents := map[ident.ServiceName]Entry{}
-	for _, object := range listing.Objects {
-		s.insert(documents, object)
+	faults := s.view.Apply(batch, asked)
+	s.mutex.Unlock()
+	s.logFaults(faults)
+}
+
+// Wait implements store.Reader. A node confirms its documents with every watch,
+// more often while a change is on its way, as ConfirmLimit counts then.
+func (s *Set) Wait(ctx context.Context) time.Duration {
+	s.startAck(ctx)
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	if len(s.view.Pending()) > 0 {
+		return pendingWait
 	}
-	s.documents = documents
-	s.version = listing.Version
-	s.confirmed = time.Now()
-	if !s.loaded {
-		s.loaded = true
-		close(s.ready)
+	return watchWait
+}
+
+func (s *Set) logFaults(faults []error) {
+	for _, fault := range faults {
+		s.Log.Error("a stored service document cannot be read; the service is not served here", "error", fault)
 	}
-	return nil
 }
 
-func (s *Set) apply(batch store.Batch) {
+// startAck acknowledges proposals beside the watch, which must go on.
+func (s *Set) startAck(ctx context.Context) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, object := range batch.Events {
-		if object.Version <= s.version {
-			continue
-		}
-		if object.Deleted {
-			delete(s.documents, ident.ServiceName(object.Name))
-			continue
-		}
-		s.insert(s.documents, object)
+	if s.acking || !s.view.Unacknowledged() {
+		return
 	}
-	s.version = max(s.version, batch.Version)
-	s.confirmed = time.Now()
+	s.acking = true
+	go func() {
+		common.Pause(ctx, rand.N(ackSpread))
+		s.acknowledge(ctx)
+		s.mutex.Lock()
+		s.acking = false
+		s.mutex.Unlock()
+	}()
 }
 
-// insert keeps the older document of a service if the new one does not parse:
-// it was checked before it was stored, so this node is too old to read it.
-func (s *Set) insert(documents map[ident.ServiceName]Entry, object store.Object) {
-	name := ident.ServiceName(object.Name)
-	document, err := spec.Parse(object.Name, object.Value)
+// acknowledge lets all pending proposals through with one write.
+func (s *Set) acknowledge(ctx context.Context) {
+	s.mutex.Lock()
+	pending := s.view.Pending()
+	s.view.Acknowledge(pending)
+	version := s.ackVersion
+	s.mutex.Unlock()
+	value, err := json.Marshal(Acks{Proposals: pending})
 	if err != nil {
-		s.Log.Error("a stored service document cannot be read", "service", object.Name, "error", err)
-		if old, ok := s.documents[name]; ok {
-			documents[name] = old
-		}
 		return
 	}
-	documents[name] = Entry{Document: document, Version: object.Version}
+	for ctx.Err() == nil {
+		version, err = s.store.Put(ctx, ackKey(s.instance), value, version)
+		if err == nil {
+			break
+		}
+		// The object may be an earlier incarnation's, or a write whose answer
+		// was lost; nobody else writes it.
+		s.Log.Warn("an acknowledgement was not written", "error", err)
+		version = s.readAckVersion(ctx)
+		common.Pause(ctx, rand.N(retryWait/4))
+	}
+	s.mutex.Lock()
+	s.ackVersion = version
+	s.mutex.Unlock()
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+func (s *Set) readAckVersion(ctx context.Context) store.Version {
+	object, err := s.store.Get(ctx, ackKey(s.instance))
+	if err != nil {
+		return 0
 	}
+	return object.Version
+}
+
+func ackKey(instance ident.InstanceName) store.Key {
+	return store.Key{Kind: ackKind, Name: string(instance)}
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -10,7 +10,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"crocusstep/fault"
@@ -79,6 +81,20 @@
 // ErrKVGone means that the KV cache was evicted before it was used.
 var ErrKVGone = errors.New("the KV cache is gone")
 
+// Crashed reports whether an error means that the engine went down while it
+// worked, as against one that could not be reached or refused the order.
+func Crashed(err error) bool {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return false
+	}
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return false
+	}
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.ErrClosedPipe)
+}
+
 // ErrFull means that the engine has no slot left.
 var ErrFull = errors.New("the engine has no free slot")
 
--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"crocusstep/answer"
+	"crocusstep/blame"
 	"crocusstep/burn"
 	"crocusstep/fault"
 	"crocusstep/ident"
@@ -30,7 +31,12 @@
 	assembler *answer.Assembler
 	// started is true once a prefill was ordered: from then on a refusal may
 	// not say that nothing ran.
-	started bool
+	started     bool
+	fingerprint blame.Fingerprint
+	// suspected is true while the request may have crashed an endpoint.
+	suspected bool
+	// crashed is the endpoint that went down in the newest attempt, if any.
+	crashed ident.EndpointName
 	// first and last are the times of the first and the newest piece.
 	first time.Time
 	last  time.Time
@@ -49,6 +55,8 @@
 		maxTokens: maxTokens,
 		arrived:   arrived,
 		assembler: answer.NewAssembler(request),
+
+		fingerprint: blame.FingerprintOf(document.Service, prompt),
 	}
 }
 
@@ -79,10 +87,21 @@
 // attempts tries until the answer is whole or nothing more may be tried.
 func (c *chatRun) attempts(ctx context.Context) error {
 	for tried := 1; ; tried++ {
+		verdict := c.suspects.Judge(c.fingerprint)
+		if verdict == blame.Blocked {
+			return fault.New(fault.RequestBlocked, "the request has crashed endpoints and is blocked; ask the operators about %s", c.fingerprint)
+		}
+		c.suspected = verdict == blame.Suspected
 		err := c.attempt(ctx)
+		if err == nil && c.suspected {
+			c.tasks.Go(func() { c.suspects.Clear(ctx, c.fingerprint) })
+		}
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
+		if err := c.countCrash(ctx); err != nil {
+			return err
+		}
 		c.Log.Info("an attempt failed", "request", c.request, "tried", tried, "error", err)
 		if !mayRetry(err) || tried >= c.document.Retries.Attempts || !c.budget(c.document.Service).Take() {
 			return err
@@ -90,6 +109,22 @@
 	}
 }
 
+// countCrash records durably that an endpoint crashed with this request aboard,
+// if one did; without the record there is no further attempt.
+func (c *chatRun) countCrash(ctx context.Context) error {
+	if c.crashed == "" {
+		return nil
+	}
+	crash := blame.Crash{Endpoint: c.crashed, At: time.Now().UTC(), Request: c.request}
+	c.crashed = ""
+	_, err := c.suspects.Count(ctx, c.document.Service, c.fingerprint, crash)
+	if err != nil {
+		c.Log.Warn("a crash was not counted", "request", c.request, "error", err)
+		return fault.NewUnknown(fault.EndpointFailed, "an endpoint crashed and that could not be recorded")
+	}
+	return nil
+}
+
 // mayRetry reports whether another endpoint could do better. Reading requests
 // are idempotent, so only a verdict on the request itself is final.
 func mayRetry(err error) bool {
@@ -166,6 +201,7 @@
 // attempt reserves a pair, prefills and decodes once.
 func (c *chatRun) attempt(ctx context.Context) error {
 	ticket := wire.Ticket{
+		Suspect:   c.suspected,
 		Request:   c.request,
 		Attempt:   ident.NewAttemptID(),
 		Service:   c.document.Service,
@@ -279,10 +315,16 @@
 		return ctx.Err()
 	case err != nil:
 		c.roster.Failed(endpoint)
+		if errors.Is(err, wire.ErrLost) {
+			c.crashed = endpoint
+		}
 		return err
 	case refusal == nil:
 		c.roster.Succeeded(endpoint)
 		return nil
+	case refusal.Code == fault.EndpointCrashed:
+		c.roster.Failed(endpoint)
+		c.crashed = endpoint
 	case refusal.Code == fault.EndpointFailed, refusal.Code == fault.KVLost:
 		c.roster.Failed(endpoint)
 	}
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -15,6 +15,9 @@
 	"crocusstep/ident"
 )
 
+// doubtRetry is when to come back for a service whose document is in doubt.
+const doubtRetry = 2 * time.Second
+
 // requestHeader carries the request id back to the caller.
 const requestHeader = "X-Request-Id"
 
@@ -69,9 +72,12 @@
 	if !e.docs.Loaded() {
 		return docset.Entry{}, fault.New(fault.DocumentsNotLoaded, "this entry has just started").After(time.Second)
 	}
-	found, ok := e.docs.Find(service)
-	if !ok {
+	found, standing := e.docs.Find(service)
+	switch standing {
+	case docset.Absent:
 		return docset.Entry{}, fault.New(fault.UnknownService, "there is no service %q", service)
+	case docset.Doubtful:
+		return docset.Entry{}, fault.New(fault.DocumentDoubtful, "a change of %q cannot be confirmed", service).After(e.spread(doubtRetry))
 	}
 	return found, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/sync/singleflight"
 
+	"crocusstep/blame"
 	"crocusstep/burn"
 	"crocusstep/common"
 	"crocusstep/docset"
@@ -48,6 +49,7 @@
 	*common.Common
 	config   Config
 	docs     *docset.Set
+	suspects *blame.Registry
 	roster   *roster.Roster
 	affinity *route.Affinity
 	burn     *burn.Tracker
@@ -67,7 +69,8 @@
 	return &Entry{
 		Common:   c,
 		config:   config,
-		docs:     docset.NewSet(c, config.Store),
+		docs:     docset.NewSet(c, config.Store, config.Instance),
+		suspects: blame.NewRegistry(c, config.Store),
 		roster:   roster.NewRoster(c, config.Store),
 		affinity: route.NewAffinity(),
 		burn:     burn.NewTracker(),
@@ -81,12 +84,13 @@
 func (e *Entry) Run(ctx context.Context) {
 	e.tasks.Go(func() { e.docs.Run(ctx) })
 	e.tasks.Go(func() { e.roster.Run(ctx) })
+	e.tasks.Go(func() { e.suspects.Run(ctx) })
 	<-ctx.Done()
 	e.tasks.Wait()
 }
 
 // Ready reports whether callers should be sent here.
-func (e *Entry) Ready() bool { return e.docs.Loaded() && !e.draining.Load() }
+func (e *Entry) Ready() bool { return e.docs.Loaded() && e.roster.Loaded() && !e.draining.Load() }
 
 // StartDraining makes the entry look unready, so that the balancer turns away.
 // Requests that still come are served.
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -60,9 +60,8 @@
 const defaultAnswerTokens = 40
 
 type heldKV struct {
-	prompt  string
-	tokens  ident.TokenCount
-	expires time.Time
+	prompt string
+	tokens ident.TokenCount
 }
 
 type running struct {
@@ -83,6 +82,8 @@
 	crashed  bool
 	// crash is called once when a poisoned prompt ends the engine.
 	crash func()
+	// reader lets one prompt be read at a time.
+	reader chan struct{}
 	// prefilled counts the tokens that were really read.
 	prefilled ident.TokenCount
 	// stalled makes imports hang until their context ends.
@@ -96,6 +97,7 @@
 		kv:       map[engine.KVHandle]heldKV{},
 		requests: map[ident.AttemptID]*running{},
 		crash:    crash,
+		reader:   make(chan struct{}, 1),
 	}
 }
 
@@ -146,8 +148,7 @@
 	defer cancel()
 	tokens := CountTokens(order.Prompt + " " + order.Generated)
 	cached := e.admit(order, tokens, cancel)
-	work := time.Duration(tokens-cached) * e.config.PrefillPerToken
-	if !sleep(ctx, work) {
+	if !e.read(ctx, time.Duration(tokens-cached)*e.config.PrefillPerToken) {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
@@ -155,11 +156,23 @@
 	e.mutex.Lock()
 	delete(e.requests, order.Attempt)
 	e.prefilled += tokens - cached
-	e.kv[handle] = heldKV{prompt: order.Prompt, tokens: tokens, expires: time.Now().Add(e.config.KVLifetime)}
+	e.kv[handle] = heldKV{prompt: order.Prompt, tokens: tokens}
+	time.AfterFunc(e.config.KVLifetime, func() { e.evict(handle) })
 	e.mutex.Unlock()
 	reply(w, engine.PrefillResult{Handle: handle, Tokens: tokens, CachedTokens: cached})
 }
 
+// read waits for the one reader of the engine and then for the work.
+func (e *Engine) read(ctx context.Context, work time.Duration) bool {
+	select {
+	case e.reader <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-e.reader }()
+	return sleep(ctx, work)
+}
+
 func (e *Engine) admit(order engine.PrefillOrder, tokens ident.TokenCount, cancel context.CancelFunc) ident.TokenCount {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -175,13 +188,19 @@
 	return min(cached, tokens-1)
 }
 
+func (e *Engine) evict(handle engine.KVHandle) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.kv, handle)
+}
+
 func (e *Engine) export(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
 	handle := engine.KVHandle(params.ByName("handle"))
 	e.mutex.Lock()
 	held, ok := e.kv[handle]
 	delete(e.kv, handle)
 	e.mutex.Unlock()
-	if !ok || time.Now().After(held.expires) {
+	if !ok {
 		w.WriteHeader(http.StatusGone)
 		return
 	}
--- a/fault/refusal.go
+++ b/fault/refusal.go
@@ -51,7 +51,9 @@
 	RequestBlocked     Code = "request-blocked"
 	KVLost             Code = "kv-lost"
 	Cancelled          Code = "cancelled"
+	EndpointCrashed    Code = "endpoint-crashed"
 	DocumentsNotLoaded Code = "documents-not-loaded"
+	DocumentDoubtful   Code = "document-doubtful"
 	Internal           Code = "internal"
 )
 
@@ -82,7 +84,9 @@
 	RequestBlocked:     http.StatusUnprocessableEntity,
 	KVLost:             http.StatusBadGateway,
 	Cancelled:          499,
+	EndpointCrashed:    http.StatusBadGateway,
 	DocumentsNotLoaded: http.StatusServiceUnavailable,
+	DocumentDoubtful:   http.StatusServiceUnavailable,
 	Internal:           http.StatusInternalServerError,
 }
 
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -127,7 +127,7 @@
 			batch = refuse(batch, fault.NewUnknown(fault.LedgerUnavailable, "the platform did not take the record").After(unavailableRetry))
 		}
 		w.Log.Warn("ledger shard not written", "shard", w.key.Name, "error", err)
-		pause(ctx, wait/2+rand.N(wait))
+		common.Pause(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, retryCeiling)
 	}
 }
@@ -210,12 +210,3 @@
 
 // errShardFull means that a shard has no room for new records.
 var errShardFull = errors.New("the ledger shard is full")
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -61,6 +61,7 @@
 
 	mutex   sync.Mutex
 	members map[ident.EndpointName]*member
+	loaded  bool
 }
 
 // NewRoster returns an empty roster; Run fills it.
@@ -72,7 +73,7 @@
 func (r *Roster) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.refresh(ctx)
-		pause(ctx, listInterval/2+rand.N(listInterval))
+		common.Pause(ctx, listInterval/2+rand.N(listInterval))
 	}
 }
 
@@ -90,6 +91,7 @@
 func (r *Roster) Replace(instances []store.Instance) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.loaded = true
 	listed := map[ident.EndpointName]bool{}
 	for _, instance := range instances {
 		if instance.Role != store.AgentRole {
@@ -116,6 +118,13 @@
 	m.instance = instance
 }
 
+// Loaded reports whether the platform's list was read at all.
+func (r *Roster) Loaded() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.loaded
+}
+
 // Pool returns the members of a pool that may get new work, by name.
 func (r *Roster) Pool(pool ident.PoolName) []Member {
 	r.mutex.Lock()
@@ -220,12 +229,3 @@
 		m.suspended = time.Time{}
 	}
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/start/service.go
+++ b/start/service.go
@@ -16,8 +16,12 @@
 	"crocusstep/store"
 )
 
-// operatorTimeout bounds one call of an operator's command.
-const operatorTimeout = 10 * time.Second
+const (
+	// operatorTimeout bounds an operator's command.
+	operatorTimeout = 40 * time.Second
+	// operatorCall bounds one call of the platform in it.
+	operatorCall = 5 * time.Second
+)
 
 func (c *cli) addService() {
 	service := c.app.Command("service", "Check, store and read service documents.")
@@ -33,7 +37,7 @@
 
 	put := service.Command("put", "Check a document and put it in force.")
 	putFile := put.Arg("file", "YAML file with the document.").Required().String()
-	base := put.Flag("base", "Version that was edited; the newest if not given, 0 for a new service.").Default("-1").Int64()
+	base := put.Flag("base", "Number of the document that was edited; the newest if not given, 0 for a new service.").Default("-1").Int64()
 	c.add(put, func() error { return c.putDocument(books(), *putFile, *base) })
 
 	get := service.Command("get", "Print a document in force.")
@@ -52,7 +56,7 @@
 	return store.NewClient(store.ClientConfig{
 		Address: ident.Address(platform),
 		HTTP:    socket.NewClient(),
-		Timeout: operatorTimeout,
+		Timeout: operatorCall,
 	})
 }
 
@@ -71,40 +75,47 @@
 	if err != nil {
 		return err
 	}
-	version, err := book.Put(ctx, document, data, store.Version(base))
+	number, err := book.Put(ctx, document, data, docset.Number(base))
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(c.stdout, "%s accepted as version %d\n", document.Service, version)
+	_, err = fmt.Fprintf(c.stdout, "%s accepted as number %d; in force everywhere within %s\n", document.Service, number, docset.ConfirmLimit)
 	return err
 }
 
 func (c *cli) getDocument(book *docset.Book, service ident.ServiceName) error {
 	ctx, cancel := operatorContext()
 	defer cancel()
-	object, err := book.Get(ctx, service)
+	draft, err := book.Get(ctx, service)
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(c.stdout, "# version %d\n%s", object.Version, object.Value)
+	_, err = fmt.Fprintf(c.stdout, "# number %d\n%s", draft.Number, draft.Text)
 	return err
 }
 
 func (c *cli) listDocuments(book *docset.Book) error {
 	ctx, cancel := operatorContext()
 	defer cancel()
-	objects, err := book.List(ctx)
+	rows, err := book.List(ctx)
 	if err != nil {
 		return err
 	}
-	for _, object := range objects {
-		if _, err := fmt.Fprintf(c.stdout, "%s\t%d\n", object.Name, object.Version); err != nil {
+	for _, row := range rows {
+		if _, err := fmt.Fprintf(c.stdout, "%s\t%d\t%s\n", row.Service, row.Sheet.Current.Number, changing(row.Sheet)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func changing(sheet docset.Sheet) string {
+	if sheet.Staged == nil {
+		return "in force"
+	}
+	return "in force, a change is proposed"
+}
+
 func (c *cli) listHistory(book *docset.Book, service ident.ServiceName) error {
 	ctx, cancel := operatorContext()
 	defer cancel()
@@ -113,7 +124,7 @@
 		return err
 	}
 	for _, revision := range revisions {
-		if _, err := fmt.Fprintf(c.stdout, "%d\t%s\t%s\n", revision.Base, revision.At.Format(time.RFC3339), revision.Digest); err != nil {
+		if _, err := fmt.Fprintf(c.stdout, "# number %d, accepted %s\n%s\n", revision.Number, revision.At.Format(time.RFC3339), revision.Text); err != nil {
 			return err
 		}
 	}
--- a/start/start.go
+++ b/start/start.go
@@ -56,6 +56,7 @@
 	c.addSettings()
 	c.addService()
 	c.addAction()
+	c.addSuspect()
 	c.addReport()
 	c.add(c.app.Command("version", "Print the version."), c.printVersion)
 	command, err := c.app.Parse(args)
--- /dev/null
+++ b/start/suspect.go
@@ -0,0 +1,41 @@
+package start
+
+import (
+	"fmt"
+	"time"
+
+	"crocusstep/blame"
+)
+
+func (c *cli) addSuspect() {
+	suspect := c.app.Command("suspect", "Inspect and lift the blame of requests that crash endpoints.")
+	platform := suspect.Flag("platform", "IP number and port of the platform's object API.").Default("127.0.0.1:7000").String()
+	list := suspect.Command("list", "List suspects and whether they are blocked.")
+	c.add(list, func() error { return c.listSuspects(*platform) })
+	lift := suspect.Command("lift", "Let a request run again.")
+	fingerprint := lift.Arg("fingerprint", "Fingerprint as printed by suspect list.").Required().String()
+	c.add(lift, func() error {
+		ctx, cancel := operatorContext()
+		defer cancel()
+		return blame.Lift(ctx, operatorStore(*platform), blame.Fingerprint(*fingerprint))
+	})
+}
+
+func (c *cli) listSuspects(platform string) error {
+	ctx, cancel := operatorContext()
+	defer cancel()
+	list, err := blame.List(ctx, operatorStore(platform))
+	if err != nil {
+		return err
+	}
+	for _, l := range list {
+		verdict := blame.Suspected
+		if l.Suspect.Blocked(time.Now()) {
+			verdict = blame.Blocked
+		}
+		if _, err := fmt.Fprintf(c.stdout, "%s\t%s\t%s\t%d crashes\n", l.Fingerprint, l.Suspect.Service, verdict, len(l.Suspect.Crashes)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -52,6 +52,8 @@
 	Workspace ident.WorkspaceName `json:"workspace"`
 	Weight    int                 `json:"weight"`
 	Priority  int                 `json:"priority"`
+	// Suspect work may crash the endpoint; two such never share one.
+	Suspect bool `json:"suspect,omitempty"`
 	// Deadline is the latest time at which starting still helps.
 	Deadline time.Time `json:"deadline"`
 }
