--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo lint measure generate
+.PHONY: build test test-long demo lint measure mutants generate
 
 build:
 	go build -o bin/crocusstep .
@@ -17,3 +17,6 @@
 
 generate: build
 	bin/crocusstep settings reference > docs/Config.md
+
+mutants:
+	go run ./mutant
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -35,6 +35,9 @@
 	platformTimeout = 2 * time.Second
 	sweepInterval   = 2 * time.Second
 	maxHold         = 10 * time.Second
+	// closeGrace lets handlers that sleep come to their end; a fleet runs in
+	// virtual time, so it costs nothing.
+	closeGrace = time.Hour
 )
 
 // Config configures a Fleet.
@@ -128,6 +131,7 @@
 	for _, client := range f.clients {
 		client.CloseIdleConnections()
 	}
+	time.Sleep(closeGrace)
 }
 
 func (f *Fleet) start(host memnet.Host, address ident.Address, handler http.Handler) *process {
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,143 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"crocusstep/fault"
+	"crocusstep/ident"
+)
+
+func ticketOf(attempt string, deadline time.Duration) Ticket {
+	return Ticket{Attempt: ident.AttemptID(attempt), Workspace: "w", Weight: 1, Deadline: time.Now().Add(deadline), Cost: 1}
+}
+
+func TestGate(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		run      func(t *testing.T, g *Gate)
+	}{
+		{
+			testName: "a full gate refuses at once who will not wait",
+			run: func(t *testing.T, g *Gate) {
+				assert.NilError(t, g.Enter(t.Context(), ticketOf("a", time.Minute), 0, time.Minute))
+				err := g.Enter(t.Context(), ticketOf("b", time.Minute), 0, time.Minute)
+				assert.Assert(t, fault.Is(err, fault.EndpointBusy))
+			},
+		},
+		{
+			testName: "a place that is not used expires",
+			run: func(t *testing.T, g *Gate) {
+				assert.NilError(t, g.Enter(t.Context(), ticketOf("a", time.Minute), 0, time.Second))
+				started := time.Now()
+				assert.NilError(t, g.Enter(t.Context(), ticketOf("b", time.Minute), time.Minute, time.Minute))
+				assert.Equal(t, time.Since(started), time.Second)
+				assert.Assert(t, !g.Use("a"))
+			},
+		},
+		{
+			testName: "a used place does not expire",
+			run: func(t *testing.T, g *Gate) {
+				assert.NilError(t, g.Enter(t.Context(), ticketOf("a", time.Minute), 0, time.Second))
+				assert.Assert(t, g.Use("a"))
+				time.Sleep(time.Minute)
+				assert.Equal(t, g.Held(), 1)
+				g.Leave("a")
+				assert.Equal(t, g.Held(), 0)
+			},
+		},
+		{
+			testName: "nobody waits beyond the deadline",
+			run: func(t *testing.T, g *Gate) {
+				assert.NilError(t, g.Enter(t.Context(), ticketOf("a", time.Minute), 0, time.Hour))
+				started := time.Now()
+				err := g.Enter(t.Context(), ticketOf("b", 3*time.Second), time.Hour, time.Second)
+				assert.Assert(t, fault.Is(err, fault.EndpointBusy))
+				assert.Equal(t, time.Since(started), 3*time.Second)
+			},
+		},
+		{
+			testName: "who cannot start in time is refused at once and told when to come back",
+			run: func(t *testing.T, g *Gate) {
+				learnPace(t, g, time.Second)
+				assert.NilError(t, g.Enter(t.Context(), ticketOf("a", time.Minute), 0, time.Hour))
+				var tasks conc.WaitGroup
+				for i := range 5 {
+					tasks.Go(func() { _ = g.Enter(t.Context(), ticketOf(fmt.Sprint("w", i), time.Minute), time.Minute, time.Second) })
+				}
+				synctest.Wait()
+				started := time.Now()
+				err := g.Enter(t.Context(), ticketOf("b", 2*time.Second), time.Minute, time.Second)
+				assert.Assert(t, fault.Is(err, fault.TargetUnreachable))
+				assert.Equal(t, time.Since(started), time.Duration(0))
+				assert.Assert(t, fault.AsRefusal(err).RetryAfter >= 4*time.Second)
+				g.Leave("a")
+				tasks.Wait()
+			},
+		},
+		{
+			testName: "a cancelled wait leaves no trace",
+			run: func(t *testing.T, g *Gate) {
+				assert.NilError(t, g.Enter(t.Context(), ticketOf("a", time.Minute), 0, time.Hour))
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				err := g.Enter(ctx, ticketOf("b", time.Minute), time.Minute, time.Hour)
+				assert.Assert(t, fault.Is(err, fault.Cancelled))
+				assert.Equal(t, g.State().Waiting, 0)
+			},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { s.run(t, NewGate(1)) })
+		})
+	}
+}
+
+// learnPace shows the gate that a place is held for a span.
+func learnPace(t *testing.T, g *Gate, span time.Duration) {
+	t.Helper()
+	assert.NilError(t, g.Enter(t.Context(), ticketOf("first", time.Minute), 0, time.Hour))
+	g.Use("first")
+	time.Sleep(span)
+	g.Leave("first")
+}
+
+// TestGateNeverOverfills runs many entrants of all kinds against one gate.
+func TestGateNeverOverfills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const capacity = 3
+		g := NewGate(capacity)
+		var inside, most atomic.Int64
+		var tasks conc.WaitGroup
+		random := rand.New(rand.NewPCG(7, 7))
+		span := func(most time.Duration) time.Duration { return time.Duration(random.Int64N(int64(most))) }
+		for i := range 300 {
+			start, patience, stay := span(5*time.Second), span(3*time.Second), span(100*time.Millisecond)
+			tasks.Go(func() {
+				time.Sleep(start)
+				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				defer cancel()
+				attempt := ident.AttemptID(fmt.Sprint(i))
+				if g.Enter(ctx, ticketOf(string(attempt), 2*time.Second), 2*time.Second, time.Second) != nil || !g.Use(attempt) {
+					return
+				}
+				most.Store(max(most.Load(), inside.Add(1)))
+				time.Sleep(stay)
+				inside.Add(-1)
+				g.Leave(attempt)
+			})
+		}
+		tasks.Wait()
+		assert.Assert(t, most.Load() <= capacity)
+		assert.DeepEqual(t, g.State(), State{Free: capacity})
+	})
+}
--- /dev/null
+++ b/gate/main_test.go
@@ -0,0 +1,9 @@
+package gate
+
+import (
+	"testing"
+
+	"crocusstep/seed"
+)
+
+func TestMain(m *testing.M) { seed.Main(m) }
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,335 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"crocusstep/common"
+	"crocusstep/fake"
+	"crocusstep/fault"
+	"crocusstep/ident"
+	"crocusstep/memnet"
+	"crocusstep/store"
+)
+
+// serve runs a handler on the network until the test ends.
+func serve(t *testing.T, network *memnet.Network, address string, handler http.Handler) {
+	t.Helper()
+	server := &http.Server{Handler: handler}
+	listener := network.Listen(memnet.Host(address), address)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
+
+// script drives one platform and any number of holders.
+type script struct {
+	t        *testing.T
+	network  *memnet.Network
+	platform *fake.Platform
+	runs     int
+}
+
+func newScript(t *testing.T) *script {
+	s := &script{
+		t:        t,
+		network:  memnet.NewNetwork(),
+		platform: fake.NewPlatform(fake.PlatformConfig{Latency: 2 * time.Millisecond}),
+	}
+	t.Cleanup(func() { time.Sleep(time.Minute) }) // Handlers that sleep end within this.
+	serve(t, s.network, "platform:1", s.platform.Handler())
+	return s
+}
+
+func (s *script) store(host string) store.Store {
+	client := s.network.Client(memnet.Host(host))
+	s.t.Cleanup(client.CloseIdleConnections)
+	return store.NewClient(store.ClientConfig{Address: "platform:1", HTTP: client, Timeout: time.Second})
+}
+
+// holder starts a holder and returns it with a function that kills it.
+func (s *script) holder(name string) (*Ledger, func()) {
+	c, err := common.NewQuiet()
+	assert.NilError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	l := NewLedger(ctx, c, Config{Store: s.store(name), Holder: ident.InstanceName(name), Incarnation: ident.NewNonce()})
+	s.t.Cleanup(func() {
+		cancel()
+		l.Wait()
+	})
+	return l, cancel
+}
+
+func (s *script) action(key, digest string) Action {
+	return Action{
+		Service: "s",
+		Shards:  1,
+		KeepFor: time.Hour,
+		Key:     ident.IdempotencyKey(key),
+		Digest:  ident.Digest(digest),
+		Attempt: ident.NewAttemptID(),
+	}
+}
+
+// ok is a call that runs and is answered.
+func (s *script) ok(context.Context, store.Version) (Answer, error) {
+	s.runs++
+	return Answer{Status: 201, Body: []byte(fmt.Sprint("run ", s.runs))}, nil
+}
+
+// lost is a call that runs and whose answer is lost.
+func (s *script) lost(context.Context, store.Version) (Answer, error) {
+	s.runs++
+	return Answer{}, errors.New("connection reset")
+}
+
+func TestLedger(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		run      func(t *testing.T, s *script)
+	}{
+		{
+			testName: "a resend through another holder gets the recorded answer",
+			run: func(t *testing.T, s *script) {
+				first, _ := s.holder("a")
+				second, _ := s.holder("b")
+				one, err := first.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.NilError(t, err)
+				time.Sleep(time.Second)
+				two, err := second.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.NilError(t, err)
+				assert.DeepEqual(t, two.Answer, one.Answer)
+				assert.Assert(t, two.Replayed && !one.Replayed)
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "one key with another body is an error",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				_, err := l.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.NilError(t, err)
+				_, err = l.Run(t.Context(), s.action("k", "other"), s.ok)
+				assert.Assert(t, fault.Is(err, fault.KeyReused))
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "a lost answer stays unknown, and is never run again",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				_, err := l.Run(t.Context(), s.action("k", "d"), s.lost)
+				assert.Equal(t, fault.AsRefusal(err).Outcome, fault.Unknown)
+				_, err = l.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.Assert(t, fault.Is(err, fault.ActionUnknown))
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "a call that did not leave is not run, and a resend runs it",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				_, err := l.Run(t.Context(), s.action("k", "d"), func(context.Context, store.Version) (Answer, error) { return Answer{}, ErrNotSent })
+				assert.Equal(t, fault.AsRefusal(err).Outcome, fault.NotRun)
+				_, err = l.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.NilError(t, err)
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "two sendings at the same instant at one holder share a run",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				s.inParallel(l, l)
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "two sendings at the same instant at two holders run once",
+			run: func(t *testing.T, s *script) {
+				first, _ := s.holder("a")
+				second, _ := s.holder("b")
+				s.inParallel(first, second)
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "a write whose answer was lost still starts the action, once",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				s.platform.SetFaults(fake.PlatformFaults{LoseAnswers: 2})
+				result, err := l.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.NilError(t, err)
+				assert.Equal(t, string(result.Answer.Body), "run 1")
+			},
+		},
+		{
+			testName: "while the platform is down nothing runs, and nobody is told not-run",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				s.platform.SetFaults(fake.PlatformFaults{Down: true})
+				_, err := l.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.Assert(t, fault.Is(err, fault.LedgerUnavailable))
+				assert.Equal(t, fault.AsRefusal(err).Outcome, fault.Unknown)
+				assert.Assert(t, fault.AsRefusal(err).RetryAfter > 0)
+				assert.Equal(t, s.runs, 0)
+				s.platform.SetFaults(fake.PlatformFaults{})
+				_, err = l.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.NilError(t, err)
+			},
+		},
+		{
+			testName: "a start that became durable after its caller was refused is taken back",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				s.platform.SetFaults(fake.PlatformFaults{SlowNS: 900 * time.Millisecond, LoseAnswers: 3})
+				_, err := l.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.Assert(t, fault.Is(err, fault.LedgerUnavailable))
+				s.platform.SetFaults(fake.PlatformFaults{})
+				l.Flush(t.Context())
+				_, err = l.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.NilError(t, err)
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "a claim whose holder died before the record is durable is not lost",
+			run: func(t *testing.T, s *script) {
+				first, kill := s.holder("a")
+				s.platform.SetFaults(fake.PlatformFaults{Down: true})
+				var tasks conc.WaitGroup
+				tasks.Go(func() { _, _ = first.Run(t.Context(), s.action("k", "d"), s.ok) })
+				time.Sleep(time.Second)
+				kill()
+				tasks.Wait()
+				s.platform.SetFaults(fake.PlatformFaults{})
+				second, _ := s.holder("b")
+				_, err := second.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.NilError(t, err)
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "a paused holder that wakes after a resend elsewhere runs once at most",
+			run: func(t *testing.T, s *script) {
+				first, _ := s.holder("a")
+				second, _ := s.holder("b")
+				var tasks conc.WaitGroup
+				tasks.Go(func() {
+					_, err := first.Run(t.Context(), s.action("k", "d"), func(ctx context.Context, token store.Version) (Answer, error) {
+						time.Sleep(time.Minute)
+						return s.ok(ctx, token)
+					})
+					assert.NilError(t, err)
+				})
+				time.Sleep(time.Second)
+				_, err := second.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.Assert(t, fault.Is(err, fault.ActionInProgress))
+				time.Sleep(40 * time.Second)
+				_, err = second.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.Assert(t, fault.Is(err, fault.ActionUnknown))
+				tasks.Wait()
+				_, err = second.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.NilError(t, err)
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "an operator settles an unknown outcome",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				_, _ = l.Run(t.Context(), s.action("k", "d"), s.lost)
+				clerk := NewClerk(s.store("operator"))
+				records, err := clerk.Unsettled(t.Context(), "s")
+				assert.NilError(t, err)
+				assert.Equal(t, len(records), 1)
+				assert.ErrorContains(t, clerk.Settle(t.Context(), "s", "k", false), "may still run")
+				time.Sleep(2 * settleAge)
+				assert.NilError(t, clerk.Settle(t.Context(), "s", "k", false))
+				_, err = l.Run(t.Context(), s.action("k", "d"), s.ok)
+				assert.NilError(t, err)
+				assert.Equal(t, s.runs, 2)
+			},
+		},
+		{
+			testName: "records are dropped after the time to keep them",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				_, err := l.Run(t.Context(), s.action("old", "d"), s.ok)
+				assert.NilError(t, err)
+				time.Sleep(2 * time.Hour)
+				_, err = l.Run(t.Context(), s.action("new", "d"), s.ok)
+				assert.NilError(t, err)
+				object, err := s.store("reader").Get(t.Context(), ObjectKey("s", 0))
+				assert.NilError(t, err)
+				shard, err := ParseShard(object.Value)
+				assert.NilError(t, err)
+				assert.Equal(t, len(shard.Records), 1)
+			},
+		},
+		{
+			testName: "many actions at once share their writes",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				var tasks conc.WaitGroup
+				for i := range 500 {
+					tasks.Go(func() {
+						_, err := l.Run(t.Context(), s.action(fmt.Sprint("k", i), "d"), func(context.Context, store.Version) (Answer, error) {
+							time.Sleep(50 * time.Millisecond)
+							return Answer{Status: 200}, nil
+						})
+						assert.NilError(t, err)
+					})
+				}
+				tasks.Wait()
+				l.Flush(t.Context())
+				assert.Assert(t, s.platform.Calls().Writes < 50, "%d writes", s.platform.Calls().Writes)
+			},
+		},
+		{
+			testName: "a full shard refuses new actions and still records those that ran",
+			run: func(t *testing.T, s *script) {
+				l, _ := s.holder("a")
+				body := make([]byte, maxKeptBody)
+				big := func(context.Context, store.Version) (Answer, error) { return Answer{Status: 200, Body: body}, nil }
+				var refusal error
+				for i := 0; refusal == nil && i < 200; i++ {
+					_, refusal = l.Run(t.Context(), s.action(fmt.Sprint("k", i), "d"), big)
+				}
+				assert.Assert(t, fault.Is(refusal, fault.LedgerFull))
+				result, err := l.Run(t.Context(), s.action("k0", "d"), s.ok)
+				assert.NilError(t, err)
+				assert.Assert(t, result.Replayed)
+			},
+		},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { scenario.run(t, newScript(t)) })
+		})
+	}
+}
+
+// inParallel sends one action through two holders at the same instant.
+func (s *script) inParallel(holders ...*Ledger) {
+	var tasks conc.WaitGroup
+	for _, l := range holders {
+		tasks.Go(func() {
+			_, err := l.Run(s.t.Context(), s.action("k", "d"), func(ctx context.Context, token store.Version) (Answer, error) {
+				time.Sleep(100 * time.Millisecond)
+				return s.ok(ctx, token)
+			})
+			if err != nil {
+				assert.Equal(s.t, fault.AsRefusal(err).Outcome, fault.Unknown)
+			}
+		})
+	}
+	tasks.Wait()
+}
--- a/ledger/mutation.go
+++ b/ledger/mutation.go
@@ -87,6 +87,13 @@
 	return true
 }
 
+// blocked reports whether the last apply found an action that has not ended.
+func (b *begin) blocked() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.existing != nil && b.existing.State == Started
+}
+
 // abandon takes the wish back, unless its result arrived at the last moment.
 func (b *begin) abandon() (result beginResult, arrived bool) {
 	b.mutex.Lock()
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -144,21 +144,22 @@
 }
 
 func (w *writer) write(ctx context.Context, batch []mutation) error {
-	if !w.loaded {
+	cached := w.loaded
+	if !cached {
 		if err := w.load(ctx); err != nil {
 			return err
 		}
 	}
-	now := time.Now()
-	next := w.shard.clone()
-	next.prune(now, w.keepFor)
-	changed := w.doubtful
-	for _, m := range batch {
-		if m.apply(next, now) {
-			changed = true
+	next, changed := w.applied(batch)
+	if cached && !changed && blocked(batch) {
+		// Another holder may have ended the action since this shard was read,
+		// and without a write nothing would tell.
+		if err := w.load(ctx); err != nil {
+			return err
 		}
+		next, changed = w.applied(batch)
 	}
-	if changed {
+	if changed || w.doubtful {
 		if err := w.put(ctx, next); err != nil {
 			return err
 		}
@@ -169,6 +170,29 @@
 	return nil
 }
 
+// applied returns the shard with a batch in it and whether that changed it.
+func (w *writer) applied(batch []mutation) (next Shard, changed bool) {
+	now := time.Now()
+	next = w.shard.clone()
+	next.prune(now, w.keepFor)
+	for _, m := range batch {
+		if m.apply(next, now) {
+			changed = true
+		}
+	}
+	return next, changed
+}
+
+// blocked reports whether a start has found an action that has not ended.
+func blocked(batch []mutation) bool {
+	for _, m := range batch {
+		if b, ok := m.(*begin); ok && b.blocked() {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *writer) load(ctx context.Context) error {
 	object, err := w.store.Get(ctx, w.key)
 	if errors.Is(err, store.ErrNotFound) {
