Say unknown of an action while an entry knows no documents; generated schedules

Cause: TestSchedules, found a false not-run: an entry that had just started refused a renewal, that had run before, with documents-not-loaded and outcome not-run. A bare WaitGroup was also waited for while work started.

Change: such a refusal has outcome unknown for calls that may be actions; common.Tasks refuses late starts. TestSchedules runs all callers under all faults at once and checks every property after each run.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"crocusstep/auth"
 	"crocusstep/common"
 	"crocusstep/engine"
@@ -66,7 +64,7 @@
 	costs    costs
 	sequence atomic.Int64
 	draining atomic.Bool
-	tasks    conc.WaitGroup
+	tasks    common.Tasks
 	ctx      context.Context
 }
 
--- a/entry/call_controller.go
+++ b/entry/call_controller.go
@@ -45,7 +45,7 @@
 	arrived := time.Now()
 	found, refusal := e.find(ident.ServiceName(params.ByName("service")))
 	if refusal != nil {
-		return nil, refusal
+		return nil, withoutDocument(refusal, r.Method)
 	}
 	document := found.Document
 	path := params.ByName("path")
@@ -74,6 +74,17 @@
 	return run, refusal
 }
 
+// withoutDocument makes a refusal true for a call whose class is not known: it
+// may be an action that ran at an earlier attempt through another entry.
+func withoutDocument(refusal *fault.Refusal, method string) *fault.Refusal {
+	told := *refusal
+	idempotent := method == http.MethodGet || method == http.MethodHead
+	if told.Code != fault.UnknownService && !idempotent {
+		told.Outcome = fault.Unknown
+	}
+	return &told
+}
+
 func pathAndQuery(path, query string) string {
 	target := url.URL{Path: path, RawQuery: query}
 	return target.RequestURI()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"golang.org/x/sync/singleflight"
 
 	"crocusstep/blame"
@@ -55,7 +54,7 @@
 	burn     *burn.Tracker
 	shared   singleflight.Group
 	draining atomic.Bool
-	tasks    conc.WaitGroup
+	tasks    common.Tasks
 
 	mutex   sync.Mutex
 	random  *rand.Rand
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -65,6 +65,9 @@
 	// Plain is set for plain services.
 	Plain *fake.Plain
 
+	// lifecycle lets one start at a time end what ran before it.
+	lifecycle sync.Mutex
+
 	mutex sync.Mutex
 	// engine is set for model endpoints; a restart replaces it.
 	engine        *fake.Engine
@@ -251,6 +254,11 @@
 }
 
 func (f *Fleet) startEngine(e *Endpoint) {
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
+	if _, p := e.processes(); p != nil {
+		f.kill(p)
+	}
 	config := f.config.Engine
 	config.HTTP = f.client(engineHost(e.Name))
 	p := f.prepare(engineHost(e.Name))
@@ -286,6 +294,11 @@
 	if err != nil {
 		return err
 	}
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
+	if p, _ := e.processes(); p != nil {
+		f.kill(p)
+	}
 	p := f.prepare(agentHost(e.Name))
 	a := agent.NewAgent(p.ctx, c, agent.Config{
 		Instance:        ident.InstanceName(e.Name),
--- a/fleet/refusals_test.go
+++ b/fleet/refusals_test.go
@@ -244,3 +244,22 @@
 		}
 	})
 }
+
+// TestNewEntryIsTrue sends an action again through an entry that has just
+// started and knows no documents: it must not say that nothing has run.
+func TestNewEntryIsTrue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		body := `{"permit":"7","period":"1"}`
+		first, err := f.Caller("e1").Call(t.Context(), "renewal-desk", http.MethodPost, "/renewals", "", body)
+		assert.NilError(t, err)
+		assert.Equal(t, first.Status, http.StatusCreated)
+		f.Platform.SetFaults(fake.PlatformFaults{Down: true})
+		assert.NilError(t, f.AddEntry("e3", "cascadia-west"))
+		second, err := f.Caller("e3").Call(t.Context(), "renewal-desk", http.MethodPost, "/renewals", "", body)
+		assert.NilError(t, err)
+		assert.Equal(t, second.Problem.Code, fault.DocumentsNotLoaded)
+		assert.Equal(t, second.Problem.Outcome, fault.Unknown)
+	})
+}
--- a/ledger/history_test.go
+++ b/ledger/history_test.go
@@ -292,6 +292,8 @@
 
 func (b *bench) check() {
 	b.t.Helper()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	operations := 0
 	for key, runs := range b.runs {
 		assert.Assert(b.t, runs <= 1, "%s ran %d times", key, runs)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"crocusstep/common"
 	"crocusstep/fault"
 	"crocusstep/ident"
@@ -63,7 +61,7 @@
 type Ledger struct {
 	*common.Common
 	config Config
-	tasks  conc.WaitGroup
+	tasks  common.Tasks
 
 	mutex   sync.Mutex
 	writers map[store.Key]*writer
@@ -111,7 +109,9 @@
 	}
 	if first {
 		// The run outlives the caller: half an action helps nobody.
-		l.tasks.Go(func() { l.execute(context.WithoutCancel(ctx), e, action, call) })
+		if !l.tasks.Go(func() { l.execute(context.WithoutCancel(ctx), e, action, call) }) {
+			return result, fault.NewUnknown(fault.Draining, "the agent is shutting down").After(unavailableRetry)
+		}
 	}
 	select {
 	case <-e.done:
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -236,6 +236,8 @@
 				_, err = second.Run(t.Context(), s.action("k", "d"), s.ok)
 				assert.Assert(t, fault.Is(err, fault.ActionUnknown))
 				tasks.Wait()
+				// The answer is on its way to its record.
+				first.Flush(t.Context())
 				_, err = second.Run(t.Context(), s.action("k", "d"), s.ok)
 				assert.NilError(t, err)
 				assert.Equal(t, s.runs, 1)
--- a/memnet/network.go
+++ b/memnet/network.go
@@ -27,6 +27,9 @@
 	latency func(from, to Host) time.Duration
 }
 
+// dialTimeout is how long a dial to a silent host takes.
+const dialTimeout = time.Second
+
 // errRefused is what dialling a silent address returns.
 var errRefused = errors.New("connection refused")
 
@@ -88,6 +91,8 @@
 	if !listening {
 		return nil, errRefused
 	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	if separated {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -128,7 +133,7 @@
 }
 
 // Cut separates two hosts. Open connections between them break, as they do
-// once the kernel's user timeout has passed; new ones hang until their context ends.
+// once the kernel's user timeout has passed; new ones hang until they time out.
 func (n *Network) Cut(a, b Host) {
 	n.mutex.Lock()
 	n.cut[pair(a, b)] = true
--- a/start/process.go
+++ b/start/process.go
@@ -11,8 +11,6 @@
 	"syscall"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"crocusstep/auth"
 	"crocusstep/common"
 	"crocusstep/conf"
@@ -40,7 +38,7 @@
 	stop context.CancelFunc
 	// asked is closed by the first signal.
 	asked chan struct{}
-	tasks conc.WaitGroup
+	tasks common.Tasks
 	http  *http.Client
 }
 
