Decide on eight drawn members; ask a draining agent again after two seconds

Cause: a decision copied, shuffled and sorted the whole pool. TestRollingReplacement failed after the change (no decode endpoint): an agent's word that it drains counted for 30 s, also against the new process in its place; the old code had passed only because a release happened to bring the new report.

Change: a roster kept by pool and region, a sample of 8 members per decision, policies behind one interface with two baselines, drain marks of 2 s.

--- a/entry/call_helper.go
+++ b/entry/call_helper.go
@@ -178,18 +178,27 @@
 	}
 }
 
-// reachable returns the pool's members in the first region that has any.
+// reachable returns the pool's members that may get the call.
 func (c *callRun) reachable() []roster.Member {
-	members := c.roster.Pool(c.document.Pools.Serve)
+	present := c.roster.Regions(c.document.Pools.Serve)
 	if c.call.Class == spec.Action {
-		// The owner of a shard must not hang on who asks.
-		return members
+		return c.owners(present)
 	}
-	regions := route.Regions(c.config.Region, &c.document, members)
+	regions := route.Regions(c.config.Region, &c.document, present)
 	if len(regions) == 0 {
 		return nil
 	}
-	return route.InRegion(members, regions[0])
+	return c.roster.Sample(c.document.Pools.Serve, regions[0], route.Choices, c.dice())
+}
+
+// owners returns all members of all regions, because the owner of a shard must
+// not hang on who asks.
+func (c *callRun) owners(regions []ident.RegionName) []roster.Member {
+	var members []roster.Member
+	for _, region := range regions {
+		members = append(members, c.roster.Pool(c.document.Pools.Serve, region)...)
+	}
+	return members
 }
 
 // refusal makes a failure's outcome true: without the ledger nobody knows
--- a/entry/chat_pair.go
+++ b/entry/chat_pair.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"crocusstep/common"
@@ -43,15 +44,13 @@
 // prefill will finish, a decode slot in the same region. A turn is only asked
 // for where the targets can still be met.
 func (c *chatRun) reservePair(ctx context.Context, ticket wire.Ticket) (*pair, error) {
-	prefills := c.pool(c.document.Pools.Prefill)
-	decodes := c.pool(c.document.Pools.Decode)
+	decodes := c.roster.Regions(c.document.Pools.Decode)
 	var refusal error = fault.New(fault.NoEndpoint, "no region has endpoints for both steps").After(time.Second)
-	for _, region := range route.Regions(c.config.Region, &c.document, prefills) {
-		near := route.InRegion(decodes, region)
-		if len(near) == 0 {
+	for _, region := range route.Regions(c.config.Region, &c.document, c.roster.Regions(c.document.Pools.Prefill)) {
+		if !slices.Contains(decodes, region) {
 			continue
 		}
-		p, err := c.reserveIn(ctx, ticket, route.InRegion(prefills, region))
+		p, err := c.reserveIn(ctx, ticket, region)
 		if err == nil {
 			return p, nil
 		}
@@ -63,10 +62,10 @@
 	return nil, refusal
 }
 
-// pool returns a pool's members; those that have failed this very request come
-// last, however well they look.
-func (c *chatRun) pool(name ident.PoolName) []roster.Member {
-	members := c.roster.Pool(name)
+// candidates draws members of a pool; those that have failed this very request
+// come last, however well they look.
+func (c *chatRun) candidates(name ident.PoolName, region ident.RegionName) []roster.Member {
+	members := c.roster.Sample(name, region, route.Choices, c.dice())
 	for i := range members {
 		if c.failed[members[i].Instance.Endpoint] {
 			members[i].Suspended = true
@@ -75,9 +74,23 @@
 	return members
 }
 
-func (c *chatRun) reserveIn(ctx context.Context, ticket wire.Ticket, prefills []roster.Member) (*pair, error) {
+// prefills draws prefill endpoints, and adds those that hold the prompt's
+// prefix if they were not drawn.
+func (c *chatRun) prefills(region ident.RegionName) []roster.Member {
+	members := c.candidates(c.document.Pools.Prefill, region)
+	for endpoint := range c.work.Cached {
+		drawn := slices.ContainsFunc(members, func(m roster.Member) bool { return m.Instance.Endpoint == endpoint })
+		m, ok := c.roster.Member(endpoint)
+		if ok && !drawn && !c.failed[endpoint] && m.Instance.Region == region && m.Instance.Pool == c.document.Pools.Prefill {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func (c *chatRun) reserveIn(ctx context.Context, ticket wire.Ticket, region ident.RegionName) (*pair, error) {
 	p := &pair{}
-	if err := c.takeTurn(ctx, ticket, prefills, p); err != nil {
+	if err := c.takeTurn(ctx, ticket, region, p); err != nil {
 		return nil, err
 	}
 	if err := c.takeSlot(ctx, ticket, p); err != nil {
@@ -100,16 +113,16 @@
 	if c.assembler.Next() > 0 {
 		return time.Now().Add(c.document.Targets.Patience.Std())
 	}
-	if c.started {
+	if c.started || !c.config.Policy.Admits() {
 		return c.arrived.Add(c.document.Targets.Patience.Std())
 	}
-	own := roster.Member{Load: wire.Load{PrefillPerToken: m.Load.PrefillPerToken}}
-	reading := route.PrefillTime(own, c.tokens-c.affinity.Cached(c.prompt)(m.Instance.Endpoint))
+	reading := route.ReadingTime(m, c.tokens-c.work.Cached[m.Instance.Endpoint])
 	return c.arrived.Add(c.document.Targets.FirstToken.Std() - reading - transferAllowance)
 }
 
-func (c *chatRun) takeTurn(ctx context.Context, ticket wire.Ticket, members []roster.Member, p *pair) error {
-	ranked := route.Prefill(members, c.tokens, c.affinity.Cached(c.prompt), c.dice())
+func (c *chatRun) takeTurn(ctx context.Context, ticket wire.Ticket, region ident.RegionName, p *pair) error {
+	members := c.prefills(region)
+	ranked := c.order(func(policy route.Policy) []roster.Member { return policy.Prefill(members, c.work) })
 	var refusal error = fault.New(fault.NoEndpoint, "no prefill endpoint").After(time.Second)
 	for _, m := range ranked[:min(triedPrefills, len(ranked))] {
 		ticket.Deadline = c.deadline(m)
@@ -131,13 +144,13 @@
 }
 
 // takeSlot first asks several decode endpoints for a slot at once and then
-// waits at the best; it looks again at all of them every slotWait.
+// waits at the best; it looks again at others every slotWait.
 func (c *chatRun) takeSlot(ctx context.Context, ticket wire.Ticket, p *pair) error {
 	ticket.Deadline = c.deadline(p.prefill)
 	var refusal error = fault.New(fault.NoEndpoint, "no decode endpoint").After(time.Second)
 	for round := 0; round == 0 || time.Now().Before(ticket.Deadline); round++ {
-		near := route.InRegion(c.pool(c.document.Pools.Decode), p.prefill.Instance.Region)
-		ranked := route.Decode(near, c.dice())
+		members := c.candidates(c.document.Pools.Decode, p.prefill.Instance.Region)
+		ranked := c.order(func(policy route.Policy) []roster.Member { return policy.Decode(members) })
 		for i, m := range ranked[:min(triedDecodes, len(ranked))] {
 			err := c.askSlot(ctx, ticket, m, slotPatience(round, i))
 			if err == nil {
@@ -186,7 +199,7 @@
 // the estimated prefill, since an estimate that is a little short would waste
 // the whole prefill.
 func (c *chatRun) holdFor(m roster.Member) time.Duration {
-	reading := route.PrefillTime(roster.Member{Load: wire.Load{PrefillPerToken: m.Load.PrefillPerToken}}, c.tokens)
+	reading := route.ReadingTime(m, c.tokens)
 	return 2*reading + time.Second
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,8 @@
 	MaxBody strict.Size
 	// TransferTimeout bounds one KV transfer.
 	TransferTimeout time.Duration
+	// Policy orders endpoints; nil means route.Learned.
+	Policy route.Policy
 	// Seed makes the choices of one entry repeatable in tests.
 	Seed uint64
 }
@@ -65,6 +67,9 @@
 
 // NewEntry returns an entry; Run does its background work.
 func NewEntry(c *common.Common, config Config) *Entry {
+	if config.Policy == nil {
+		config.Policy = route.Learned{}
+	}
 	return &Entry{
 		Common:   c,
 		config:   config,
@@ -113,6 +118,13 @@
 	return budget
 }
 
+// order lets the policy order members; a policy may keep state.
+func (e *Entry) order(rank func(route.Policy) []roster.Member) []roster.Member {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return rank(e.config.Policy)
+}
+
 // dice returns a random source for one decision.
 func (e *Entry) dice() *rand.Rand {
 	e.mutex.Lock()
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -137,6 +137,17 @@
 	return true
 }
 
+// Stop drops all that the engine holds, as the end of its process does.
+func (e *Engine) Stop() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.crashed = true
+	for attempt, held := range e.requests {
+		held.cancel()
+		delete(e.requests, attempt)
+	}
+}
+
 // Prefilled returns how many tokens the engine has read.
 func (e *Engine) Prefilled() ident.TokenCount {
 	e.mutex.Lock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -142,6 +142,8 @@
 	cancel context.CancelFunc
 	server *http.Server
 	done   chan struct{}
+	// ended is called when the process is killed, if set.
+	ended func()
 }
 
 // NewFleet starts a platform and nothing else.
@@ -214,6 +216,9 @@
 	p.cancel()
 	_ = p.server.Close()
 	<-p.done
+	if p.ended != nil {
+		p.ended()
+	}
 }
 
 func (f *Fleet) client(host memnet.Host) *http.Client {
@@ -263,6 +268,7 @@
 	config.HTTP = f.client(engineHost(e.Name))
 	p := f.prepare(engineHost(e.Name))
 	engine := fake.NewEngine(config, func() { f.crashed(e, p) })
+	p.ended = engine.Stop
 	f.listen(p, engineAddress(e.Name), engine.Handler())
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/mutant/main.go
+++ b/mutant/main.go
@@ -65,7 +65,7 @@
 	if err := m.apply(folder); err != nil {
 		return result{mutant: m, err: err}
 	}
-	command := exec.Command("go", "test", "-count=1", "-run", m.test, "./"+m.pkg)
+	command := exec.Command("go", "test", "-count=1", "-timeout=90s", "-run", m.test, "./"+m.pkg)
 	command.Dir = folder
 	output, err := command.CombinedOutput()
 	if err != nil && strings.Contains(string(output), "[build failed]") {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -22,9 +23,10 @@
 	// suspendFor is the first pause after a failure; it doubles up to suspendMost.
 	suspendFor  = 500 * time.Millisecond
 	suspendMost = 8 * time.Second
-	// drainingFor is how long an agent's word that it is draining counts; it is
-	// gone or replaced by then.
-	drainingFor = 30 * time.Second
+	// drainingFor is how long an agent's word that it is draining counts before
+	// it is asked again, as a new process may be up in its place. Asking is safe:
+	// an agent that drains refuses, and says so again.
+	drainingFor = 2 * time.Second
 )
 
 // Member is one agent with what is known of it. It is a copy and never changes.
@@ -61,12 +63,20 @@
 
 	mutex   sync.Mutex
 	members map[ident.EndpointName]*member
-	loaded  bool
+	// pools holds the members of each pool and region by name.
+	pools  map[pool][]*member
+	loaded bool
+}
+
+// pool is the part of a pool that lies in one region.
+type pool struct {
+	name   ident.PoolName
+	region ident.RegionName
 }
 
 // NewRoster returns an empty roster; Run fills it.
 func NewRoster(c *common.Common, s store.Store) *Roster {
-	return &Roster{Common: c, store: s, members: map[ident.EndpointName]*member{}}
+	return &Roster{Common: c, store: s, members: map[ident.EndpointName]*member{}, pools: map[pool][]*member{}}
 }
 
 // Run keeps the roster up to date until the context ends.
@@ -105,6 +115,22 @@
 			delete(r.members, name)
 		}
 	}
+	r.sortPools()
+}
+
+// sortPools makes the pools anew, so that a decision need not look at members
+// that are no candidates.
+func (r *Roster) sortPools() {
+	r.pools = map[pool][]*member{}
+	for _, m := range r.members {
+		if m.instance.State != store.Leaving {
+			key := pool{name: m.instance.Pool, region: m.instance.Region}
+			r.pools[key] = append(r.pools[key], m)
+		}
+	}
+	for _, members := range r.pools {
+		sort.Slice(members, func(i, j int) bool { return members[i].instance.Endpoint < members[j].instance.Endpoint })
+	}
 }
 
 // place adds or updates a member. A new address means a new process, so what
@@ -125,24 +151,90 @@
 	return r.loaded
 }
 
-// Pool returns the members of a pool that may get new work, by name. Suspended
-// ones are among them: they are chosen last, so that a wrong suspicion cannot
-// empty a pool.
-func (r *Roster) Pool(pool ident.PoolName) []Member {
+// Regions returns the regions in which a pool has members, by name.
+func (r *Roster) Regions(name ident.PoolName) []ident.RegionName {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var regions []ident.RegionName
+	for key := range r.pools {
+		if key.name == name {
+			regions = append(regions, key.region)
+		}
+	}
+	slices.Sort(regions)
+	return regions
+}
+
+// Pool returns the members of a pool in a region that may get new work, by
+// name. Suspended ones are among them: they are chosen last, so that a wrong
+// suspicion cannot empty a pool.
+func (r *Roster) Pool(name ident.PoolName, region ident.RegionName) []Member {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Now()
 	var members []Member
-	for _, m := range r.members {
-		if m.instance.Pool != pool || m.instance.State == store.Leaving || now.Before(m.draining) {
-			continue
+	for _, m := range r.pools[pool{name: name, region: region}] {
+		if !now.Before(m.draining) {
+			members = append(members, m.snapshot(now))
+		}
+	}
+	return members
+}
+
+// Sample returns at most count members of a pool in a region, drawn at random,
+// so that a decision costs the same however large the pool is, and entries that
+// decide at the same instant do not all choose the same member.
+func (r *Roster) Sample(name ident.PoolName, region ident.RegionName, count int, random *rand.Rand) []Member {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	all := r.pools[pool{name: name, region: region}]
+	members := make([]Member, 0, min(count, len(all)))
+	if len(all) == 0 {
+		return members
+	}
+	// A step that has no common divisor with the length visits every member.
+	start, step := random.IntN(len(all)), coprimeStep(len(all), random)
+	for i := 0; i < len(all) && len(members) < count; i++ {
+		m := all[(start+i*step)%len(all)]
+		if !now.Before(m.draining) {
+			members = append(members, m.snapshot(now))
 		}
-		members = append(members, m.snapshot(now))
 	}
-	sort.Slice(members, func(i, j int) bool { return members[i].Instance.Endpoint < members[j].Instance.Endpoint })
 	return members
 }
 
+// Member returns one endpoint if it may get new work.
+func (r *Roster) Member(endpoint ident.EndpointName) (Member, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	m, ok := r.members[endpoint]
+	now := time.Now()
+	if !ok || m.instance.State == store.Leaving || now.Before(m.draining) {
+		return Member{}, false
+	}
+	return m.snapshot(now), true
+}
+
+func coprimeStep(length int, random *rand.Rand) int {
+	if length < 3 {
+		return 1
+	}
+	for {
+		step := 1 + random.IntN(length-1)
+		if divisor(step, length) == 1 {
+			return step
+		}
+	}
+}
+
+func divisor(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 func (m *member) snapshot(now time.Time) Member {
 	return Member{
 		Instance:          m.instance,
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,134 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusstep/common"
+	"crocusstep/ident"
+	"crocusstep/store"
+	"crocusstep/wire"
+)
+
+func newTestRoster(t *testing.T, count int) *Roster {
+	t.Helper()
+	c, err := common.NewQuiet()
+	assert.NilError(t, err)
+	r := NewRoster(c, nil)
+	r.Replace(instancesOf(count))
+	return r
+}
+
+func instancesOf(count int) []store.Instance {
+	var list []store.Instance
+	for i := range count {
+		list = append(list, store.Instance{
+			Name: ident.InstanceName(fmt.Sprint("i", i)), Role: store.AgentRole, Address: ident.Address(fmt.Sprint("a", i)),
+			Endpoint: ident.EndpointName(fmt.Sprint("e", i)), Pool: "p", Region: "r", State: store.Live,
+		})
+	}
+	return list
+}
+
+func TestRoster(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		run      func(t *testing.T, r *Roster)
+	}{
+		{
+			testName: "an older report changes nothing",
+			run: func(t *testing.T, r *Roster) {
+				r.Observe(wire.Load{Endpoint: "e0", Incarnation: "a", Sequence: 2, Free: 5})
+				r.Observe(wire.Load{Endpoint: "e0", Incarnation: "a", Sequence: 1, Free: 9})
+				m, _ := r.Member("e0")
+				assert.Equal(t, m.Load.Free, 5)
+			},
+		},
+		{
+			testName: "a restarted agent's report counts although its sequence is lower",
+			run: func(t *testing.T, r *Roster) {
+				r.Observe(wire.Load{Endpoint: "e0", Incarnation: "a", Sequence: 9, Free: 5})
+				r.Observe(wire.Load{Endpoint: "e0", Incarnation: "b", Sequence: 1, Free: 9})
+				m, _ := r.Member("e0")
+				assert.Equal(t, m.Load.Free, 9)
+			},
+		},
+		{
+			testName: "a member that left the list is gone, a new address starts afresh",
+			run: func(t *testing.T, r *Roster) {
+				r.Observe(wire.Load{Endpoint: "e0", Incarnation: "a", Sequence: 1, Free: 5})
+				moved := instancesOf(1)
+				moved[0].Address = "elsewhere"
+				r.Replace(moved)
+				assert.Equal(t, len(r.Pool("p", "r")), 1)
+				m, _ := r.Member("e0")
+				assert.Assert(t, !m.LoadKnown)
+			},
+		},
+		{
+			testName: "an agent that says it drains gets no new work",
+			run: func(t *testing.T, r *Roster) {
+				r.Observe(wire.Load{Endpoint: "e0", Incarnation: "a", Sequence: 1, Draining: true})
+				assert.Equal(t, len(r.Pool("p", "r")), 2)
+				_, found := r.Member("e0")
+				assert.Assert(t, !found)
+				time.Sleep(drainingFor)
+				_, found = r.Member("e0")
+				assert.Assert(t, found, "a new process may be up in its place")
+			},
+		},
+		{
+			testName: "suspicion of all members leaves all of them, and heals by itself",
+			run: func(t *testing.T, r *Roster) {
+				for _, name := range []ident.EndpointName{"e0", "e1", "e2"} {
+					r.Failed(name)
+				}
+				assert.Equal(t, len(r.Pool("p", "r")), 3)
+				time.Sleep(suspendFor)
+				for _, m := range r.Pool("p", "r") {
+					assert.Assert(t, !m.Suspended)
+				}
+			},
+		},
+		{
+			testName: "suspicion grows with failures and ends with a success",
+			run: func(t *testing.T, r *Roster) {
+				for range 10 {
+					r.Failed("e0")
+				}
+				time.Sleep(suspendMost - time.Millisecond)
+				m, _ := r.Member("e0")
+				assert.Assert(t, m.Suspended)
+				r.Succeeded("e0")
+				m, _ = r.Member("e0")
+				assert.Assert(t, !m.Suspended)
+			},
+		},
+		{
+			testName: "a sample has no member twice and all of a small pool",
+			run: func(t *testing.T, r *Roster) {
+				random := rand.New(rand.NewPCG(1, 2))
+				r.Replace(instancesOf(50))
+				for range 200 {
+					seen := map[ident.EndpointName]bool{}
+					for _, m := range r.Sample("p", "r", 8, random) {
+						assert.Assert(t, !seen[m.Instance.Endpoint])
+						seen[m.Instance.Endpoint] = true
+					}
+					assert.Equal(t, len(seen), 8)
+				}
+				assert.Equal(t, len(r.Sample("p", "r", 80, random)), 50)
+			},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { s.run(t, newTestRoster(t, 3)) })
+		})
+	}
+}
--- a/route/affinity.go
+++ b/route/affinity.go
@@ -34,7 +34,7 @@
 }
 
 // Cached estimates how many tokens of a prompt each endpoint holds.
-func (a *Affinity) Cached(prompt string) func(ident.EndpointName) ident.TokenCount {
+func (a *Affinity) Cached(prompt string) map[ident.EndpointName]ident.TokenCount {
 	cached := map[ident.EndpointName]ident.TokenCount{}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -45,7 +45,7 @@
 		}
 		cached[endpoint] = ident.TokenCount((i + 1) * blockTokens)
 	}
-	return func(endpoint ident.EndpointName) ident.TokenCount { return cached[endpoint] }
+	return cached
 }
 
 // Learn remembers that an endpoint has read a prompt.
--- a/route/picker.go
+++ b/route/picker.go
@@ -4,70 +4,161 @@
 
 import (
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"time"
 
 	"crocusstep/ident"
 	"crocusstep/roster"
 )
 
+// Choices is how many members of a pool a decision looks at. Of eight drawn at
+// random the best is nearly as good as the best of all, at a cost that does not
+// grow with the pool.
+const Choices = 8
+
 // unknownPrefillPerToken is the cost taken for an endpoint that has not yet
 // been seen at work.
 const unknownPrefillPerToken = 100 * time.Microsecond
 
-// Decode orders decode endpoints for a reservation, best first. Endpoints that
-// look equally good are shuffled, so that entries with the same view at the
-// same instant do not all choose the same one.
-func Decode(members []roster.Member, random *rand.Rand) []roster.Member {
-	return ranked(members, random, func(m roster.Member) float64 {
+// Work is the prompt of one request.
+type Work struct {
+	Tokens ident.TokenCount
+	// Cached estimates how many of the tokens an endpoint holds already.
+	Cached map[ident.EndpointName]ident.TokenCount
+}
+
+// Policy orders endpoints, best first. Members come drawn at random, so the
+// order of equally good ones needs no further chance.
+type Policy interface {
+	// Prefill orders prefill endpoints for a prompt.
+	Prefill(members []roster.Member, work Work) []roster.Member
+	// Decode orders decode endpoints for a reservation.
+	Decode(members []roster.Member) []roster.Member
+	// Admits reports whether requests that cannot meet their targets are
+	// refused rather than served late.
+	Admits() bool
+}
+
+// Learned is the policy of the product: it uses the agents' own reports, what
+// this entry has sent since, and what the prompt's prefix cache saves.
+type Learned struct{}
+
+// Prefill implements Policy: by the time at which each will have read the prompt.
+func (Learned) Prefill(members []roster.Member, work Work) []roster.Member {
+	return ranked(members, func(m roster.Member) float64 {
+		return float64(PrefillTime(m, work.Tokens-work.Cached[m.Instance.Endpoint]))
+	})
+}
+
+// Decode implements Policy: by free slots, less what the reports cannot contain.
+func (Learned) Decode(members []roster.Member) []roster.Member {
+	return ranked(members, func(m roster.Member) float64 {
 		if !m.LoadKnown {
 			return float64(m.Outstanding)
 		}
-		return float64(m.Load.Waiting-m.Load.Free) + unseen(m)
+		return float64(m.Load.Waiting-m.Load.Free) + unseenShare*float64(m.Outstanding)
 	})
 }
 
-// unseen is a small penalty for own orders that the last report cannot contain.
-func unseen(m roster.Member) float64 { return 0.5 * float64(m.Outstanding) }
+// Admits implements Policy.
+func (Learned) Admits() bool { return true }
+
+// unseenShare is how much an own order counts that the last report may lack.
+const unseenShare = 0.5
+
+// LeastReported is a baseline: the least loaded by the reports alone.
+type LeastReported struct{}
+
+// Prefill implements Policy.
+func (LeastReported) Prefill(members []roster.Member, _ Work) []roster.Member {
+	return ranked(members, func(m roster.Member) float64 { return float64(m.Load.Backlog) })
+}
+
+// Decode implements Policy.
+func (LeastReported) Decode(members []roster.Member) []roster.Member {
+	return ranked(members, func(m roster.Member) float64 { return float64(-m.Load.Free) })
+}
+
+// Admits implements Policy.
+func (LeastReported) Admits() bool { return false }
 
-// Prefill orders prefill endpoints by the time at which each would have read
-// the prompt. cached says how many of its tokens an endpoint likely holds.
-func Prefill(members []roster.Member, tokens ident.TokenCount, cached func(ident.EndpointName) ident.TokenCount, random *rand.Rand) []roster.Member {
-	return ranked(members, random, func(m roster.Member) float64 {
-		return float64(PrefillTime(m, tokens-cached(m.Instance.Endpoint)))
+// RoundRobin is a baseline: one after the other. It is not safe for concurrent
+// use by itself; entries order under their own lock.
+type RoundRobin struct {
+	next int
+}
+
+// Prefill implements Policy.
+func (r *RoundRobin) Prefill(members []roster.Member, _ Work) []roster.Member { return r.turn(members) }
+
+// Decode implements Policy.
+func (r *RoundRobin) Decode(members []roster.Member) []roster.Member { return r.turn(members) }
+
+// Admits implements Policy.
+func (*RoundRobin) Admits() bool { return false }
+
+func (r *RoundRobin) turn(members []roster.Member) []roster.Member {
+	order := slices.Clone(members)
+	slices.SortFunc(order, func(a, b roster.Member) int {
+		if a.Instance.Endpoint < b.Instance.Endpoint {
+			return -1
+		}
+		return 1
 	})
+	if len(order) == 0 {
+		return order
+	}
+	r.next = (r.next + 1) % len(order)
+	return append(order[r.next:], order[:r.next]...)
 }
 
 // PrefillTime estimates how long an endpoint takes until it has read so many
 // more tokens, what waits there included.
 func PrefillTime(m roster.Member, tokens ident.TokenCount) time.Duration {
+	waiting := max(m.Load.Backlog, m.OutstandingTokens)
+	return ReadingTime(m, waiting+tokens)
+}
+
+// ReadingTime estimates how long an endpoint reads so many tokens.
+func ReadingTime(m roster.Member, tokens ident.TokenCount) time.Duration {
 	perToken := m.Load.PrefillPerToken
 	if perToken == 0 {
 		perToken = unknownPrefillPerToken
 	}
-	waiting := max(m.Load.Backlog, m.OutstandingTokens)
-	return time.Duration(waiting+tokens) * perToken
+	return time.Duration(tokens) * perToken
 }
 
 // Lookup orders the endpoints of a plain service by their running lookups.
 func Lookup(members []roster.Member, random *rand.Rand) []roster.Member {
-	return ranked(members, random, func(m roster.Member) float64 {
+	order := slices.Clone(members)
+	random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	return ranked(order, func(m roster.Member) float64 {
 		return float64(max(m.Load.Lookups, m.Outstanding))
 	})
 }
 
-func ranked(members []roster.Member, random *rand.Rand, score func(roster.Member) float64) []roster.Member {
-	order := append([]roster.Member(nil), members...)
-	random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	scores := make(map[ident.EndpointName]float64, len(order))
-	for _, m := range order {
-		scores[m.Instance.Endpoint] = score(m)
+// ranked orders by score, with suspended members last.
+func ranked(members []roster.Member, score func(roster.Member) float64) []roster.Member {
+	type scored struct {
+		member roster.Member
+		score  float64
+	}
+	list := make([]scored, len(members))
+	for i, m := range members {
+		list[i] = scored{member: m, score: score(m)}
 	}
-	sort.SliceStable(order, func(i, j int) bool {
-		if order[i].Suspended != order[j].Suspended {
-			return order[j].Suspended
+	slices.SortStableFunc(list, func(a, b scored) int {
+		switch {
+		case a.member.Suspended != b.member.Suspended && b.member.Suspended, a.member.Suspended == b.member.Suspended && a.score < b.score:
+			return -1
+		case a.member.Suspended == b.member.Suspended && a.score == b.score:
+			return 0
 		}
-		return scores[order[i].Instance.Endpoint] < scores[order[j].Instance.Endpoint]
+		return 1
 	})
+	order := make([]roster.Member, len(list))
+	for i, s := range list {
+		order[i] = s.member
+	}
 	return order
 }
--- /dev/null
+++ b/route/picker_test.go
@@ -0,0 +1,173 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"crocusstep/common"
+	"crocusstep/ident"
+	"crocusstep/roster"
+	"crocusstep/spec"
+	"crocusstep/store"
+	"crocusstep/wire"
+)
+
+func memberOf(name string, load wire.Load) roster.Member {
+	return roster.Member{Instance: store.Instance{Endpoint: ident.EndpointName(name)}, Load: load, LoadKnown: true}
+}
+
+func namesOf(members []roster.Member) []string {
+	var names []string
+	for _, m := range members {
+		names = append(names, string(m.Instance.Endpoint))
+	}
+	return names
+}
+
+func TestLearned(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		order    func() []roster.Member
+		expected []string
+	}{
+		{
+			testName: "decode prefers free slots",
+			order: func() []roster.Member {
+				return Learned{}.Decode([]roster.Member{memberOf("full", wire.Load{Free: 0, Waiting: 3}), memberOf("free", wire.Load{Free: 9})})
+			},
+			expected: []string{"free", "full"},
+		},
+		{
+			testName: "decode counts own orders that the report lacks",
+			order: func() []roster.Member {
+				sent := memberOf("sent", wire.Load{Free: 9})
+				sent.Outstanding = 8
+				return Learned{}.Decode([]roster.Member{sent, memberOf("other", wire.Load{Free: 8})})
+			},
+			expected: []string{"other", "sent"},
+		},
+		{
+			testName: "suspended members come last",
+			order: func() []roster.Member {
+				bad := memberOf("bad", wire.Load{Free: 20})
+				bad.Suspended = true
+				return Learned{}.Decode([]roster.Member{bad, memberOf("good", wire.Load{Free: 1})})
+			},
+			expected: []string{"good", "bad"},
+		},
+		{
+			testName: "prefill weighs a cached prefix against a backlog",
+			order: func() []roster.Member {
+				members := []roster.Member{memberOf("idle", wire.Load{PrefillPerToken: 100}), memberOf("holds", wire.Load{Backlog: 500, PrefillPerToken: 100})}
+				return Learned{}.Prefill(members, Work{Tokens: 2000, Cached: map[ident.EndpointName]ident.TokenCount{"holds": 1000}})
+			},
+			expected: []string{"holds", "idle"},
+		},
+		{
+			testName: "prefill leaves a cached prefix whose endpoint is too busy",
+			order: func() []roster.Member {
+				members := []roster.Member{memberOf("holds", wire.Load{Backlog: 5000, PrefillPerToken: 100}), memberOf("idle", wire.Load{PrefillPerToken: 100})}
+				return Learned{}.Prefill(members, Work{Tokens: 2000, Cached: map[ident.EndpointName]ident.TokenCount{"holds": 1000}})
+			},
+			expected: []string{"idle", "holds"},
+		},
+		{
+			testName: "prefill prefers a faster endpoint",
+			order: func() []roster.Member {
+				members := []roster.Member{memberOf("slow", wire.Load{PrefillPerToken: 400}), memberOf("fast", wire.Load{Backlog: 1000, PrefillPerToken: 100})}
+				return Learned{}.Prefill(members, Work{Tokens: 1000})
+			},
+			expected: []string{"fast", "slow"},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) { assert.DeepEqual(t, namesOf(s.order()), s.expected) })
+	}
+}
+
+func TestRegions(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		own      ident.RegionName
+		document spec.Document
+		present  []ident.RegionName
+		expected []ident.RegionName
+	}{
+		{"own region first, then home", "b", spec.Document{Regions: spec.Regions{Home: "a"}}, []ident.RegionName{"a", "b", "c"}, []ident.RegionName{"b", "a"}},
+		{"others only if the document allows", "b", spec.Document{Regions: spec.Regions{Home: "a", MayCross: true}}, []ident.RegionName{"a", "c"}, []ident.RegionName{"a", "c"}},
+		{"no members", "b", spec.Document{}, nil, nil},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			assert.DeepEqual(t, Regions(s.own, &s.document, s.present), s.expected)
+		})
+	}
+}
+
+func TestRendezvousMovesOnlyWhatItMust(t *testing.T) {
+	var members []roster.Member
+	for i := range 10 {
+		members = append(members, memberOf(fmt.Sprint("e", i), wire.Load{}))
+	}
+	counts := map[string]int{}
+	for i := range 2000 {
+		subject := fmt.Sprint("shard", i)
+		first := Rendezvous(members, subject)[0].Instance.Endpoint
+		counts[string(first)]++
+		without := Rendezvous(members[1:], subject)[0].Instance.Endpoint
+		assert.Assert(t, first == "e0" || first == without)
+	}
+	for name, count := range counts {
+		assert.Assert(t, count > 120 && count < 280, "%s owns %d of 2000", name, count)
+	}
+}
+
+func TestAffinity(t *testing.T) {
+	a := NewAffinity()
+	prompt := ""
+	for i := range 100 {
+		prompt += fmt.Sprint("w", i, " ")
+	}
+	a.Learn(prompt, "p1")
+	assert.Equal(t, a.Cached(prompt)["p1"], ident.TokenCount(96))
+	assert.Equal(t, len(a.Cached("something else entirely")), 0)
+}
+
+// poolOf fills a roster with endpoints that have reported their load.
+func poolOf(tb testing.TB, size int) *roster.Roster {
+	tb.Helper()
+	c, err := common.NewQuiet()
+	assert.NilError(tb, err)
+	r := roster.NewRoster(c, nil)
+	var instances []store.Instance
+	for i := range size {
+		name := fmt.Sprint("endpoint-", i)
+		instances = append(instances, store.Instance{
+			Name: ident.InstanceName(name), Role: store.AgentRole, Endpoint: ident.EndpointName(name),
+			Pool: "pool", Region: "region", State: store.Live,
+		})
+	}
+	r.Replace(instances)
+	for i, instance := range instances {
+		r.Observe(wire.Load{Endpoint: instance.Endpoint, Incarnation: "a", Sequence: 1, Free: i % 20, PrefillPerToken: 100})
+	}
+	return r
+}
+
+// BenchmarkDecision is one choice of a pair: a prefill and a decode endpoint.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range []int{10, 100, 600, 2400} {
+		b.Run(fmt.Sprint(size, " endpoints"), func(b *testing.B) {
+			r := poolOf(b, size)
+			random := rand.New(rand.NewPCG(1, 1))
+			b.ReportAllocs()
+			for b.Loop() {
+				Learned{}.Prefill(r.Sample("pool", "region", Choices, random), Work{Tokens: 2000})
+				Learned{}.Decode(r.Sample("pool", "region", Choices, random))
+			}
+		})
+	}
+}
