--- a/fake/engine.go
+++ b/fake/engine.go
@@ -86,6 +86,10 @@
 	reader chan struct{}
 	// prefilled counts the tokens that were really read.
 	prefilled ident.TokenCount
+	// ordered counts the tokens of all prompts taken on, cached ones included.
+	ordered ident.TokenCount
+	// slowdown multiplies the time of all work; at least 1.
+	slowdown int
 	// stalled makes imports hang until their context ends.
 	stalled bool
 	// lostCancels is how many cancels are dropped before one is taken.
@@ -102,6 +106,7 @@
 		requests: map[ident.AttemptID]*running{},
 		crash:    crash,
 		reader:   make(chan struct{}, 1),
+		slowdown: 1,
 	}
 }
 
@@ -148,6 +153,20 @@
 	}
 }
 
+// SlowDown multiplies the time of all work that begins from now on.
+func (e *Engine) SlowDown(factor int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.slowdown = factor
+}
+
+// Ordered returns how many prompt tokens the engine has taken on.
+func (e *Engine) Ordered() ident.TokenCount {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.ordered
+}
+
 // Prefilled returns how many tokens the engine has read.
 func (e *Engine) Prefilled() ident.TokenCount {
 	e.mutex.Lock()
@@ -210,6 +229,9 @@
 		return false
 	}
 	defer func() { <-e.reader }()
+	e.mutex.Lock()
+	work *= time.Duration(e.slowdown)
+	e.mutex.Unlock()
 	return sleep(ctx, work)
 }
 
@@ -217,6 +239,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.requests[order.Attempt] = &running{state: "prefill", prompt: order.Prompt, cancel: cancel}
+	e.ordered += tokens
 	cached := ident.TokenCount(0)
 	for _, prompt := range e.cache {
 		cached = max(cached, CountTokens(commonPrefix(prompt, order.Prompt)))
@@ -351,10 +374,10 @@
 // step waits for one decode step; it reports whether the attempt still runs.
 func (e *Engine) step(attempt ident.AttemptID) bool {
 	e.mutex.Lock()
-	batch := len(e.requests)
+	span := (e.config.StepBase + time.Duration(len(e.requests))*e.config.StepPerRequest) * time.Duration(e.slowdown)
 	e.mutex.Unlock()
 	for {
-		time.Sleep(e.config.StepBase + time.Duration(batch)*e.config.StepPerRequest)
+		time.Sleep(span)
 		e.mutex.Lock()
 		_, ok := e.requests[attempt]
 		goesOn, silent := ok && !e.crashed, e.silent
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"crocusstep/ident"
 	"crocusstep/memnet"
 	"crocusstep/meter"
+	"crocusstep/route"
 	"crocusstep/spec"
 	"crocusstep/store"
 	"crocusstep/strict"
@@ -52,6 +53,8 @@
 	// Log gets the logs of all processes.
 	Log  *slog.Logger
 	Seed uint64
+	// NewPolicy makes the policy of each entry; nil means the product's own.
+	NewPolicy func() route.Policy
 	// RestartDelay is how soon a crashed engine is started again; zero means
 	// that it stays down.
 	RestartDelay time.Duration
@@ -401,7 +404,12 @@
 	f.started++
 	seed := f.config.Seed + f.started
 	f.mutex.Unlock()
+	var policy route.Policy
+	if f.config.NewPolicy != nil {
+		policy = f.config.NewPolicy()
+	}
 	e := entry.NewEntry(c, entry.Config{
+		Policy:          policy,
 		Instance:        name,
 		Region:          region,
 		Store:           f.Store(p.host),
