Let the fewest give way when not all can start in time; know a dead engine

Cause: under overload the queue refused whoever came last, long after short prompts that would have fitted; an agent whose engine was down granted turns and slots, which cost retries and prefills; a slot was held by the decode endpoint's unknown reading time instead of the prefill endpoint's.

Change: Moore and Hodgson's rule at the gate, within the workspace that waits for the most per share, moved by the document's goodput weight; agents refuse while their engine does not answer; slots are held by the prefill's estimate.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -64,8 +64,11 @@
 	costs    costs
 	sequence atomic.Int64
 	draining atomic.Bool
-	tasks    common.Tasks
-	ctx      context.Context
+	// down is true while the engine does not answer; the sweep finds out when
+	// it does again.
+	down  atomic.Bool
+	tasks common.Tasks
+	ctx   context.Context
 }
 
 // NewAgent returns an agent whose work ends with the context.
--- a/agent/model_helper.go
+++ b/agent/model_helper.go
@@ -23,8 +23,8 @@
 
 // turn grants the right to prefill next.
 func (a *Agent) turn(ctx context.Context, order wire.TurnOrder) error {
-	if a.Draining() {
-		return a.drainingRefusal()
+	if refusal := a.unfit(); refusal != nil {
+		return refusal
 	}
 	wait := time.Until(order.Ticket.Deadline)
 	return a.lanes.Enter(ctx, gateTicket(order.Ticket, float64(order.Tokens)), wait, a.config.MaxHold)
@@ -32,8 +32,8 @@
 
 // reserve grants a decode slot.
 func (a *Agent) reserve(ctx context.Context, order wire.ReserveOrder) error {
-	if a.Draining() {
-		return a.drainingRefusal()
+	if refusal := a.unfit(); refusal != nil {
+		return refusal
 	}
 	holdFor := min(order.HoldFor, a.config.MaxHold)
 	ticket := gateTicket(order.Ticket, 1)
@@ -49,6 +49,18 @@
 	return err
 }
 
+// unfit is why the endpoint takes no new work at all, if so. Refusing here
+// costs an entry one question; a dead engine found later costs a prefill.
+func (a *Agent) unfit() error {
+	switch {
+	case a.Draining():
+		return a.drainingRefusal()
+	case a.down.Load():
+		return fault.New(fault.EndpointFailed, "the engine is down").After(busyRetry)
+	}
+	return nil
+}
+
 // release gives a turn or a slot back that is not in use.
 func (a *Agent) release(order wire.ReleaseOrder) {
 	if a.known.has(order.Attempt) {
@@ -77,7 +89,7 @@
 	})
 	if err != nil {
 		a.forget(attempt)
-		return result, endpointRefusal(err)
+		return result, a.endpointRefusal(err)
 	}
 	// The KV cache waits for its import; the engine evicts it by itself.
 	a.known.remove(attempt)
@@ -125,7 +137,7 @@
 	case errors.Is(err, engine.ErrKVGone), errors.Is(err, context.DeadlineExceeded):
 		return fault.New(fault.KVLost, "the KV cache did not arrive")
 	case err != nil:
-		return endpointRefusal(err)
+		return a.endpointRefusal(err)
 	}
 	a.costs.observeTransfer(order.Tokens, time.Since(started))
 	return nil
@@ -156,7 +168,7 @@
 	case ctx.Err() != nil:
 		return fault.New(fault.Cancelled, "the entry is gone")
 	}
-	return endpointRefusal(err)
+	return a.endpointRefusal(err)
 }
 
 func (a *Agent) frame(ticket wire.Ticket, token engine.Token) wire.Frame {
@@ -179,13 +191,16 @@
 }
 
 // endpointRefusal turns an engine's error into one that an entry understands.
-func endpointRefusal(err error) error {
+func (a *Agent) endpointRefusal(err error) error {
 	if errors.Is(err, engine.ErrFull) {
 		return fault.New(fault.EndpointBusy, "the engine has no free slot")
 	}
 	if errors.Is(err, engine.ErrKVGone) {
 		return fault.New(fault.KVLost, "the KV cache is gone")
 	}
+	if engine.Gone(err) {
+		a.down.Store(true)
+	}
 	if engine.Crashed(err) {
 		return fault.New(fault.EndpointCrashed, "%v", err)
 	}
@@ -198,7 +213,10 @@
 		Workspace: ticket.Workspace,
 		Weight:    ticket.Weight,
 		Priority:  ticket.Priority,
-		Deadline:  ticket.Deadline,
-		Cost:      cost,
+
+		GoodputWeight: ticket.GoodputWeight,
+
+		Deadline: ticket.Deadline,
+		Cost:     cost,
 	}
 }
--- a/agent/sweep.go
+++ b/agent/sweep.go
@@ -28,6 +28,7 @@
 
 func (a *Agent) sweep(ctx context.Context) {
 	running, err := a.engine.Requests(ctx)
+	a.down.Store(err != nil)
 	if err != nil {
 		// An engine that is down holds nothing.
 		return
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -81,6 +81,12 @@
 // ErrKVGone means that the KV cache was evicted before it was used.
 var ErrKVGone = errors.New("the KV cache is gone")
 
+// Gone reports whether an error means that no engine listens any more.
+func Gone(err error) bool {
+	var operation *net.OpError
+	return Crashed(err) || errors.As(err, &operation) && operation.Op == "dial"
+}
+
 // Crashed reports whether an error means that the engine went down while it
 // worked, as against one that could not be reached or refused the order.
 func Crashed(err error) bool {
--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -207,13 +207,14 @@
 // attempt reserves a pair, prefills and decodes once.
 func (c *chatRun) attempt(ctx context.Context) error {
 	ticket := wire.Ticket{
-		Suspect:   c.suspected,
-		Request:   c.request,
-		Attempt:   ident.NewAttemptID(),
-		Service:   c.document.Service,
-		Workspace: c.document.Workspace,
-		Weight:    c.document.Weight,
-		Priority:  c.document.Priority,
+		GoodputWeight: c.document.Goals.GoodputWeight,
+		Suspect:       c.suspected,
+		Request:       c.request,
+		Attempt:       ident.NewAttemptID(),
+		Service:       c.document.Service,
+		Workspace:     c.document.Workspace,
+		Weight:        c.document.Weight,
+		Priority:      c.document.Priority,
 	}
 	c.assembler.Begin(ticket.Attempt)
 	p, err := c.reservePair(ctx, ticket)
--- a/entry/chat_pair.go
+++ b/entry/chat_pair.go
@@ -152,7 +152,7 @@
 		members := c.candidates(c.document.Pools.Decode, p.prefill.Instance.Region)
 		ranked := c.order(func(policy route.Policy) []roster.Member { return policy.Decode(members) })
 		for i, m := range ranked[:min(triedDecodes, len(ranked))] {
-			err := c.askSlot(ctx, ticket, m, slotPatience(round, i))
+			err := c.askSlot(ctx, ticket, m, slotPatience(round, i), c.holdFor(p.prefill))
 			if err == nil {
 				p.decode = m
 				return nil
@@ -186,21 +186,21 @@
 	return 0
 }
 
-func (c *chatRun) askSlot(ctx context.Context, ticket wire.Ticket, m roster.Member, wait time.Duration) error {
+func (c *chatRun) askSlot(ctx context.Context, ticket wire.Ticket, m roster.Member, wait, holdFor time.Duration) error {
 	reply, err := wire.Call[wire.Reply](ctx, c.config.Peers, m.Instance.Address, wire.ReservePath, wire.ReserveOrder{
 		Ticket:  ticket,
 		Wait:    wait,
-		HoldFor: c.holdFor(m),
+		HoldFor: holdFor,
 	})
 	return c.judge(ctx, m, reply.Load, reply.Fault, err)
 }
 
-// holdFor is how long a slot must be kept until its decode is ordered: twice
-// the estimated prefill, since an estimate that is a little short would waste
-// the whole prefill.
-func (c *chatRun) holdFor(m roster.Member) time.Duration {
-	reading := route.ReadingTime(m, c.tokens)
-	return 2*reading + time.Second
+// holdFor is how long a slot must be kept until its decode is ordered, when a
+// prefill endpoint reads the prompt: several times the estimate, since one that
+// is short wastes the whole prefill, and a slot that is given back does not wait.
+func (c *chatRun) holdFor(prefill roster.Member) time.Duration {
+	const times = 4
+	return times*route.ReadingTime(prefill, c.tokens) + time.Second
 }
 
 // giveBack releases a place without holding up the request.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -15,7 +15,11 @@
 	mutex    sync.Mutex
 	capacity int
 	queue    *Queue
-	waiters  map[ident.AttemptID]chan struct{}
+	// waiters holds a channel for each attempt that waits, closed when it is
+	// granted a place or has to give way.
+	waiters map[ident.AttemptID]chan struct{}
+	// shed holds those that had to give way until they have noticed.
+	shed map[ident.AttemptID]*fault.Refusal
 	// held never has more than capacity places.
 	held map[ident.AttemptID]*place
 	// pace is the learned time between two departures per unit of cost.
@@ -35,6 +39,7 @@
 		capacity: capacity,
 		queue:    NewQueue(),
 		waiters:  map[ident.AttemptID]chan struct{}{},
+		shed:     map[ident.AttemptID]*fault.Refusal{},
 		held:     map[ident.AttemptID]*place{},
 	}
 }
@@ -67,8 +72,8 @@
 }
 
 // Enter waits for a place until the ticket's deadline or the context's end.
-// The place is given back after holdFor unless Use is called before. A ticket
-// that cannot start in time is refused at once.
+// The place is given back after holdFor unless Use is called before. As soon as
+// not all can start in time, one that waits is refused, if it has to be a newcomer.
 func (g *Gate) Enter(ctx context.Context, ticket Ticket, wait, holdFor time.Duration) error {
 	now := time.Now()
 	entered, refusal := g.join(ticket, now, wait)
@@ -88,21 +93,48 @@
 func (g *Gate) join(ticket Ticket, now time.Time, wait time.Duration) (chan struct{}, *fault.Refusal) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	expected := g.expectedWait()
 	if now.After(ticket.Deadline) {
-		return nil, fault.New(fault.TargetUnreachable, "it is too late to start").After(expected)
+		return nil, fault.New(fault.TargetUnreachable, "it is too late to start").After(g.expectedWait())
 	}
-	latest := min(wait, ticket.Deadline.Sub(now))
-	if expected > latest {
-		return nil, fault.New(fault.TargetUnreachable, "the expected wait is %s", expected.Round(time.Millisecond)).After(expected)
+	if latest := now.Add(wait); latest.Before(ticket.Deadline) {
+		ticket.Deadline = latest
 	}
 	entered := make(chan struct{})
 	g.waiters[ticket.Attempt] = entered
 	g.queue.Push(ticket)
 	g.advance()
+	g.shedLate(now, ticket.Attempt)
 	return entered, nil
 }
 
+// shedLate makes those give way who would keep others from starting in time.
+func (g *Gate) shedLate(now time.Time, newcomer ident.AttemptID) {
+	outlook := Outlook{Now: now, Free: g.nextFree(now), PerCost: g.pace.perCost(), Places: g.capacity}
+	for _, ticket := range g.queue.Shed(outlook, newcomer) {
+		wait := g.expectedWait()
+		g.shed[ticket.Attempt] = fault.New(fault.TargetUnreachable, "the expected wait is %s", wait.Round(time.Millisecond)).After(wait)
+		close(g.waiters[ticket.Attempt])
+	}
+}
+
+// nextFree estimates when the first of the held places is given back.
+func (g *Gate) nextFree(now time.Time) time.Time {
+	if len(g.held) < g.capacity {
+		return now
+	}
+	var next time.Time
+	for _, p := range g.held {
+		ends := p.since.Add(time.Duration(p.cost * float64(g.pace.perCost())))
+		if next.IsZero() || ends.Before(next) {
+			next = ends
+		}
+	}
+	if next.Before(now) {
+		return now
+	}
+	return next
+}
+
 // expectedWait is how long a ticket that comes now would wait.
 func (g *Gate) expectedWait() time.Duration {
 	if len(g.held) < g.capacity && g.queue.Len() == 0 {
@@ -116,6 +148,10 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	delete(g.waiters, ticket.Attempt)
+	if refusal, gaveWay := g.shed[ticket.Attempt]; gaveWay {
+		delete(g.shed, ticket.Attempt)
+		return refusal
+	}
 	p, granted := g.held[ticket.Attempt]
 	switch {
 	case granted && gone:
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -19,6 +19,9 @@
 	Priority int
 	// Deadline is the latest time at which starting still helps.
 	Deadline time.Time
+	// GoodputWeight moves who gives way when not all can start in time: with 1
+	// whoever brings the most work, with 0 whoever came last.
+	GoodputWeight float64
 	// Cost is the work that the ticket brings, in any one unit per queue.
 	Cost float64
 }
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -54,7 +54,8 @@
 	regionLatency = 12 * time.Millisecond
 	callerLatency = time.Millisecond
 	// settle lets entries read the lagging list before the first arrival.
-	settle = 10 * time.Second
+	settle     = 10 * time.Second
+	warmUpSeed = 1
 	// patience is how long a caller waits in all, returns included.
 	patience = 90 * time.Second
 )
@@ -99,6 +100,7 @@
 	}
 	defer f.Close()
 	time.Sleep(settle)
+	d.warmUp(f)
 	if c.Fault != nil {
 		c.Fault(f, d)
 	}
@@ -124,6 +126,15 @@
 	return result, nil
 }
 
+// warmUp lets the agents learn their endpoints' costs, as callers who come back
+// after a power cut of their own find routers that have run all along.
+func (d Deployment) warmUp(f *fleet.Fleet) {
+	w := Steady(d.Shape, d.Capacity()/2, settle, warmUpSeed)
+	for _, a := range w.Arrivals {
+		_, _ = f.Caller(entryName(a.Entry)).Ask(context.Background(), d.Service, a.Content, true)
+	}
+}
+
 func (d Deployment) workload(c Case, span time.Duration, seed uint64) Workload {
 	if c.Herd > 0 {
 		return Herd(d.Shape, c.Herd, span, seed)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -52,6 +52,8 @@
 	Workspace ident.WorkspaceName `json:"workspace"`
 	Weight    int                 `json:"weight"`
 	Priority  int                 `json:"priority"`
+	// GoodputWeight is the service's goal, between 0 and 1.
+	GoodputWeight float64 `json:"goodput-weight"`
 	// Suspect work may crash the endpoint; two such never share one.
 	Suspect bool `json:"suspect,omitempty"`
 	// Deadline is the latest time at which starting still helps.
