Agents keep their own records; entries watch them and read the list in turns

Change: agents write one object when they start and when they drain, entries watch the kind; the list is read at 1,000 bytes/s at most per node, and what one entry finds gone or leaving it writes to the record.

Conclusion: the mechanism fits the bound by reckoning; to be measured.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 	"crocusstep/gate"
 	"crocusstep/ident"
 	"crocusstep/ledger"
+	"crocusstep/roster"
 	"crocusstep/spec"
 	"crocusstep/store"
 	"crocusstep/wire"
@@ -24,6 +25,12 @@
 // Config configures an Agent.
 type Config struct {
 	Instance ident.InstanceName
+	Region   ident.RegionName
+	Zone     ident.ZoneName
+	// Pool is the set of endpoints that this one serves in.
+	Pool ident.PoolName
+	// Address is where entries reach the agent.
+	Address  ident.Address
 	Endpoint ident.EndpointName
 	// Kind says whether an engine or a plain service listens at the endpoint.
 	Kind spec.ServiceKind
@@ -51,6 +58,7 @@
 	incarnation string
 	engine      *engine.Client
 	ledger      *ledger.Ledger
+	registrar   *roster.Registrar
 	calls       *calls
 	// slots and lanes bound what the engine holds.
 	slots *gate.Gate
@@ -95,12 +103,23 @@
 		ctx:      ctx,
 	}
 	a.calls = newCalls()
+	a.registrar = roster.NewRegistrar(c, config.Store, store.Instance{
+		Name:     config.Instance,
+		Role:     store.AgentRole,
+		Address:  config.Address,
+		Endpoint: config.Endpoint,
+		Pool:     config.Pool,
+		Region:   config.Region,
+		Zone:     config.Zone,
+		State:    store.Live,
+	})
 	return a
 }
 
 // Run does the agent's background work and returns some time after the context
 // has ended, when all of it has.
 func (a *Agent) Run() {
+	a.tasks.Go(func() { a.registrar.Run(a.ctx) })
 	if a.config.Kind == spec.LanguageModel {
 		a.tasks.Go(func() { a.sweepLoop(a.ctx) })
 	}
@@ -114,6 +133,7 @@
 func (a *Agent) Drain(ctx context.Context) {
 	const interval = 20 * time.Millisecond
 	a.draining.Store(true)
+	a.registrar.Leave()
 	for ctx.Err() == nil && a.Places() > 0 {
 		common.Pause(ctx, interval)
 	}
--- /dev/null
+++ b/burn/report_test.go
@@ -0,0 +1,51 @@
+package burn
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestReport(t *testing.T) {
+	first, second := NewTracker(), NewTracker()
+	for i := range 100 {
+		within := 1
+		if i%10 == 0 {
+			within = 0
+		}
+		at := start.Add(time.Duration(i) * 30 * time.Second)
+		first.Record("s", 95, Sample{Requests: 1, Within: within, Prefilled: 100, Wasted: 1}, at)
+		second.Record("s", 95, Sample{Requests: 1, Within: 1}, at)
+	}
+	now := start.Add(50 * time.Minute)
+	report := NewReport(append(first.Series(now), second.Series(now)...), now)
+	assert.Equal(t, len(report.Rows), 1)
+	row := report.Rows[0]
+	assert.Equal(t, row.Long.Requests, 200)
+	assert.Equal(t, row.Long.WithinShare, 0.95)
+	assert.Assert(t, row.Long.BurnRate > 0.999 && row.Long.BurnRate < 1.001, "a budget of 5 %% is just used up: %v", row.Long.BurnRate)
+	assert.Assert(t, row.Short.Requests < 30)
+	assert.Equal(t, row.Long.WastedShare, 0.01)
+	for format, expected := range map[string]string{"text": "95.00%", "json": `"burn-rate"`, "html": "<polyline"} {
+		var page bytes.Buffer
+		assert.NilError(t, report.Write(&page, format))
+		assert.Assert(t, strings.Contains(page.String(), expected), "%s: %s", format, page.String())
+		assert.Assert(t, !strings.Contains(page.String(), "http://") && !strings.Contains(page.String(), "src="))
+	}
+}
+
+func TestTrackerForgets(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Record("s", 95, Sample{Requests: 1}, start)
+	assert.Equal(t, len(tracker.Series(start.Add(2 * LongWindow))[0].Points), 0)
+	// The same place of the ring, an hour later.
+	tracker.Record("s", 95, Sample{Requests: 1}, start.Add(LongWindow))
+	points := tracker.Series(start.Add(LongWindow))[0].Points
+	assert.Equal(t, len(points), 1)
+	assert.Equal(t, points[0].Sample.Requests, 1)
+}
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -84,6 +84,8 @@
 	Place Place `yaml:"place" required:"true"`
 	// Name of the endpoint beside which the agent runs.
 	Endpoint ident.EndpointName `yaml:"endpoint" required:"true"`
+	// Pool in which the endpoint serves; service documents name it.
+	Pool ident.PoolName `yaml:"pool" required:"true"`
 	// What listens at the endpoint: language-model or plain.
 	Kind spec.ServiceKind `yaml:"endpoint-kind" required:"true"`
 	// IP number and port of the endpoint.
--- a/conf/settings_test.go
+++ b/conf/settings_test.go
@@ -61,8 +61,8 @@
 		{
 			testName: "an agent with zero slots and an unknown kind",
 			parse:    parseAgentError,
-			document: "place: {instance: a, region: b, availability-zone: c}\nendpoint: e\nendpoint-kind: gpu\nendpoint-address: 10.0.0.1:1\nlisten: 10.0.0.1:2\nadmin: {listen: 10.0.0.1:3, token: t}\nplatform: {address: 10.0.0.1:7}\npeer-keys-file: k\nslots: 0\n",
-			expected: "s:3: endpoint-kind: expected language-model or plain, not \"gpu\"\ns:9: slots: must be more than zero",
+			document: "place: {instance: a, region: b, availability-zone: c}\nendpoint: e\nendpoint-kind: gpu\npool: p\nendpoint-address: 10.0.0.1:1\nlisten: 10.0.0.1:2\nadmin: {listen: 10.0.0.1:3, token: t}\nplatform: {address: 10.0.0.1:7}\npeer-keys-file: k\nslots: 0\n",
+			expected: "s:3: endpoint-kind: expected language-model or plain, not \"gpu\"\ns:10: slots: must be more than zero",
 		},
 	}
 	for _, s := range scenarios {
--- a/demo/main.go
+++ b/demo/main.go
@@ -9,6 +9,8 @@
 	"os"
 	"text/tabwriter"
 	"time"
+
+	"crocusstep/procs"
 )
 
 const (
@@ -16,6 +18,11 @@
 	binaries    = "bin"
 )
 
+// fleet is the demo's processes with what it does with them.
+type fleet struct {
+	*procs.Fleet
+}
+
 // row is one line of the table at the end.
 type row struct {
 	step   string
@@ -42,13 +49,13 @@
 	if err != nil {
 		return nil, err
 	}
-	f := newFleet(folder, binaries)
-	defer f.close()
+	f := &fleet{Fleet: procs.NewFleet(folder, binaries)}
+	defer f.Close()
 	fmt.Println("logs are in", folder)
-	if err := f.startAll(); err != nil {
+	if err := startAll(f); err != nil {
 		return nil, err
 	}
-	fmt.Println(len(f.order), "processes are up")
+	fmt.Println(f.Count(), "processes are up")
 	var rows []row
 	for _, step := range steps {
 		seen, err := step.run(ctx, f)
@@ -61,36 +68,27 @@
 	return rows, nil
 }
 
-func (f *fleet) startAll() (err error) {
-	if _, err := f.writeFile("peer-keys.yaml", "keys:\n  - {id: demo, secret: only-for-the-demo}\n"); err != nil {
-		return err
-	}
-	if _, err := f.writeFile("token", adminToken); err != nil {
-		return err
-	}
-	if f.platform, err = f.startStandin("platform", "platform"); err != nil {
-		return err
-	}
-	if err := f.awaitStatus(f.platform, "/instances"); err != nil {
+func startAll(f *fleet) error {
+	if err := f.Start(); err != nil {
 		return err
 	}
 	for _, document := range documents {
-		if _, err := f.run("service", "--platform", string(f.platform), "put", document); err != nil {
+		if _, err := f.Run("service", "--platform", string(f.Platform), "put", document); err != nil {
 			return err
 		}
 	}
 	for _, e := range endpoints {
-		if err := f.startEndpoint(e.name, e.pool, e.region, e.kind); err != nil {
+		if err := f.StartEndpoint(e.name, e.pool, e.region, e.kind); err != nil {
 			return err
 		}
 	}
 	for _, name := range []string{"entry-1", "entry-2"} {
-		if err := f.startEntry(name, "cascadia-west"); err != nil {
+		if err := f.StartEntry(name, "cascadia-west"); err != nil {
 			return err
 		}
 	}
 	for _, name := range []string{"entry-1", "entry-2"} {
-		if err := f.awaitStatus(f.processes[name].admin, "/readyz"); err != nil {
+		if err := f.AwaitStatus(f.Processes[name].Admin, "/readyz"); err != nil {
 			return err
 		}
 	}
--- a/demo/steps.go
+++ b/demo/steps.go
@@ -44,6 +44,7 @@
 	lookupCount  = 200
 	loadPerEntry = 8
 	settleTime   = time.Second
+	readyTimeout = 20 * time.Second
 
 	untilFirstKill = 500 * time.Millisecond
 )
@@ -64,7 +65,7 @@
 }
 
 func (f *fleet) caller(entry string) *caller.Client {
-	return caller.NewClient(f.http, f.processes[entry].listen)
+	return caller.NewClient(f.HTTP, f.Processes[entry].Listen)
 }
 
 // awaitPools waits until both entries know the endpoints of both deployments.
@@ -143,7 +144,7 @@
 	runs := 0
 	for _, host := range hosts {
 		var list []fake.Run
-		if err := f.getJSON(ctx, f.processes[host].listen, "/stand-in/runs", &list); err != nil {
+		if err := f.GetJSON(ctx, f.Processes[host].Listen, "/stand-in/runs", &list); err != nil {
 			return "", err
 		}
 		for _, run := range list {
@@ -186,12 +187,12 @@
 		return "", err
 	}
 	changed := strings.Replace(string(text), "calls:", "calls:\n  - match: GET /kiosks/{kiosk}/helmets\n    class: lookup", 1)
-	file, err := f.writeFile("kiosk-app.yaml", changed)
+	file, err := f.WriteFile("kiosk-app.yaml", changed)
 	if err != nil {
 		return "", err
 	}
 	started := time.Now()
-	said, err := f.run("service", "--platform", string(f.platform), "put", file)
+	said, err := f.Run("service", "--platform", string(f.Platform), "put", file)
 	if err != nil {
 		return "", err
 	}
@@ -216,13 +217,13 @@
 	if err != nil {
 		return "", err
 	}
-	f.kill("agent-" + victim)
+	f.Kill("agent-" + victim)
 	tasks.Wait()
 	if failure != nil {
 		return "", failure
 	}
-	address := f.processes[victim].listen
-	if err := f.startAgent(victim, "reading-decode", "cascadia-west", "language-model", address); err != nil {
+	address := f.Processes[victim].Listen
+	if err := f.StartAgent(victim, "reading-decode", "cascadia-west", "language-model", address); err != nil {
 		return "", err
 	}
 	left, err := f.awaitIdle(ctx, address)
@@ -234,7 +235,7 @@
 	for ctx.Err() == nil {
 		for _, name := range []string{"reading-d1", "reading-d2"} {
 			var list []map[string]string
-			if err := f.getJSON(ctx, f.processes[name].listen, "/engine/requests", &list); err != nil {
+			if err := f.GetJSON(ctx, f.Processes[name].Listen, "/engine/requests", &list); err != nil {
 				return "", err
 			}
 			for _, r := range list {
@@ -253,7 +254,7 @@
 	started := time.Now()
 	for ctx.Err() == nil {
 		var list []map[string]string
-		if err := f.getJSON(ctx, engine, "/engine/requests", &list); err != nil {
+		if err := f.GetJSON(ctx, engine, "/engine/requests", &list); err != nil {
 			return 0, err
 		}
 		if len(list) == 0 {
@@ -279,7 +280,7 @@
 		})
 	}
 	time.Sleep(untilFirstKill)
-	err := f.stop("entry-2")
+	err := f.Stop("entry-2")
 	tasks.Wait()
 	close(failures)
 	for failure := range failures {
@@ -292,8 +293,8 @@
 }
 
 func burnReport(_ context.Context, f *fleet) (string, error) {
-	token := f.folder + "/token"
-	text, err := f.run("report", "burn", "--entry", string(f.processes["entry-1"].admin), "--token-file", token)
+	token := f.Folder + "/token"
+	text, err := f.Run("report", "burn", "--entry", string(f.Processes["entry-1"].Admin), "--token-file", token)
 	if err != nil {
 		return "", err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -311,6 +311,9 @@
 	p := f.prepare(agentHost(e.Name))
 	a := agent.NewAgent(p.ctx, c, agent.Config{
 		Instance:        ident.InstanceName(e.Name),
+		Region:          e.Region,
+		Pool:            e.Pool,
+		Address:         agentAddress(e.Name),
 		Endpoint:        e.Name,
 		Kind:            e.kind(),
 		EndpointAddress: engineAddress(e.Name),
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,23 @@
+package retry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestBudget(t *testing.T) {
+	b := NewBudget()
+	for range burst {
+		assert.Assert(t, b.Take())
+	}
+	assert.Assert(t, !b.Take(), "the burst is used up")
+	taken := 0
+	for range 1000 {
+		b.Earn(10)
+		if b.Take() {
+			taken++
+		}
+	}
+	assert.Equal(t, taken, 100, "a tenth of the requests may be tried again")
+}
--- /dev/null
+++ b/roster/registrar.go
@@ -0,0 +1,90 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"crocusstep/common"
+	"crocusstep/store"
+)
+
+const (
+	// registerRetry is the longest pause after a failed write.
+	registerRetry = 2 * time.Second
+	// recheckInterval is how often an agent looks whether its record is still
+	// there; at 600 agents that is 20 calls a second.
+	recheckInterval = 30 * time.Second
+)
+
+// Registrar keeps an agent's own record.
+type Registrar struct {
+	*common.Common
+	store store.Store
+
+	mutex sync.Mutex
+	// instance is what the record should say.
+	instance store.Instance
+	changed  chan struct{}
+}
+
+// NewRegistrar returns a registrar; Run writes the record.
+func NewRegistrar(c *common.Common, s store.Store, instance store.Instance) *Registrar {
+	return &Registrar{Common: c, store: s, instance: instance, changed: make(chan struct{}, 1)}
+}
+
+// Leave makes the record say that the agent takes no new work.
+func (r *Registrar) Leave() {
+	r.mutex.Lock()
+	r.instance.State = store.Leaving
+	r.mutex.Unlock()
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps the record right until the context ends.
+func (r *Registrar) Run(ctx context.Context) {
+	registered := time.Now()
+	for ctx.Err() == nil {
+		if err := r.write(ctx, registered); err != nil {
+			r.Log.Warn("the member's record was not written", "error", err)
+			common.Pause(ctx, rand.N(registerRetry))
+			continue
+		}
+		timer := time.NewTimer(recheckInterval/2 + rand.N(recheckInterval))
+		select {
+		case <-timer.C:
+		case <-r.changed:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// write brings the record up to date; it writes only if something differs.
+func (r *Registrar) write(ctx context.Context, registered time.Time) error {
+	r.mutex.Lock()
+	record := Record{Instance: r.instance, Registered: registered}
+	r.mutex.Unlock()
+	key := store.Key{Kind: Kind, Name: string(record.Instance.Endpoint)}
+	object, err := r.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	if err == nil {
+		if current, parseError := ParseRecord(object.Value); parseError == nil && current.Instance == record.Instance && current.Registered.Equal(registered) {
+			return nil
+		}
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Put(ctx, key, value, object.Version)
+	return err
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,15 +1,20 @@
-// Package roster is an entry's view of the agents: who is there, by the
-// platform's lagging list, and how loaded they are, by their own replies.
+// Package roster is an entry's view of the agents: who is there, by the records
+// that agents keep and the platform's lagging list, and how loaded they are, by
+// their own replies. See docs/design/membership.md.
 package roster
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sort"
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"crocusstep/common"
 	"crocusstep/ident"
 	"crocusstep/store"
@@ -17,9 +22,14 @@
 )
 
 const (
-	// listInterval is the time between two readings of the platform's list; at
-	// 370 nodes that is 185 calls a second of the platform's 2,000.
+	// listInterval is the least time between two readings of the platform's list.
 	listInterval = 2 * time.Second
+	// listBytesPerSecond bounds what a node reads of the list on average.
+	listBytesPerSecond = 1000
+	// instanceSize is about the bytes of one row of the list.
+	instanceSize = 200
+	// watchWait is how long a watch waits: one call in this time.
+	watchWait = 5 * time.Second
 	// suspendFor is the first pause after a failure; it doubles up to suspendMost.
 	suspendFor  = 500 * time.Millisecond
 	suspendMost = 8 * time.Second
@@ -45,6 +55,7 @@
 
 type member struct {
 	instance    store.Instance
+	registered  time.Time
 	load        wire.Load
 	known       bool
 	outstanding int
@@ -63,6 +74,8 @@
 
 	mutex   sync.Mutex
 	members map[ident.EndpointName]*member
+	// records is what the agents and the platform say of them.
+	records map[ident.EndpointName]Record
 	// pools holds the members of each pool and region by name.
 	pools  map[pool][]*member
 	loaded bool
@@ -76,46 +89,137 @@
 
 // NewRoster returns an empty roster; Run fills it.
 func NewRoster(c *common.Common, s store.Store) *Roster {
-	return &Roster{Common: c, store: s, members: map[ident.EndpointName]*member{}, pools: map[pool][]*member{}}
+	return &Roster{Common: c, store: s, members: map[ident.EndpointName]*member{}, records: map[ident.EndpointName]Record{}, pools: map[pool][]*member{}}
 }
 
-// Run keeps the roster up to date until the context ends.
+// Run keeps the roster up to date until the context ends: by a watch of the
+// agents' records, which is fast, and now and then by the platform's list.
 func (r *Roster) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		r.refresh(ctx)
-		common.Pause(ctx, listInterval/2+rand.N(listInterval))
+	var tasks conc.WaitGroup
+	tasks.Go(func() { store.NewFollower(r.Common, r.store, Kind, r).Run(ctx) })
+	tasks.Go(func() { r.reconcileLoop(ctx) })
+	tasks.Wait()
+}
+
+// Load implements store.Reader.
+func (r *Roster) Load(listing store.Listing, _ time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.loaded = true
+	r.records = map[ident.EndpointName]Record{}
+	for _, object := range listing.Objects {
+		r.take(object)
 	}
+	r.placeAll()
 }
 
-func (r *Roster) refresh(ctx context.Context) {
-	instances, err := r.store.Instances(ctx)
+// Apply implements store.Reader.
+func (r *Roster) Apply(batch store.Batch, _ time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, object := range batch.Events {
+		r.take(object)
+	}
+	if len(batch.Events) > 0 {
+		r.placeAll()
+	}
+}
+
+// Wait implements store.Reader.
+func (*Roster) Wait(context.Context) time.Duration { return watchWait }
+
+func (r *Roster) take(object store.Object) {
+	name := ident.EndpointName(object.Name)
+	if object.Deleted {
+		delete(r.records, name)
+		return
+	}
+	record, err := ParseRecord(object.Value)
 	if err != nil {
-		// An outage of the platform says nothing about the agents.
-		r.Log.Warn("the list of instances was not read", "error", err)
+		r.Log.Error("a member's record cannot be read", "endpoint", name, "error", err)
 		return
 	}
-	r.Replace(instances)
+	r.records[name] = record
+}
+
+// placeAll makes the members match the records.
+func (r *Roster) placeAll() {
+	for _, record := range r.records {
+		r.place(record)
+	}
+	for name := range r.members {
+		if _, recorded := r.records[name]; !recorded {
+			delete(r.members, name)
+		}
+	}
+	r.sortPools()
 }
 
-// Replace takes over the platform's list.
+// Replace takes over records from elsewhere, for tests and benchmarks.
 func (r *Roster) Replace(instances []store.Instance) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.loaded = true
-	listed := map[ident.EndpointName]bool{}
+	r.records = map[ident.EndpointName]Record{}
 	for _, instance := range instances {
-		if instance.Role != store.AgentRole {
-			continue
-		}
-		listed[instance.Endpoint] = true
-		r.place(instance)
+		r.records[instance.Endpoint] = Record{Instance: instance}
 	}
-	for name := range r.members {
-		if !listed[name] {
-			delete(r.members, name)
+	r.placeAll()
+}
+
+// reconcileLoop reads the platform's list at a pace that keeps within the bytes
+// a node may spend. However large the fleet is, some entry reads it often, and
+// what one finds it writes to the records, which all others watch.
+func (r *Roster) reconcileLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		size := r.reconcile(ctx)
+		pace := max(listInterval, time.Duration(size)*time.Second/listBytesPerSecond)
+		common.Pause(ctx, pace/2+rand.N(pace))
+	}
+}
+
+// reconcile applies the platform's list to the records and returns its size.
+func (r *Roster) reconcile(ctx context.Context) ident.ByteCount {
+	instances, err := r.store.Instances(ctx)
+	if err != nil {
+		// An outage of the platform says nothing about the agents.
+		r.Log.Warn("the list of instances was not read", "error", err)
+		return 0
+	}
+	r.mutex.Lock()
+	changes := Reconcile(r.records, instances, time.Now())
+	r.mutex.Unlock()
+	for _, change := range changes {
+		if err := r.write(ctx, change); err != nil {
+			r.Log.Warn("a member's record was not changed", "endpoint", change.Name, "error", err)
 		}
 	}
-	r.sortPools()
+	return ident.ByteCount(len(instances)) * instanceSize
+}
+
+func (r *Roster) write(ctx context.Context, change Change) error {
+	key := store.Key{Kind: Kind, Name: string(change.Name)}
+	object, err := r.store.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if change.Gone {
+		return r.store.Delete(ctx, key, object.Version)
+	}
+	record, err := ParseRecord(object.Value)
+	if err != nil {
+		return err
+	}
+	record.Instance.State = store.Leaving
+	value, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Put(ctx, key, value, object.Version)
+	return err
 }
 
 // sortPools makes the pools anew, so that a decision need not look at members
@@ -133,18 +237,19 @@
 	}
 }
 
-// place adds or updates a member. A new address means a new process, so what
-// was known of the old one is dropped.
-func (r *Roster) place(instance store.Instance) {
+// place adds or updates a member. A record that was written anew means a new
+// process, so what was known of the old one is dropped.
+func (r *Roster) place(record Record) {
+	instance := record.Instance
 	m, ok := r.members[instance.Endpoint]
-	if !ok || m.instance.Address != instance.Address || m.instance.Name != instance.Name {
-		m = &member{}
+	if !ok || m.instance.Address != instance.Address || !m.registered.Equal(record.Registered) {
+		m = &member{registered: record.Registered}
 		r.members[instance.Endpoint] = m
 	}
 	m.instance = instance
 }
 
-// Loaded reports whether the platform's list was read at all.
+// Loaded reports whether the agents' records were read at all.
 func (r *Roster) Loaded() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/start/processes.go
+++ b/start/processes.go
@@ -107,6 +107,10 @@
 	}
 	a := agent.NewAgent(p.ctx, p.Common, agent.Config{
 		Instance:        settings.Place.Instance,
+		Region:          settings.Place.Region,
+		Zone:            settings.Place.Zone,
+		Pool:            settings.Pool,
+		Address:         settings.Listen,
 		Endpoint:        settings.Endpoint,
 		Kind:            settings.Kind,
 		EndpointAddress: settings.EndpointAddress,
--- a/start/start.go
+++ b/start/start.go
@@ -61,8 +61,10 @@
 	c.add(c.app.Command("version", "Print the version."), c.printVersion)
 	command, err := c.app.Parse(args)
 	switch {
-	case terminated:
+	case terminated && len(args) > 0:
 		return exitOK
+	case terminated:
+		return exitUsage
 	case err != nil:
 		_, _ = fmt.Fprintf(stderr, "crocusstep: %v; see crocusstep --help\n", err)
 		return exitUsage
--- /dev/null
+++ b/start/start_test.go
@@ -0,0 +1,46 @@
+package start
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestRun(t *testing.T) {
+	folder := t.TempDir()
+	broken := filepath.Join(folder, "broken.yaml")
+	assert.NilError(t, os.WriteFile(broken, []byte("service: S\nkind: plain\n"), 0o600))
+	scenarios := []struct {
+		testName string
+		args     []string
+		code     int
+		stdout   string
+		stderr   string
+	}{
+		{"version", []string{"version"}, exitOK, "test\n", ""},
+		{"help", []string{"--help"}, exitOK, "Serve callers.", ""},
+		{"no command", nil, exitUsage, "usage:", ""},
+		{"an unknown command", []string{"fly"}, exitUsage, "", `expected command but got "fly"`},
+		{"a missing flag", []string{"entry"}, exitUsage, "", "required flag(s) '--settings' not provided"},
+		{"a missing file", []string{"entry", "--settings", filepath.Join(folder, "none")}, exitFailed, "", "no such file"},
+		{"an accepted document", []string{"service", "check", "../examples/khuzam/services/kiosk-app.yaml"}, exitOK, "", ""},
+		{"a document with faults", []string{"service", "check", broken}, exitFaults, "", "broken.yaml:1: workspace: missing"},
+		{"settings with faults", []string{"settings", "check", "agent", broken}, exitFaults, "", "broken.yaml:1: service: unknown key"},
+		{"accepted settings", []string{"settings", "check", "entry", "../examples/halvorsen/entry.yaml"}, exitOK, "", ""},
+		{"defaults", []string{"settings", "default", "agent"}, exitOK, "sweep-interval: 2s", ""},
+		{"a platform that cannot be reached", []string{"service", "--platform", "127.0.0.1:1", "list"}, exitFailed, "", "the platform did not take the call"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			code := Run(Build{Version: "test"}, s.args, &stdout, &stderr)
+			assert.Equal(t, code, s.code, "%s", stderr.String())
+			assert.Assert(t, strings.Contains(stdout.String(), s.stdout), "%s", stdout.String())
+			assert.Assert(t, strings.Contains(stderr.String(), s.stderr), "%s", stderr.String())
+		})
+	}
+}
--- a/store/client.go
+++ b/store/client.go
@@ -17,6 +17,9 @@
 	"crocusstep/ident"
 )
 
+// callOverhead is about the bytes of the two headers of one call.
+const callOverhead = 400
+
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	// Address is where the platform's object API listens.
@@ -105,7 +108,7 @@
 	if err != nil {
 		return errors.Join(ErrUnavailable, err)
 	}
-	c.config.Observe(call, ident.ByteCount(len(body)))
+	c.config.Observe(call, callOverhead+ident.ByteCount(len(body)))
 	return json.Unmarshal(body, target)
 }
 
@@ -121,7 +124,7 @@
 	// The transport must not send a write again by itself: a second sending of
 	// one that took effect would come back as a conflict.
 	request.GetBody = nil
-	c.config.Observe("put", ident.ByteCount(len(value)))
+	c.config.Observe("put", callOverhead+ident.ByteCount(len(value)))
 	response, err := c.config.HTTP.Do(request)
 	if err != nil {
 		return writeError(err)
--- /dev/null
+++ b/store/client_test.go
@@ -0,0 +1,133 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusstep/fake"
+	"crocusstep/memnet"
+	"crocusstep/store"
+)
+
+var key = store.Key{Kind: "thing", Name: "one"}
+
+func TestClient(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		run      func(t *testing.T, p *fake.Platform, c *store.Client)
+	}{
+		{
+			testName: "a write is conditional on the version before",
+			run: func(t *testing.T, _ *fake.Platform, c *store.Client) {
+				version, err := c.Put(t.Context(), key, []byte("a"), 0)
+				assert.NilError(t, err)
+				_, err = c.Put(t.Context(), key, []byte("b"), 0)
+				assert.Assert(t, errors.Is(err, store.ErrConflict))
+				_, err = c.Put(t.Context(), key, []byte("b"), version)
+				assert.NilError(t, err)
+				object, err := c.Get(t.Context(), key)
+				assert.NilError(t, err)
+				assert.Equal(t, string(object.Value), "b")
+			},
+		},
+		{
+			testName: "a missing object is not found",
+			run: func(t *testing.T, _ *fake.Platform, c *store.Client) {
+				_, err := c.Get(t.Context(), key)
+				assert.Assert(t, errors.Is(err, store.ErrNotFound))
+			},
+		},
+		{
+			testName: "a call that was refused had no effect",
+			run: func(t *testing.T, p *fake.Platform, c *store.Client) {
+				p.SetFaults(fake.PlatformFaults{Down: true})
+				_, err := c.Put(t.Context(), key, []byte("a"), 0)
+				assert.Assert(t, errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrAmbiguous))
+			},
+		},
+		{
+			testName: "a lost answer is ambiguous, and the write is not sent again",
+			run: func(t *testing.T, p *fake.Platform, c *store.Client) {
+				p.SetFaults(fake.PlatformFaults{LoseAnswers: 1})
+				_, err := c.Put(t.Context(), key, []byte("a"), 0)
+				assert.Assert(t, errors.Is(err, store.ErrAmbiguous))
+				assert.Equal(t, p.Calls().Writes, 1)
+				object, err := c.Get(t.Context(), key)
+				assert.NilError(t, err)
+				assert.Equal(t, string(object.Value), "a")
+			},
+		},
+		{
+			testName: "a slow write is ambiguous",
+			run: func(t *testing.T, p *fake.Platform, c *store.Client) {
+				p.SetFaults(fake.PlatformFaults{SlowNS: time.Minute})
+				_, err := c.Put(t.Context(), key, []byte("a"), 0)
+				assert.Assert(t, errors.Is(err, store.ErrAmbiguous))
+			},
+		},
+		{
+			testName: "a watch returns what happened meanwhile, and nothing twice",
+			run: func(t *testing.T, _ *fake.Platform, c *store.Client) {
+				go func() {
+					time.Sleep(time.Second)
+					_, _ = c.Put(context.Background(), key, []byte("a"), 0)
+				}()
+				started := time.Now()
+				batch, err := c.Watch(t.Context(), "thing", 0, 10*time.Second)
+				assert.NilError(t, err)
+				assert.Equal(t, len(batch.Events), 1)
+				assert.Assert(t, time.Since(started) < 2*time.Second)
+				batch, err = c.Watch(t.Context(), "thing", batch.Version, time.Second)
+				assert.NilError(t, err)
+				assert.Equal(t, len(batch.Events), 0)
+			},
+		},
+		{
+			testName: "a watch that looks back too far is told so",
+			run: func(t *testing.T, _ *fake.Platform, c *store.Client) {
+				version := store.Version(0)
+				for range 12 {
+					next, err := c.Put(t.Context(), key, []byte("a"), version)
+					assert.NilError(t, err)
+					version = next
+				}
+				_, err := c.Watch(t.Context(), "thing", 1, time.Second)
+				assert.Assert(t, errors.Is(err, store.ErrGap))
+			},
+		},
+		{
+			testName: "a deletion is conditional and seen by watches",
+			run: func(t *testing.T, _ *fake.Platform, c *store.Client) {
+				version, err := c.Put(t.Context(), key, []byte("a"), 0)
+				assert.NilError(t, err)
+				assert.Assert(t, errors.Is(c.Delete(t.Context(), key, version+1), store.ErrConflict))
+				assert.NilError(t, c.Delete(t.Context(), key, version))
+				batch, err := c.Watch(t.Context(), "thing", version, time.Second)
+				assert.NilError(t, err)
+				assert.Assert(t, batch.Events[0].Deleted)
+			},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				t.Cleanup(func() { time.Sleep(time.Hour) }) // Handlers that sleep end within this.
+				network := memnet.NewNetwork()
+				platform := fake.NewPlatform(fake.PlatformConfig{Latency: time.Millisecond, KeptEvents: 10})
+				server := &http.Server{Handler: platform.Handler()}
+				listener := network.Listen("platform", "platform:1")
+				go func() { _ = server.Serve(listener) }()
+				defer func() { _ = server.Close() }()
+				client := network.Client("test")
+				defer client.CloseIdleConnections()
+				s.run(t, platform, store.NewClient(store.ClientConfig{Address: "platform:1", HTTP: client, Timeout: 2 * time.Second}))
+			})
+		})
+	}
+}
