Make every mutant fail its test; refresh an entry's view with each answer's end

Cause: make mutants showed two tests that passed without their mechanism. One found a flaw of the policy: an endpoint that had not replied yet ranked last, so at low load all requests went to the endpoint that was used first.

Change: an unknown endpoint counts as one with 16 free slots; the end frame of an answer carries the agent's load; the tests meet the case they are for.

Conclusion: each promise hangs on the mechanism that is named for it.

--- a/agent/model_helper.go
+++ b/agent/model_helper.go
@@ -182,6 +182,10 @@
 	if token.Finish != "" {
 		frame.Kind = wire.EndFrame
 		frame.Finish = token.Finish
+		load := a.load()
+		// The attempt's own slot is given back right after this frame.
+		load.Free++
+		frame.Load = &load
 	}
 	return frame
 }
--- a/fleet/faults_test.go
+++ b/fleet/faults_test.go
@@ -291,10 +291,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newHalvorsen(t)
 		defer f.Close()
-		for i := range 12 {
-			_, err := ask(f, "e1", fmt.Sprintf("warm %d length=5", i))
-			assert.NilError(t, err)
+		// Enough at once that every endpoint has work, and so is known.
+		var warm conc.WaitGroup
+		for i := range 40 {
+			warm.Go(func() {
+				_, err := ask(f, "e1", fmt.Sprintf("warm %d length=5", i))
+				assert.NilError(t, err)
+			})
 		}
+		warm.Wait()
 		f.KillEngine("d1")
 		time.Sleep(2 * sweepInterval)
 		before := prefilledAt(f)
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -162,7 +162,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newHalvorsen(t)
 		defer f.Close()
-		l := newLoad(f, 2, 12, 0, 0)
+		l := newLoad(f, 2, 40, 0, 0)
 		defer l.stop()
 		time.Sleep(5 * time.Second)
 		f.MarkLeaving("d1")
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -192,6 +192,7 @@
 				s.platform.SetFaults(fake.PlatformFaults{SlowNS: 900 * time.Millisecond, LoseAnswers: 3})
 				_, err := l.Run(t.Context(), s.action("k", "d"), s.ok)
 				assert.Assert(t, fault.Is(err, fault.LedgerUnavailable))
+				assert.Equal(t, fault.AsRefusal(err).Outcome, fault.Unknown)
 				s.platform.SetFaults(fake.PlatformFaults{})
 				l.Flush(t.Context())
 				_, err = l.Run(t.Context(), s.action("k", "d"), s.ok)
--- a/mutant/mutants.go
+++ b/mutant/mutants.go
@@ -42,7 +42,7 @@
 		file:    "ledger/ledger.go",
 		old:     `fault.NewUnknown(fault.LedgerUnavailable, "the platform did not confirm`,
 		changed: `fault.New(fault.LedgerUnavailable, "the platform did not confirm`,
-		pkg:     "ledger", test: "TestHistory",
+		pkg:     "ledger", test: "TestLedger/a_start_that_became",
 	},
 	{
 		promise: "actions at once share their writes",
--- a/route/picker.go
+++ b/route/picker.go
@@ -64,8 +64,8 @@
 func (Learned) Admits() bool { return true }
 
 // unknownFree is the free slots taken for an endpoint that has not replied yet:
-// enough that it gets work at once, few enough that it does not get all of it.
-const unknownFree = 8
+// enough that it gets work soon, few enough that it does not get all of it.
+const unknownFree = 16
 
 // unseenShare is how much an own order counts that the last report may lack.
 const unseenShare = 0.5
