Split the large files by noun; boot every role in one place

Change: one file per thing in fleet, roster, fake and entry; start has one file per command and one boot. No behaviour is meant to change.

--- /dev/null
+++ b/fake/answer.go
@@ -0,0 +1,47 @@
+package fake
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+
+	"crocusstep/ident"
+)
+
+// CountTokens counts a prompt's tokens: this stand-in takes words for tokens.
+func CountTokens(text string) ident.TokenCount {
+	return ident.TokenCount(max(1, len(strings.Fields(text))))
+}
+
+// AnswerLength returns how many tokens the whole answer to a prompt has.
+func AnswerLength(prompt string) ident.TokenCount {
+	length := defaultAnswerTokens
+	if _, rest, found := strings.Cut(prompt, LengthMark); found {
+		_, _ = fmt.Sscanf(rest, "%d", &length)
+	}
+	return ident.TokenCount(length)
+}
+
+// Word returns the token at a position of the only right answer to a prompt.
+func Word(prompt string, position ident.TokenCount) string {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(prompt))
+	return fmt.Sprintf("%08x-%d ", sum.Sum32(), position)
+}
+
+// Answer returns the only right answer to a prompt.
+func Answer(prompt string, maxTokens ident.TokenCount) string {
+	var answer strings.Builder
+	for position := range min(AnswerLength(prompt), maxTokens) {
+		answer.WriteString(Word(prompt, position))
+	}
+	return answer.String()
+}
+
+func commonPrefix(a, b string) string {
+	length := 0
+	for length < min(len(a), len(b)) && a[length] == b[length] {
+		length++
+	}
+	return a[:length]
+}
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"hash/fnv"
 	"net/http"
 	"sort"
 	"strings"
@@ -110,56 +108,6 @@
 	}
 }
 
-// StallTransfers makes imports hang, or lets them go on.
-func (e *Engine) StallTransfers(stalled bool) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.stalled = stalled
-}
-
-// LoseCancels drops the next cancels without a word.
-func (e *Engine) LoseCancels(count int) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.lostCancels = count
-}
-
-// FallSilent makes decodes hang, or lets them go on.
-func (e *Engine) FallSilent(silent bool) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.silent = silent
-}
-
-// loseCancel reports whether a cancel is to be dropped.
-func (e *Engine) loseCancel() bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if e.lostCancels == 0 {
-		return false
-	}
-	e.lostCancels--
-	return true
-}
-
-// Stop drops all that the engine holds, as the end of its process does.
-func (e *Engine) Stop() {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.crashed = true
-	for attempt, held := range e.requests {
-		held.cancel()
-		delete(e.requests, attempt)
-	}
-}
-
-// SlowDown multiplies the time of all work that begins from now on.
-func (e *Engine) SlowDown(factor int) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.slowdown = factor
-}
-
 // Ordered returns how many prompt tokens the engine has taken on.
 func (e *Engine) Ordered() ident.TokenCount {
 	e.mutex.Lock()
@@ -411,54 +359,6 @@
 	}
 }
 
-func (e *Engine) fail() {
-	e.mutex.Lock()
-	already := e.crashed
-	e.crashed = true
-	e.mutex.Unlock()
-	if !already {
-		e.crash()
-	}
-}
-
-// CountTokens counts a prompt's tokens: this stand-in takes words for tokens.
-func CountTokens(text string) ident.TokenCount {
-	return ident.TokenCount(max(1, len(strings.Fields(text))))
-}
-
-// AnswerLength returns how many tokens the whole answer to a prompt has.
-func AnswerLength(prompt string) ident.TokenCount {
-	length := defaultAnswerTokens
-	if _, rest, found := strings.Cut(prompt, LengthMark); found {
-		_, _ = fmt.Sscanf(rest, "%d", &length)
-	}
-	return ident.TokenCount(length)
-}
-
-// Word returns the token at a position of the only right answer to a prompt.
-func Word(prompt string, position ident.TokenCount) string {
-	sum := fnv.New32a()
-	_, _ = sum.Write([]byte(prompt))
-	return fmt.Sprintf("%08x-%d ", sum.Sum32(), position)
-}
-
-// Answer returns the only right answer to a prompt.
-func Answer(prompt string, maxTokens ident.TokenCount) string {
-	var answer strings.Builder
-	for position := range min(AnswerLength(prompt), maxTokens) {
-		answer.WriteString(Word(prompt, position))
-	}
-	return answer.String()
-}
-
-func commonPrefix(a, b string) string {
-	length := 0
-	for length < min(len(a), len(b)) && a[length] == b[length] {
-		length++
-	}
-	return a[:length]
-}
-
 func readOrder(w http.ResponseWriter, r *http.Request, order any) bool {
 	if err := json.NewDecoder(r.Body).Decode(order); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
--- /dev/null
+++ b/fake/engine_faults.go
@@ -0,0 +1,61 @@
+package fake
+
+// StallTransfers makes imports hang, or lets them go on.
+func (e *Engine) StallTransfers(stalled bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.stalled = stalled
+}
+
+// LoseCancels drops the next cancels without a word.
+func (e *Engine) LoseCancels(count int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.lostCancels = count
+}
+
+// FallSilent makes decodes hang, or lets them go on.
+func (e *Engine) FallSilent(silent bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.silent = silent
+}
+
+// loseCancel reports whether a cancel is to be dropped.
+func (e *Engine) loseCancel() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.lostCancels == 0 {
+		return false
+	}
+	e.lostCancels--
+	return true
+}
+
+// Stop drops all that the engine holds, as the end of its process does.
+func (e *Engine) Stop() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.crashed = true
+	for attempt, held := range e.requests {
+		held.cancel()
+		delete(e.requests, attempt)
+	}
+}
+
+// SlowDown multiplies the time of all work that begins from now on.
+func (e *Engine) SlowDown(factor int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.slowdown = factor
+}
+
+func (e *Engine) fail() {
+	e.mutex.Lock()
+	already := e.crashed
+	e.crashed = true
+	e.mutex.Unlock()
+	if !already {
+		e.crash()
+	}
+}
--- /dev/null
+++ b/fleet/endpoint.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"crocusstep/agent"
+	"crocusstep/common"
+	"crocusstep/fake"
+	"crocusstep/ident"
+	"crocusstep/memnet"
+	"crocusstep/spec"
+	"crocusstep/store"
+)
+
+// Endpoint is one back end with its agent.
+type Endpoint struct {
+	Name   ident.EndpointName
+	Pool   ident.PoolName
+	Region ident.RegionName
+	// Plain is set for plain services.
+	Plain *fake.Plain
+
+	// lifecycle lets one start at a time end what ran before it.
+	lifecycle sync.Mutex
+
+	mutex sync.Mutex
+	// engine is set for model endpoints; a restart replaces it.
+	engine        *fake.Engine
+	agent         *agent.Agent
+	agentProcess  *process
+	engineProcess *process
+	crashes       int
+}
+
+// Engine returns the engine that runs at the moment.
+func (e *Endpoint) Engine() *fake.Engine {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.engine
+}
+
+// Agent returns the agent that runs at the moment.
+func (e *Endpoint) Agent() *agent.Agent {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.agent
+}
+
+// Crashes returns how often prompts have crashed the engine.
+func (e *Endpoint) Crashes() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.crashes
+}
+
+func (e *Endpoint) processes() (agentProcess, engineProcess *process) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.agentProcess, e.engineProcess
+}
+
+func (e *Endpoint) kind() spec.ServiceKind {
+	if e.Plain != nil {
+		return spec.Plain
+	}
+	return spec.LanguageModel
+}
+
+// AddModel adds an engine with its agent.
+func (f *Fleet) AddModel(name ident.EndpointName, pool ident.PoolName, region ident.RegionName) error {
+	e := &Endpoint{Name: name, Pool: pool, Region: region}
+	f.endpoints[name] = e
+	f.startEngine(e)
+	return f.startAgent(e)
+}
+
+// AddPlain adds a plain service with its agent.
+func (f *Fleet) AddPlain(name ident.EndpointName, pool ident.PoolName, region ident.RegionName) error {
+	e := &Endpoint{Name: name, Pool: pool, Region: region, Plain: fake.NewPlain(f.config.Plain)}
+	f.endpoints[name] = e
+	e.engineProcess = f.start(engineHost(name), engineAddress(name), e.Plain.Handler())
+	return f.startAgent(e)
+}
+
+func (f *Fleet) startEngine(e *Endpoint) {
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
+	if _, p := e.processes(); p != nil {
+		f.kill(p)
+	}
+	config := f.config.Engine
+	config.HTTP = f.client(engineHost(e.Name))
+	p := f.prepare(engineHost(e.Name))
+	engine := fake.NewEngine(config, func() { f.crashed(e, p) })
+	p.ended = engine.Stop
+	f.listen(p, engineAddress(e.Name), engine.Handler())
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.engine = engine
+	e.engineProcess = p
+}
+
+// crashed ends an engine's process and starts it again after a while, as the
+// platform does.
+func (f *Fleet) crashed(e *Endpoint, p *process) {
+	f.Network.Kill(p.host)
+	p.cancel()
+	e.mutex.Lock()
+	e.crashes++
+	e.mutex.Unlock()
+	if f.config.RestartDelay == 0 {
+		return
+	}
+	go func() {
+		common.Pause(f.ctx, f.config.RestartDelay)
+		if f.ctx.Err() == nil {
+			f.startEngine(e)
+		}
+	}()
+}
+
+func (f *Fleet) startAgent(e *Endpoint) error {
+	c, err := f.common(string(e.Name))
+	if err != nil {
+		return err
+	}
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
+	if p, _ := e.processes(); p != nil {
+		f.kill(p)
+	}
+	p := f.prepare(agentHost(e.Name))
+	a := agent.NewAgent(p.ctx, c, agent.Config{
+		Instance:        ident.InstanceName(e.Name),
+		Region:          e.Region,
+		Pool:            e.Pool,
+		Address:         agentAddress(e.Name),
+		Endpoint:        e.Name,
+		Kind:            e.kind(),
+		EndpointAddress: engineAddress(e.Name),
+		Slots:           f.config.Engine.Slots,
+		Lanes:           1,
+		MaxHold:         maxHold,
+		SweepInterval:   sweepInterval,
+		HTTP:            f.client(p.host),
+		Store:           f.Store(p.host),
+		Keyring:         f.keyring,
+	})
+	go a.Run()
+	f.listen(p, agentAddress(e.Name), a.Handler())
+	e.mutex.Lock()
+	e.agent = a
+	e.agentProcess = p
+	e.mutex.Unlock()
+	f.Platform.SetInstance(f.instance(e, store.Live))
+	return nil
+}
+
+func (f *Fleet) instance(e *Endpoint, state store.InstanceState) store.Instance {
+	return store.Instance{
+		Name:     ident.InstanceName(e.Name),
+		Role:     store.AgentRole,
+		Address:  agentAddress(e.Name),
+		Endpoint: e.Name,
+		Pool:     e.Pool,
+		Region:   e.Region,
+		State:    state,
+	}
+}
+
+// Endpoint returns a back end by its name.
+func (f *Fleet) Endpoint(name ident.EndpointName) *Endpoint { return f.endpoints[name] }
+
+// Endpoints returns all back ends of a pool.
+func (f *Fleet) Endpoints(pool ident.PoolName) []*Endpoint {
+	var list []*Endpoint
+	for _, e := range f.endpoints {
+		if e.Pool == pool {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// KillAgent ends an agent as SIGKILL does; its endpoint runs on.
+func (f *Fleet) KillAgent(name ident.EndpointName) {
+	p, _ := f.endpoints[name].processes()
+	f.kill(p)
+}
+
+// RestartAgent starts an agent anew after KillAgent or StopAgent.
+func (f *Fleet) RestartAgent(name ident.EndpointName) error { return f.startAgent(f.endpoints[name]) }
+
+// MarkLeaving shows an endpoint as leaving on the platform's list.
+func (f *Fleet) MarkLeaving(name ident.EndpointName) {
+	f.Platform.SetInstance(f.instance(f.endpoints[name], store.Leaving))
+}
+
+// StopAgent stops an agent gracefully and returns when it has ended.
+func (f *Fleet) StopAgent(name ident.EndpointName, limit time.Duration) {
+	e := f.endpoints[name]
+	f.MarkLeaving(name)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	p, _ := e.processes()
+	e.Agent().Drain(ctx)
+	_ = p.server.Shutdown(ctx)
+	f.kill(p)
+}
+
+// KillEngine ends an engine as a crash does.
+func (f *Fleet) KillEngine(name ident.EndpointName) {
+	_, p := f.endpoints[name].processes()
+	f.kill(p)
+}
+
+// RestartEngine starts an engine anew, with nothing in its memory.
+func (f *Fleet) RestartEngine(name ident.EndpointName) { f.startEngine(f.endpoints[name]) }
+
+// AgentHost names an agent's host on the network.
+func AgentHost(name ident.EndpointName) memnet.Host { return agentHost(name) }
+
+// EngineHost names an engine's host on the network.
+func EngineHost(name ident.EndpointName) memnet.Host { return engineHost(name) }
+
+func agentHost(name ident.EndpointName) memnet.Host  { return memnet.Host("agent-" + name) }
+func engineHost(name ident.EndpointName) memnet.Host { return memnet.Host("engine-" + name) }
+
+func agentAddress(name ident.EndpointName) ident.Address {
+	return ident.Address("agent-" + name + ":1")
+}
+
+func engineAddress(name ident.EndpointName) ident.Address {
+	return ident.Address("engine-" + name + ":1")
+}
+func entryAddress(name ident.InstanceName) ident.Address { return ident.Address(name + ":1") }
--- /dev/null
+++ b/fleet/entry.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"crocusstep/caller"
+	"crocusstep/entry"
+	"crocusstep/ident"
+	"crocusstep/memnet"
+	"crocusstep/route"
+	"crocusstep/store"
+	"crocusstep/strict"
+	"crocusstep/wire"
+)
+
+type runningEntry struct {
+	process *process
+	entry   *entry.Entry
+}
+
+// AddEntry adds an entry.
+func (f *Fleet) AddEntry(name ident.InstanceName, region ident.RegionName) error {
+	c, err := f.common(string(name))
+	if err != nil {
+		return err
+	}
+	p := f.prepare(memnet.Host(name))
+	f.mutex.Lock()
+	f.started++
+	seed := f.config.Seed + f.started
+	f.mutex.Unlock()
+	var policy route.Policy
+	if f.config.NewPolicy != nil {
+		policy = f.config.NewPolicy()
+	}
+	e := entry.NewEntry(c, entry.Config{
+		Policy:          policy,
+		Instance:        name,
+		Region:          region,
+		Store:           f.Store(p.host),
+		Peers:           wire.NewClient(f.client(p.host), f.keyring, c.Meter.Control),
+		BodyTimeout:     bodyTimeout,
+		WriteTimeout:    10 * time.Second,
+		MaxBody:         4 * strict.MiB,
+		TransferTimeout: 2 * time.Second,
+		Seed:            seed,
+	})
+	go e.Run(p.ctx)
+	f.listen(p, entryAddress(name), e.Handler())
+	f.mutex.Lock()
+	f.entries[name] = &runningEntry{process: p, entry: e}
+	f.mutex.Unlock()
+	f.Platform.SetInstance(store.Instance{Name: name, Role: store.EntryRole, Address: entryAddress(name), Region: region, State: store.Live})
+	return nil
+}
+
+// EntryNames returns the entries that run, by name.
+func (f *Fleet) EntryNames() []ident.InstanceName {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var names []ident.InstanceName
+	for name := range f.entries {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// KillEntry ends an entry as SIGKILL does.
+func (f *Fleet) KillEntry(name ident.InstanceName) {
+	f.mutex.Lock()
+	e := f.entries[name]
+	delete(f.entries, name)
+	f.mutex.Unlock()
+	f.kill(e.process)
+	f.Platform.RemoveInstance(name)
+}
+
+// StopEntry stops an entry gracefully and returns when it has ended. The
+// balancer, here the callers' choice among EntryNames, turns away at once.
+func (f *Fleet) StopEntry(name ident.InstanceName, limit time.Duration) {
+	f.mutex.Lock()
+	e := f.entries[name]
+	delete(f.entries, name)
+	f.mutex.Unlock()
+	e.entry.StartDraining()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	_ = e.process.server.Shutdown(ctx)
+	f.kill(e.process)
+	f.Platform.RemoveInstance(name)
+}
+
+// Ready reports whether a probe of the entry would succeed.
+func (f *Fleet) Ready(name ident.InstanceName) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	e, ok := f.entries[name]
+	return ok && e.entry.Ready()
+}
+
+// Caller returns a caller of an entry.
+func (f *Fleet) Caller(entry ident.InstanceName) *caller.Client {
+	return caller.NewClient(f.client(callerHost), entryAddress(entry))
+}
--- a/mutant/mutants.go
+++ b/mutant/mutants.go
@@ -172,7 +172,7 @@
 	},
 	{
 		promise: "an endpoint on the list as leaving gets no new work",
-		file:    "roster/roster.go",
+		file:    "roster/sample.go",
 		old:     "if m.instance.State != store.Leaving {",
 		changed: "if true {",
 		pkg:     "fleet", test: "TestLeavingEndpoint",
--- /dev/null
+++ b/roster/sample.go
@@ -0,0 +1,116 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"crocusstep/ident"
+	"crocusstep/store"
+)
+
+// pool is the part of a pool that lies in one region.
+type pool struct {
+	name   ident.PoolName
+	region ident.RegionName
+}
+
+// sortPools makes the pools anew, so that a decision need not look at members
+// that are no candidates.
+func (r *Roster) sortPools() {
+	r.pools = map[pool][]*member{}
+	for _, m := range r.members {
+		if m.instance.State != store.Leaving {
+			key := pool{name: m.instance.Pool, region: m.instance.Region}
+			r.pools[key] = append(r.pools[key], m)
+		}
+	}
+	for _, members := range r.pools {
+		sort.Slice(members, func(i, j int) bool { return members[i].instance.Endpoint < members[j].instance.Endpoint })
+	}
+}
+
+// Regions returns the regions in which a pool has members, by name.
+func (r *Roster) Regions(name ident.PoolName) []ident.RegionName {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var regions []ident.RegionName
+	for key := range r.pools {
+		if key.name == name {
+			regions = append(regions, key.region)
+		}
+	}
+	slices.Sort(regions)
+	return regions
+}
+
+// Pool returns the members of a pool in a region that may get new work, by
+// name. Suspended ones are among them: they are chosen last, so that a wrong
+// suspicion cannot empty a pool.
+func (r *Roster) Pool(name ident.PoolName, region ident.RegionName) []Member {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	var members []Member
+	for _, m := range r.pools[pool{name: name, region: region}] {
+		if !now.Before(m.draining) {
+			members = append(members, m.snapshot(now))
+		}
+	}
+	return members
+}
+
+// Sample returns at most count members of a pool in a region, drawn at random,
+// so that a decision costs the same however large the pool is, and entries that
+// decide at the same instant do not all choose the same member.
+func (r *Roster) Sample(name ident.PoolName, region ident.RegionName, count int, random *rand.Rand) []Member {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	all := r.pools[pool{name: name, region: region}]
+	members := make([]Member, 0, min(count, len(all)))
+	if len(all) == 0 {
+		return members
+	}
+	// A step that has no common divisor with the length visits every member.
+	start, step := random.IntN(len(all)), coprimeStep(len(all), random)
+	for i := 0; i < len(all) && len(members) < count; i++ {
+		m := all[(start+i*step)%len(all)]
+		if !now.Before(m.draining) {
+			members = append(members, m.snapshot(now))
+		}
+	}
+	return members
+}
+
+// Member returns one endpoint if it may get new work.
+func (r *Roster) Member(endpoint ident.EndpointName) (Member, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	m, ok := r.members[endpoint]
+	now := time.Now()
+	if !ok || m.instance.State == store.Leaving || now.Before(m.draining) {
+		return Member{}, false
+	}
+	return m.snapshot(now), true
+}
+
+func coprimeStep(length int, random *rand.Rand) int {
+	if length < 3 {
+		return 1
+	}
+	for {
+		step := 1 + random.IntN(length-1)
+		if divisor(step, length) == 1 {
+			return step
+		}
+	}
+}
+
+func divisor(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
--- /dev/null
+++ b/start/agent_command.go
@@ -0,0 +1,68 @@
+package start
+
+import (
+	"context"
+	"time"
+
+	"crocusstep/agent"
+	"crocusstep/auth"
+	"crocusstep/conf"
+)
+
+// peerHeaderTimeout bounds the header of an order.
+const peerHeaderTimeout = 5 * time.Second
+
+func (c *cli) addAgent() {
+	command := c.app.Command("agent", "Serve beside one endpoint.")
+	file := command.Flag("settings", "YAML file with the settings.").Required().String()
+	c.add(command, func() error { return c.runAgent(*file) })
+}
+
+func (c *cli) runAgent(file string) error {
+	settings, err := parseFile(file, conf.ParseAgent)
+	if err != nil {
+		return err
+	}
+	p, ring, err := c.boot(settings.Log, settings.Place, settings.PeerKeysFile)
+	if err != nil {
+		return err
+	}
+	defer p.end()
+	a := newAgent(p, settings, ring)
+	p.tasks.Go(a.Run)
+	peers := newServer(a.Handler(), peerHeaderTimeout)
+	if err := p.serve(settings.Listen, peers); err != nil {
+		return err
+	}
+	admin, err := p.serveAdmin(settings.Admin, adminRoutes{ready: func() bool { return !a.Draining() }})
+	if err != nil {
+		return err
+	}
+	p.Log.Info("agent is up", "endpoint", settings.Endpoint, "listen", settings.Listen)
+	<-p.asked
+	limit, cancel := context.WithTimeout(context.Background(), settings.Shutdown.Timeout.Std())
+	defer cancel()
+	a.Drain(limit)
+	p.shutDown(settings.Shutdown.Timeout.Std(), peers, admin)
+	return nil
+}
+
+func newAgent(p *process, settings conf.Agent, ring *auth.Keyring) *agent.Agent {
+	return agent.NewAgent(p.ctx, p.Common, agent.Config{
+		Instance:        settings.Place.Instance,
+		Region:          settings.Place.Region,
+		Zone:            settings.Place.Zone,
+		Pool:            settings.Pool,
+		Address:         settings.Listen,
+		Endpoint:        settings.Endpoint,
+		Kind:            settings.Kind,
+		EndpointAddress: settings.EndpointAddress,
+		Slots:           settings.Slots,
+		Lanes:           settings.Lanes,
+		MaxHold:         settings.MaxHold.Std(),
+		SweepInterval:   settings.SweepInterval.Std(),
+		HTTP:            p.http,
+		Store:           p.newStore(settings.Platform),
+		Keyring:         ring,
+	})
+}
--- /dev/null
+++ b/start/entry_command.go
@@ -0,0 +1,64 @@
+package start
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"crocusstep/auth"
+	"crocusstep/conf"
+	"crocusstep/entry"
+	"crocusstep/wire"
+)
+
+func (c *cli) addEntry() {
+	command := c.app.Command("entry", "Serve callers.")
+	file := command.Flag("settings", "YAML file with the settings.").Required().String()
+	c.add(command, func() error { return c.runEntry(*file) })
+}
+
+func (c *cli) runEntry(file string) error {
+	settings, err := parseFile(file, conf.ParseEntry)
+	if err != nil {
+		return err
+	}
+	p, ring, err := c.boot(settings.Log, settings.Place, settings.PeerKeysFile)
+	if err != nil {
+		return err
+	}
+	defer p.end()
+	e := newEntry(p, settings, ring)
+	p.tasks.Go(func() { e.Run(p.ctx) })
+	callers := newServer(e.Handler(), settings.HeaderTimeout.Std())
+	callers.MaxHeaderBytes = int(settings.MaxHeader)
+	if err := p.serve(settings.Listen, callers); err != nil {
+		return err
+	}
+	admin, err := p.serveAdmin(settings.Admin, adminRoutes{
+		ready:   e.Ready,
+		guarded: map[string]http.Handler{"GET /burn": e.BurnHandler()},
+	})
+	if err != nil {
+		return err
+	}
+	p.Log.Info("entry is up", "listen", settings.Listen)
+	<-p.asked
+	e.StartDraining()
+	time.Sleep(settings.Shutdown.LeaveDelay.Std())
+	p.shutDown(settings.Shutdown.Timeout.Std(), callers, admin)
+	return nil
+}
+
+func newEntry(p *process, settings conf.Entry, ring *auth.Keyring) *entry.Entry {
+	return entry.NewEntry(p.Common, entry.Config{
+		Instance:        settings.Place.Instance,
+		Region:          settings.Place.Region,
+		Store:           p.newStore(settings.Platform),
+		Peers:           wire.NewClient(p.http, ring, p.Meter.Control),
+		BodyTimeout:     settings.BodyTimeout.Std(),
+		WriteTimeout:    settings.WriteTimeout.Std(),
+		MaxBody:         settings.MaxBody,
+		TransferTimeout: settings.TransferTimeout.Std(),
+		Seed:            rand.Uint64(),
+	})
+}
--- a/start/process.go
+++ b/start/process.go
@@ -28,6 +28,9 @@
 	forcedExit = 130
 
 	adminHeaderTimeout = 5 * time.Second
+
+	// idleTimeout closes connections of callers and peers that say nothing.
+	idleTimeout = 2 * time.Minute
 )
 
 // process is what every role has: shared things, signals and listeners.
@@ -61,6 +64,30 @@
 	return p, nil
 }
 
+// boot sets a process up as far as all roles have in common.
+func (c *cli) boot(log conf.Log, place conf.Place, keysFile string) (*process, *auth.Keyring, error) {
+	p, err := newProcess(log, place, c.stderr)
+	if err != nil {
+		return nil, nil, err
+	}
+	ring, err := p.newKeyring(keysFile)
+	if err != nil {
+		p.end()
+		return nil, nil, err
+	}
+	return p, ring, nil
+}
+
+// end ends all work and waits for it.
+func (p *process) end() {
+	p.stop()
+	p.tasks.Wait()
+}
+
+func newServer(handler http.Handler, headerTimeout time.Duration) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 func newLogger(settings conf.Log, stderr io.Writer) *slog.Logger {
 	var level slog.Level
 	// The level was checked with the settings.
@@ -174,7 +201,7 @@
 	for pattern, handler := range routes.guarded {
 		mux.Handle(pattern, auth.RequireToken(settings.Token, handler))
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
+	server := newServer(mux, adminHeaderTimeout)
 	return server, p.serve(settings.Listen, server)
 }
 
