Test what one and two signals do to a process

Cause: the second signal was claimed and not tried. Change: the test binary runs the program as a process and signals it.

--- /dev/null
+++ b/start/signal_test.go
@@ -0,0 +1,103 @@
+package start
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// runVariable makes this test binary run the program in place of its tests.
+const runVariable = "CROCUSSTEP_TEST_RUN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runVariable) != "" {
+		os.Exit(Run(Build{Version: "test"}, os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// freeAddress returns a loopback address that nobody listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// startEntry runs an entry as a process of its own, without any platform, and
+// returns it once it is up.
+func startEntry(t *testing.T, leaveDelay string) *exec.Cmd {
+	t.Helper()
+	folder := t.TempDir()
+	keys := filepath.Join(folder, "keys.yaml")
+	assert.NilError(t, os.WriteFile(keys, []byte("keys: [{id: a, secret: b}]\n"), 0o600))
+	admin := freeAddress(t)
+	settings := filepath.Join(folder, "entry.yaml")
+	assert.NilError(t, os.WriteFile(settings, fmt.Appendf(nil, `place: {instance: e, region: r, availability-zone: z}
+listen: %s
+admin: {listen: %s, token: t}
+platform: {address: %s}
+peer-keys-file: %s
+shutdown: {leave-delay: %s}
+`, freeAddress(t), admin, freeAddress(t), keys, leaveDelay), 0o600))
+	command := exec.Command(os.Args[0], "entry", "--settings", settings)
+	command.Env = append(os.Environ(), runVariable+"=1")
+	assert.NilError(t, command.Start())
+	t.Cleanup(func() { _ = command.Process.Kill() })
+	for !answers(admin) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return command
+}
+
+func answers(admin string) bool {
+	response, err := http.Get("http://" + admin + "/healthz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func exitCodeOf(err error) int {
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	return exitOK
+}
+
+func TestSignals(t *testing.T) {
+	scenarios := []struct {
+		testName   string
+		leaveDelay string
+		signals    int
+		code       int
+	}{
+		{"one signal begins a graceful shutdown", "10ms", 1, exitOK},
+		{"a second one ends the process at once", "1h", 2, forcedExit},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			command := startEntry(t, s.leaveDelay)
+			done := make(chan error)
+			go func() { done <- command.Wait() }()
+			for range s.signals {
+				assert.NilError(t, command.Process.Signal(syscall.SIGTERM))
+				// Two signals that arrive together may be merged by the kernel.
+				time.Sleep(200 * time.Millisecond)
+			}
+			assert.Equal(t, exitCodeOf(<-done), s.code)
+		})
+	}
+}
