--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	go vet ./...
 
 measure: build
-	CROCUSSTEP_MEASURE=$(CURDIR)/docs/measure go test -count=1 -timeout 15m -run TestMeasure -parallel 5 ./trial
+	CROCUSSTEP_MEASURE=$(CURDIR)/docs/measure go test -count=1 -timeout 15m -run "TestMeasure|TestTargetSize" -parallel 5 ./trial
 	go test -run XXX -bench Decision ./route | tee docs/measure/decision.txt
 	go run ./sizing
 
