Count a request as waiting only until its first token

Change: the place is left with the first piece; Retry-After is spread; a crash is counted before the caller's leaving is looked at. TestWaitingLimit.

--- a/entry/chat_attempt.go
+++ b/entry/chat_attempt.go
@@ -33,7 +33,7 @@
 	before := c.assembler.Next()
 	err = c.runPair(ctx, ticket, p)
 	if err != nil && c.assembler.Next() == before {
-		c.prefill.Wasted += p.prefilled
+		c.spent.Wasted += p.prefilled
 	}
 	return err
 }
@@ -54,7 +54,7 @@
 func (c *chatRun) prefillAt(ctx context.Context, ticket wire.Ticket, p *pair) (wire.PrefillReply, error) {
 	c.started = true
 	p.prefilled = c.tokens
-	c.prefill.Prefilled += c.tokens
+	c.spent.Prefilled += c.tokens
 	c.Meter.Prefill(c.document.Service, c.tokens)
 	reply, err := wire.Call[wire.PrefillReply](ctx, c.config.Peers, p.prefill.Instance.Address, wire.PrefillPath, wire.PrefillOrder{
 		Ticket:    ticket,
@@ -120,6 +120,7 @@
 	service := c.document.Service
 	if c.first.IsZero() {
 		c.patience.Stop()
+		c.leave()
 		c.first = now
 		c.Meter.FirstToken(service, now.Sub(c.arrived))
 	} else {
--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"crocusstep/answer"
@@ -44,7 +45,10 @@
 	last  time.Time
 	// patience ends the wait for the first piece.
 	patience *time.Timer
-	prefill  burn.Sample
+	// leave ends the request's part among those that wait for a first token.
+	leave func()
+	// spent is the prompt tokens that the request has cost.
+	spent burn.Sample
 }
 
 func newChatRun(e *Entry, request ident.RequestID, document spec.Document, prompt string, tokens, maxTokens ident.TokenCount, arrived time.Time) *chatRun {
@@ -70,10 +74,11 @@
 	defer cancel(nil)
 	service := c.document.Service
 	if !c.enterWaiting(service, c.document.Limits.Waiting) {
-		c.close(fault.New(fault.Overloaded, "%d requests wait already", c.document.Limits.Waiting).After(time.Second))
+		c.close(fault.New(fault.Overloaded, "%d requests wait already", c.document.Limits.Waiting).After(c.spread(0)))
 		return
 	}
-	defer c.leaveWaiting(service)
+	c.leave = sync.OnceFunc(func() { c.leaveWaiting(service) })
+	defer c.leave()
 	c.patience = time.AfterFunc(time.Until(c.arrived.Add(c.document.Targets.Patience.Std())), func() { cancel(errPatience) })
 	defer c.patience.Stop()
 	c.budget(service).Earn(c.document.Retries.BudgetPercent)
@@ -100,12 +105,16 @@
 		if err == nil && c.suspected {
 			c.tasks.Go(func() { c.suspects.Clear(ctx, c.fingerprint) })
 		}
-		if err == nil || ctx.Err() != nil {
-			return err
+		if err == nil {
+			return nil
 		}
+		// A crash counts even if its caller has left, as it may come again.
 		if err := c.countCrash(ctx); err != nil {
 			return err
 		}
+		if ctx.Err() != nil {
+			return err
+		}
 		c.Log.Info("an attempt failed", "request", c.request, "tried", tried, "error", err)
 		if !mayRetry(err) || tried >= c.document.Retries.Attempts || !c.budget(c.document.Service).Take() {
 			return err
@@ -171,10 +180,10 @@
 	within := refusal == nil && c.withinTargets()
 	if refusal != nil {
 		outcome = string(refusal.Code)
-		c.prefill.Wasted = c.prefill.Prefilled
+		c.spent.Wasted = c.spent.Prefilled
 		c.sink.fail(refusal)
 	}
-	sample := c.prefill
+	sample := c.spent
 	sample.Requests = 1
 	if within {
 		sample.Within = 1
--- a/fleet/isolation_test.go
+++ b/fleet/isolation_test.go
@@ -128,3 +128,34 @@
 		assert.Equal(t, refusal, fault.Overloaded)
 	})
 }
+
+// TestWaitingLimit lets one request wait: one that is being answered does not count.
+func TestWaitingLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		text := "service: narrow\nworkspace: w\nkind: language-model\npools: {prefill: reading-prefill, decode: reading-decode}\n" +
+			"targets: {first-token: 4s, between-tokens: 76ms, patience: 30s}\nlimits: {waiting: 1}\n"
+		assert.NilError(t, f.Put(context.Background(), "narrow", []byte(text)))
+		var tasks conc.WaitGroup
+		tasks.Go(func() {
+			_, err := f.Caller("e1").Ask(context.Background(), "narrow", "length=200", true)
+			assert.NilError(t, err)
+		})
+		decoding(f)
+		time.Sleep(time.Second)
+		var second conc.WaitGroup
+		second.Go(func() {
+			chat, err := f.Caller("e1").Ask(context.Background(), "narrow", longPacket(5000), true)
+			assert.NilError(t, err)
+			assert.Assert(t, chat.Whole, "%+v", chat.Problem)
+		})
+		time.Sleep(100 * time.Millisecond)
+		third, err := f.Caller("e1").Ask(context.Background(), "narrow", "length=5", true)
+		assert.NilError(t, err)
+		assert.Equal(t, third.Problem.Code, fault.Overloaded)
+		assert.Assert(t, third.Problem.RetryAfterSeconds > 0)
+		second.Wait()
+		tasks.Wait()
+	})
+}
