Leave the record of a new process alone when the list speaks of the old one

Change: a change names the record it was judged by and spares a newer one; TestReconcileSparesANewProcess fails without the comparison (tried by hand).

Measured: tests of roster, gate and of leaving and rolling in fleet pass.

Conclusion: mended.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -73,7 +73,8 @@
 
 // Enter waits for a place until the ticket's deadline or the context's end.
 // The place is given back after holdFor unless Use is called before. As soon as
-// not all can start in time, one that waits is refused, if it has to be a newcomer.
+// not all that wait can start in time, one of them is refused: a newcomer, or one
+// that has waited for a while.
 func (g *Gate) Enter(ctx context.Context, ticket Ticket, wait, holdFor time.Duration) error {
 	now := time.Now()
 	entered, refusal := g.join(ticket, now, wait)
--- a/roster/reconcile.go
+++ b/roster/reconcile.go
@@ -51,13 +51,16 @@
 	if err != nil {
 		return err
 	}
-	if change.Gone {
-		return r.store.Delete(ctx, key, object.Version)
-	}
 	record, err := ParseRecord(object.Value)
 	if err != nil {
 		return err
 	}
+	if !record.Registered.Equal(change.Registered) {
+		return nil
+	}
+	if change.Gone {
+		return r.store.Delete(ctx, key, object.Version)
+	}
 	record.Instance.State = store.Leaving
 	value, err := json.Marshal(record)
 	if err != nil {
--- a/roster/record.go
+++ b/roster/record.go
@@ -35,6 +35,8 @@
 	Name ident.EndpointName
 	// Gone removes the record; otherwise the instance is marked as leaving.
 	Gone bool
+	// Registered is that of the record judged: a newer one is left alone.
+	Registered time.Time
 }
 
 // Reconcile compares records with the platform's list. A record that is younger
@@ -49,9 +51,9 @@
 		state, listed := states[record.Instance.Name]
 		switch {
 		case !listed && now.Sub(record.Registered) > listLag:
-			changes = append(changes, Change{Name: name, Gone: true})
+			changes = append(changes, Change{Name: name, Gone: true, Registered: record.Registered})
 		case listed && state == store.Leaving && record.Instance.State != store.Leaving && now.Sub(record.Registered) > listLag:
-			changes = append(changes, Change{Name: name})
+			changes = append(changes, Change{Name: name, Registered: record.Registered})
 		}
 	}
 	return changes
--- a/roster/record_test.go
+++ b/roster/record_test.go
@@ -1,12 +1,18 @@
 package roster
 
 import (
+	"encoding/json"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"crocusstep/common"
+	"crocusstep/fake"
 	"crocusstep/ident"
+	"crocusstep/memnet"
 	"crocusstep/store"
 )
 
@@ -40,9 +46,9 @@
 		expected   []Change
 	}{
 		{"listed and live", now.Add(-time.Hour), []store.Instance{{Name: "i", State: store.Live}}, nil},
-		{"gone from the list", now.Add(-time.Hour), nil, []Change{{Name: "e", Gone: true}}},
+		{"gone from the list", now.Add(-time.Hour), nil, []Change{{Name: "e", Gone: true, Registered: now.Add(-time.Hour)}}},
 		{"too young to be on the list", now.Add(-time.Second), nil, nil},
-		{"leaving", now.Add(-time.Hour), []store.Instance{{Name: "i", State: store.Leaving}}, []Change{{Name: "e"}}},
+		{"leaving", now.Add(-time.Hour), []store.Instance{{Name: "i", State: store.Leaving}}, []Change{{Name: "e", Registered: now.Add(-time.Hour)}}},
 		{"started anew while the list still shows the old one leaving", now.Add(-time.Second), []store.Instance{{Name: "i", State: store.Leaving}}, nil},
 	}
 	for _, s := range scenarios {
@@ -52,3 +58,30 @@
 		})
 	}
 }
+
+// TestReconcileSparesANewProcess registers a new process between the reading of
+// the list and the change of the record.
+func TestReconcileSparesANewProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(time.Hour) }) // Handlers that sleep end within this.
+		network := memnet.NewNetwork()
+		server := &http.Server{Handler: fake.NewPlatform(fake.PlatformConfig{Latency: time.Millisecond}).Handler()}
+		listener := network.Listen("platform", "platform:1")
+		go func() { _ = server.Serve(listener) }()
+		defer func() { _ = server.Close() }()
+		client := network.Client("test")
+		defer client.CloseIdleConnections()
+		s := store.NewClient(store.ClientConfig{Address: "platform:1", HTTP: client, Timeout: time.Second})
+		value, err := json.Marshal(Record{Instance: store.Instance{Name: "i", Endpoint: "e"}, Registered: time.Now()})
+		assert.NilError(t, err)
+		key := store.Key{Kind: Kind, Name: "e"}
+		_, err = s.Put(t.Context(), key, value, 0)
+		assert.NilError(t, err)
+		c, err := common.NewQuiet()
+		assert.NilError(t, err)
+		r := NewRoster(c, s)
+		assert.NilError(t, r.write(t.Context(), Change{Name: "e", Gone: true, Registered: time.Now().Add(-time.Hour)}))
+		_, err = s.Get(t.Context(), key)
+		assert.NilError(t, err, "the new process's record was removed")
+	})
+}
