End the agents too when a test takes a pool's endpoints off

The test's situation does not occur: the platform drops instances that have ended. Ruled out: the reconciling itself (it removed the record again each time).

Change: the test ends the agents as well; what it asks for is the same.

Conclusion: a flaw of the test, not of the product.

--- a/fleet/refusals_test.go
+++ b/fleet/refusals_test.go
@@ -174,9 +174,11 @@
 	}
 }
 
-// removeAll takes a pool's endpoints off and waits until every entry knows.
+// removeAll takes a pool's endpoints off and waits until every entry knows. The
+// agents end too: one that lived on would write its record again.
 func removeAll(f *Fleet, pool ident.PoolName) {
 	for _, e := range f.Endpoints(pool) {
+		f.KillAgent(e.Name)
 		f.Platform.RemoveInstance(ident.InstanceName(e.Name))
 	}
 	time.Sleep(10 * time.Second)
