Drop what nothing reads

Cause: the change read once more: Outlook.Now was set and never read, the refusal code unauthorized was never given, sizing had its own abs.

Change: the three are gone. Behaviour stays as it is.

Measured: make lint and go test ./...

--- a/fault/refusal.go
+++ b/fault/refusal.go
@@ -28,7 +28,6 @@
 const (
 	BadRequest         Code = "bad-request"
 	MalformedJSON      Code = "malformed-json"
-	Unauthorized       Code = "unauthorized"
 	UnknownRoute       Code = "unknown-route"
 	UnknownService     Code = "unknown-service"
 	UnknownCall        Code = "unknown-call"
@@ -61,7 +60,6 @@
 var statuses = map[Code]int{
 	BadRequest:         http.StatusBadRequest,
 	MalformedJSON:      http.StatusBadRequest,
-	Unauthorized:       http.StatusUnauthorized,
 	UnknownRoute:       http.StatusNotFound,
 	UnknownService:     http.StatusNotFound,
 	UnknownCall:        http.StatusNotFound,
--- a/gate/shed.go
+++ b/gate/shed.go
@@ -9,7 +9,6 @@
 
 // Outlook is what a queue needs to know to tell who can start in time.
 type Outlook struct {
-	Now time.Time
 	// Free is when the next place becomes free.
 	Free time.Time
 	// PerCost is how long one unit of cost holds a place; zero is unknown.
--- a/sizing/main.go
+++ b/sizing/main.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"strings"
 	"time"
@@ -212,17 +213,10 @@
 	intercept, slope := stat.LinearRegression(xs, ys, nil, false)
 	residual := 0.0
 	for i := range xs {
-		residual = max(residual, abs(ys[i]-intercept-slope*xs[i]))
+		residual = max(residual, math.Abs(ys[i]-intercept-slope*xs[i]))
 	}
 	fmt.Fprintf(page, "| %s | %.3f | %.5f | %.3f |\n", name, intercept, slope, residual)
 }
 
-func abs(x float64) float64 {
-	if x < 0 {
-		return -x
-	}
-	return x
-}
-
 // client reads what the processes say of themselves.
 var client = socket.NewClient()
