--- /dev/null
+++ b/conf/relay.go
@@ -0,0 +1,133 @@
+package conf
+
+import (
+	"time"
+
+	"crocusstep/ident"
+	"crocusstep/strict"
+)
+
+// Zone is an availability zone and the region that it lies in.
+type Zone struct {
+	// Name of the availability zone.
+	Name ident.ZoneName `yaml:"name" required:"true"`
+	// Region of the availability zone.
+	Region ident.RegionName `yaml:"region" required:"true"`
+}
+
+// Peers is how our processes reach each other.
+type Peers struct {
+	// Port at which every keeper listens, on its endpoint's instance.
+	KeeperPort int `yaml:"keeper-port" required:"true"`
+}
+
+// RetryAllowance bounds the requests that are sent once more, over all relays.
+type RetryAllowance struct {
+	// Requests sent once more per request of a caller.
+	Ratio float64 `yaml:"ratio"`
+	// Requests sent once more beyond the ratio, over all relays together.
+	Slack float64 `yaml:"slack"`
+	// Length of the sliding window over which both count.
+	Window strict.Duration `yaml:"window"`
+}
+
+// Stop is how a relay stops after SIGTERM.
+type Stop struct {
+	// Time for which new connections are still taken while the balancer turns away.
+	LeaveDelay strict.Duration `yaml:"leave-delay"`
+	// Time from SIGTERM after which the process is killed.
+	Grace strict.Duration `yaml:"grace"`
+}
+
+// Relay is the settings of the processes that pass requests on as they came.
+type Relay struct {
+	Place Place `yaml:"place" required:"true"`
+	// IP number of the instance.
+	Address string `yaml:"address" required:"true"`
+	// IP number and port for callers.
+	Listen ident.Address `yaml:"listen" required:"true"`
+	// IP number and port where the balancer asks whether the relay is ready.
+	Readiness ident.Address `yaml:"readiness" required:"true"`
+	// Port at which metrics are served.
+	MetricsPort int `yaml:"metrics-port"`
+	// The platform's object API.
+	Platform Platform `yaml:"platform" required:"true"`
+	Peers    Peers    `yaml:"peers" required:"true"`
+	// All availability zones.
+	Zones []Zone `yaml:"availability-zones"`
+	// Requests sent once more.
+	Retries RetryAllowance `yaml:"retries"`
+	Stop    Stop           `yaml:"stop"`
+	// Memory limit of the process; the garbage collector keeps well below it.
+	Memory strict.Size `yaml:"memory"`
+}
+
+// Keeper is the settings of the process that gives out an engine's places.
+type Keeper struct {
+	Place Place `yaml:"place" required:"true"`
+	// IP number of the instance.
+	Address string `yaml:"address" required:"true"`
+	// IP number and port of the engine.
+	Endpoint ident.Address `yaml:"endpoint" required:"true"`
+	// Port at which metrics are served.
+	MetricsPort int   `yaml:"metrics-port"`
+	Peers       Peers `yaml:"peers" required:"true"`
+	// Memory limit of the process; the garbage collector keeps well below it.
+	Memory strict.Size `yaml:"memory"`
+}
+
+// NewRelay returns a relay's settings with every default set.
+func NewRelay() Relay {
+	return Relay{
+		MetricsPort: defaultMetricsPort,
+		Platform:    defaultPlatform(),
+		Retries:     RetryAllowance{Ratio: 0.1, Slack: 10, Window: strict.Duration(10 * time.Second)},
+		Stop:        Stop{LeaveDelay: strict.Duration(3 * time.Second), Grace: strict.Duration(8 * time.Second)},
+		Memory:      128 * strict.MiB,
+	}
+}
+
+// NewKeeper returns a keeper's settings with every default set.
+func NewKeeper() Keeper {
+	return Keeper{MetricsPort: defaultMetricsPort, Memory: 128 * strict.MiB}
+}
+
+// defaultMetricsPort is the port that OpenTelemetry's exporter uses by custom.
+const defaultMetricsPort = 9464
+
+// ParseRelay decodes and checks a relay's settings; all faults come at once.
+func ParseRelay(file string, data []byte) (Relay, error) {
+	settings := NewRelay()
+	source := strict.Decode(file, data, &settings)
+	checkAddress(source, "listen", settings.Listen)
+	checkAddress(source, "readiness", settings.Readiness)
+	checkAddress(source, "platform.address", settings.Platform.Address)
+	checkPositive(source, "platform.timeout", settings.Platform.Timeout)
+	checkPositive(source, "retries.window", settings.Retries.Window)
+	checkPositive(source, "stop.grace", settings.Stop.Grace)
+	checkPositive(source, "memory", settings.Memory)
+	checkPort(source, "metrics-port", settings.MetricsPort)
+	checkPort(source, "peers.keeper-port", settings.Peers.KeeperPort)
+	if settings.Retries.Ratio < 0 || settings.Retries.Slack < 0 {
+		source.Report("retries", "ratio and slack cannot be negative")
+	}
+	return settings, source.Err()
+}
+
+// ParseKeeper decodes and checks a keeper's settings; all faults come at once.
+func ParseKeeper(file string, data []byte) (Keeper, error) {
+	settings := NewKeeper()
+	source := strict.Decode(file, data, &settings)
+	checkAddress(source, "endpoint", settings.Endpoint)
+	checkPositive(source, "memory", settings.Memory)
+	checkPort(source, "metrics-port", settings.MetricsPort)
+	checkPort(source, "peers.keeper-port", settings.Peers.KeeperPort)
+	return settings, source.Err()
+}
+
+func checkPort(source *strict.Source, key string, port int) {
+	const highest = 1<<16 - 1
+	if source.Has(key) && (port < 1 || port > highest) {
+		source.Report(key, "expected a port from 1 to %d, not %d", highest, port)
+	}
+}
--- a/fault/refusal.go
+++ b/fault/refusal.go
@@ -48,6 +48,8 @@
 	Draining           Code = "draining"
 	PatienceExceeded   Code = "patience-exceeded"
 	RequestBlocked     Code = "request-blocked"
+	RequestSuspended   Code = "request-suspended"
+	AnswerCut          Code = "answer-cut"
 	KVLost             Code = "kv-lost"
 	Cancelled          Code = "cancelled"
 	EndpointCrashed    Code = "endpoint-crashed"
@@ -80,6 +82,8 @@
 	Draining:           http.StatusServiceUnavailable,
 	PatienceExceeded:   http.StatusGatewayTimeout,
 	RequestBlocked:     http.StatusUnprocessableEntity,
+	RequestSuspended:   http.StatusServiceUnavailable,
+	AnswerCut:          http.StatusBadGateway,
 	KVLost:             http.StatusBadGateway,
 	Cancelled:          499,
 	EndpointCrashed:    http.StatusBadGateway,
--- /dev/null
+++ b/news/board.go
@@ -0,0 +1,70 @@
+package news
+
+import (
+	"sync"
+	"time"
+
+	"crocusstep/pool"
+	"crocusstep/table"
+)
+
+// peerLife is how long a process counts as a peer after it was last heard of.
+const peerLife = 4 * time.Second
+
+// Board holds the newest state that any process told this one, for others to
+// fetch. It decides nothing by it. It is safe for concurrent use.
+type Board struct {
+	crashes *Register
+
+	mutex     sync.Mutex
+	table     *table.Document
+	endpoints []pool.Endpoint
+	revision  pool.Revision
+	// peers holds when each sender was last heard of.
+	peers map[string]time.Time
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board { return &Board{crashes: NewRegister(), peers: map[string]time.Time{}} }
+
+// Exchange takes over what is newer in a bulletin and returns what the sender
+// lacks.
+func (b *Board) Exchange(in *Bulletin, now time.Time) *Bulletin {
+	for _, c := range in.Crashes {
+		b.crashes.Count(c, now)
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if in.Table != nil && (b.table == nil || in.Table.Version > b.table.Version) {
+		b.table = in.Table
+	}
+	if in.Endpoints != nil && in.Digest.Endpoints > b.revision {
+		b.endpoints, b.revision = in.Endpoints, in.Digest.Endpoints
+	}
+	b.hear(in.Sender, now)
+	out := &Bulletin{Digest: Digest{Endpoints: b.revision, Crashes: b.crashes.Size()}, Peers: len(b.peers)}
+	if b.table != nil {
+		out.Digest.Table = b.table.Version
+		if b.table.Version > in.Digest.Table {
+			out.Table = b.table
+		}
+	}
+	if b.revision > in.Digest.Endpoints {
+		out.Endpoints = b.endpoints
+	}
+	if out.Digest.Crashes > 0 && in.Digest.Crashes != out.Digest.Crashes {
+		out.Crashes = b.crashes.Crashes(now)
+	}
+	return out
+}
+
+func (b *Board) hear(sender string, now time.Time) {
+	if sender != "" {
+		b.peers[sender] = now
+	}
+	for name, at := range b.peers {
+		if now.Sub(at) > peerLife {
+			delete(b.peers, name)
+		}
+	}
+}
--- /dev/null
+++ b/news/news.go
@@ -0,0 +1,149 @@
+// Package news is what processes tell each other of agreed state, so that one
+// which the store turns away still learns of changes from its peers. Versions
+// decide what is newer; nothing goes back.
+package news
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"crocusstep/pool"
+	"crocusstep/table"
+)
+
+const (
+	// crashesMost is the crashes after which a request is not run any more.
+	crashesMost = 3
+	// crashLife is how long a crash counts against a request.
+	crashLife = time.Minute
+	// crashesKept bounds the memory for crashes; the oldest yield.
+	crashesKept = 512
+)
+
+// Fingerprint identifies what a request asks for, under whatever id it comes.
+type Fingerprint string
+
+// FingerprintOf returns the fingerprint of a request.
+func FingerprintOf(host, target string, body []byte) Fingerprint {
+	sum := sha256.New()
+	sum.Write([]byte(host + "\x00" + target + "\x00"))
+	sum.Write(body)
+	return Fingerprint(hex.EncodeToString(sum.Sum(nil)[:8]))
+}
+
+// Crash is an endpoint's crash with a request aboard.
+type Crash struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// Attempt tells crashes of one request apart.
+	Attempt string `json:"attempt"`
+	// Age is how long ago it was seen, as clocks of processes differ.
+	Age time.Duration `json:"age-ns"`
+}
+
+// Digest says how new a process's state is.
+type Digest struct {
+	Table     table.Version `json:"table"`
+	Endpoints pool.Revision `json:"endpoints"`
+	// Crashes is how many crashes are known.
+	Crashes int `json:"crashes"`
+}
+
+// Bulletin carries state from one process to another; parts that the receiver
+// has already are left out.
+type Bulletin struct {
+	Digest Digest `json:"digest"`
+	// Sender names the process, so that receivers can count their peers.
+	Sender    string          `json:"sender"`
+	Table     *table.Document `json:"table,omitempty"`
+	Endpoints []pool.Endpoint `json:"endpoints,omitempty"`
+	Crashes   []Crash         `json:"crashes,omitempty"`
+	// Peers is how many processes like the receiver were heard of lately.
+	Peers int `json:"peers,omitempty"`
+}
+
+// Register counts crashes by request. It is safe for concurrent use.
+type Register struct {
+	mutex sync.Mutex
+	// seen holds when each crash was seen, by attempt.
+	seen map[Fingerprint]map[string]time.Time
+	size int
+}
+
+// NewRegister returns an empty register.
+func NewRegister() *Register { return &Register{seen: map[Fingerprint]map[string]time.Time{}} }
+
+// Count adds a crash and returns how many the request has caused.
+func (r *Register) Count(c Crash, now time.Time) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	of, known := r.seen[c.Fingerprint]
+	if !known {
+		of = map[string]time.Time{}
+		r.seen[c.Fingerprint] = of
+	}
+	if _, counted := of[c.Attempt]; !counted {
+		of[c.Attempt] = now.Add(-c.Age)
+		r.size++
+	}
+	if r.size > crashesKept {
+		r.expire(now)
+	}
+	return len(of)
+}
+
+// Blocked reports whether a request has crashed too many endpoints.
+func (r *Register) Blocked(f Fingerprint, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	recent := 0
+	for _, at := range r.seen[f] {
+		if now.Sub(at) < crashLife {
+			recent++
+		}
+	}
+	return recent >= crashesMost
+}
+
+// Crashes returns all crashes that still count.
+func (r *Register) Crashes(now time.Time) []Crash {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.expire(now)
+	list := make([]Crash, 0, r.size)
+	for f, of := range r.seen {
+		for attempt, at := range of {
+			list = append(list, Crash{Fingerprint: f, Attempt: attempt, Age: now.Sub(at)})
+		}
+	}
+	return list
+}
+
+// Size returns how many crashes are known.
+func (r *Register) Size() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.size
+}
+
+func (r *Register) expire(now time.Time) {
+	for f, of := range r.seen {
+		for attempt, at := range of {
+			if now.Sub(at) > crashLife {
+				delete(of, attempt)
+				r.size--
+			}
+		}
+		if len(of) == 0 {
+			delete(r.seen, f)
+		}
+	}
+	for f, of := range r.seen {
+		if r.size <= crashesKept {
+			return
+		}
+		r.size -= len(of)
+		delete(r.seen, f)
+	}
+}
--- /dev/null
+++ b/place/client.go
@@ -0,0 +1,82 @@
+package place
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"crocusstep/fault"
+	"crocusstep/ident"
+	"crocusstep/news"
+)
+
+// replyTimeout bounds a call to an agent beyond the wait that it was granted;
+// regions are 24 ms apart, and agents have a third of a core.
+const replyTimeout = 250 * time.Millisecond
+
+// Client calls the agents beside engines.
+type Client struct {
+	http *http.Client
+	// port is where every agent listens.
+	port int
+}
+
+// NewClient returns a client for agents at a port of their instances.
+func NewClient(client *http.Client, port int) *Client { return &Client{http: client, port: port} }
+
+// Beside returns the address of the agent on an endpoint's instance.
+func (c *Client) Beside(endpoint ident.Address) ident.Address {
+	host, _, err := net.SplitHostPort(string(endpoint))
+	if err != nil {
+		return ""
+	}
+	return ident.Address(net.JoinHostPort(host, strconv.Itoa(c.port)))
+}
+
+// Ask asks the agent beside an endpoint for a place.
+func (c *Client) Ask(ctx context.Context, endpoint ident.Address, ask Ask) (answer Answer, err error) {
+	defer fault.Annotate(&err, "ask for a place beside %s", endpoint)
+	err = c.call(ctx, endpoint, AskPath, ask.Wait+replyTimeout, ask, &answer)
+	return answer, err
+}
+
+// Release gives a place back.
+func (c *Client) Release(ctx context.Context, endpoint ident.Address, attempt ident.AttemptID) (err error) {
+	defer fault.Annotate(&err, "release a place beside %s", endpoint)
+	return c.call(ctx, endpoint, ReleasePath, replyTimeout, Release{Attempt: attempt}, &struct{}{})
+}
+
+// Exchange tells an agent the news and returns what it knows beyond them.
+func (c *Client) Exchange(ctx context.Context, endpoint ident.Address, bulletin *news.Bulletin) (reply news.Bulletin, err error) {
+	defer fault.Annotate(&err, "exchange news with the agent beside %s", endpoint)
+	err = c.call(ctx, endpoint, NewsPath, time.Second, bulletin, &reply)
+	return reply, err
+}
+
+func (c *Client) call(ctx context.Context, endpoint ident.Address, path string, timeout time.Duration, message, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	data, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	url := "http://" + string(c.Beside(endpoint)) + path
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("the agent answered with status %d", response.StatusCode)
+	}
+	return json.NewDecoder(response.Body).Decode(reply)
+}
--- /dev/null
+++ b/place/keeper.go
@@ -0,0 +1,307 @@
+package place
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"crocusstep/common"
+	"crocusstep/ident"
+	"crocusstep/room"
+)
+
+const (
+	// startLimit is how long a place is kept whose run has not begun: a prompt of
+	// 11,000 tokens takes 0.3 s to be read behind another, and is then kept 0.5 s.
+	startLimit = 1500 * time.Millisecond
+	// reportLife is how old a report may be that a decision is made on.
+	reportLife = 15 * time.Millisecond
+	// reportTimeout bounds the call to the engine on the same machine.
+	reportTimeout = 300 * time.Millisecond
+	// pollInterval is the time between two looks at the engine while asks wait.
+	pollInterval = 25 * time.Millisecond
+	// stepDefault is the time for one token until it was measured.
+	stepDefault = 900 * time.Microsecond
+	// stepShare is the weight of the newest measurement.
+	stepShare = 0.2
+	// outputDefault is the answer's length where neither an estimate nor a limit
+	// is given, in tokens.
+	outputDefault = 4000
+	// risk is the margin in standard deviations; one run in six exceeds one.
+	risk = 1.0
+)
+
+// Reporter asks the engine beside this process for its state.
+type Reporter interface {
+	Report(ctx context.Context) (Report, error)
+}
+
+// Keeper gives out the places of one engine.
+type Keeper struct {
+	*common.Common
+	reporter Reporter
+
+	mutex sync.Mutex
+	// report is the newest state of the engine, taken at the time reported.
+	report   Report
+	reported time.Time
+	down     bool
+	// held is every place given out, until its run ends or fails to begin.
+	held map[ident.AttemptID]*grant
+	// waiting is ordered by urgency and then by arrival.
+	waiting []*waiter
+	// step is the learned time for one token of each run.
+	step time.Duration
+	wake chan struct{}
+}
+
+type grant struct {
+	ask   Ask
+	since time.Time
+	// seen is true once the engine has reported the run.
+	seen bool
+	// held and events are as last reported.
+	held   ident.TokenCount
+	events int
+}
+
+type waiter struct {
+	ask     Ask
+	granted chan struct{}
+}
+
+// NewKeeper returns a keeper without places given out.
+func NewKeeper(c *common.Common, r Reporter) *Keeper {
+	return &Keeper{Common: c, reporter: r, held: map[ident.AttemptID]*grant{}, step: stepDefault, wake: make(chan struct{}, 1)}
+}
+
+// Run looks at the engine while asks wait, until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+		}
+		for k.anyWaits() && ctx.Err() == nil {
+			k.refresh(ctx)
+			k.advance()
+			select {
+			case <-ctx.Done():
+			case <-ticker.C:
+			}
+		}
+	}
+}
+
+func (k *Keeper) anyWaits() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return len(k.waiting) > 0
+}
+
+// Ask waits for a place as long as the ask allows, but not if it is already
+// clear that none will be free in time.
+func (k *Keeper) Ask(ctx context.Context, ask Ask) Answer {
+	k.refresh(ctx)
+	k.mutex.Lock()
+	if k.down || !k.report.Decodes {
+		k.mutex.Unlock()
+		return Answer{Down: true}
+	}
+	if len(k.waiting) == 0 && k.fits(ask) {
+		k.grant(ask)
+		answer := k.answer(ask, true)
+		k.mutex.Unlock()
+		return answer
+	}
+	if wait := k.expectedWait(ask); ask.Wait <= 0 || wait > ask.Wait {
+		answer := k.answer(ask, false)
+		k.mutex.Unlock()
+		return answer
+	}
+	w := &waiter{ask: ask, granted: make(chan struct{})}
+	k.waiting = append(k.waiting, w)
+	slices.SortStableFunc(k.waiting, func(a, b *waiter) int { return cmp.Compare(a.ask.Urgency, b.ask.Urgency) })
+	k.mutex.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+	return k.await(ctx, w)
+}
+
+func (k *Keeper) await(ctx context.Context, w *waiter) Answer {
+	timer := time.NewTimer(w.ask.Wait)
+	defer timer.Stop()
+	select {
+	case <-w.granted:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.waiting = slices.DeleteFunc(k.waiting, func(other *waiter) bool { return other == w })
+	_, granted := k.held[w.ask.Attempt]
+	if granted && ctx.Err() != nil {
+		delete(k.held, w.ask.Attempt)
+		granted = false
+	}
+	return k.answer(w.ask, granted)
+}
+
+// Release gives a place back whose run did not begin.
+func (k *Keeper) Release(attempt ident.AttemptID) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if g, ok := k.held[attempt]; ok && !g.seen {
+		delete(k.held, attempt)
+	}
+	k.admit()
+}
+
+// refresh asks the engine for its state unless it has just said it.
+func (k *Keeper) refresh(ctx context.Context) {
+	k.mutex.Lock()
+	fresh := time.Since(k.reported) < reportLife
+	k.mutex.Unlock()
+	if fresh {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	asked := time.Now()
+	report, err := k.reporter.Report(ctx)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if asked.Before(k.reported) {
+		return
+	}
+	if err != nil {
+		if ctx.Err() == nil || !k.down {
+			k.Log.Warn("the engine does not report", "error", err)
+		}
+		k.down, k.reported = true, asked
+		return
+	}
+	if k.down {
+		k.Log.Info("the engine reports again", "runs", len(report.Runs))
+	}
+	k.down = false
+	k.take(report, asked)
+}
+
+// take matches the places given out with the runs that the engine has.
+func (k *Keeper) take(report Report, asked time.Time) {
+	span := asked.Sub(k.reported)
+	if k.report.Born != 0 && report.Born != k.report.Born {
+		clear(k.held)
+	}
+	reported := map[ident.AttemptID]bool{}
+	for _, r := range report.Runs {
+		reported[r.Attempt] = true
+		g, ok := k.held[r.Attempt]
+		if !ok {
+			continue
+		}
+		if g.seen && r.Held > g.held && span < time.Second {
+			step := span / time.Duration(r.Held-g.held)
+			k.step += time.Duration(stepShare * float64(step-k.step))
+		}
+		g.seen, g.held, g.events = true, r.Held, r.Events
+	}
+	for attempt, g := range k.held {
+		if reported[attempt] {
+			continue
+		}
+		if g.seen || asked.Sub(g.since) > startLimit {
+			delete(k.held, attempt)
+		}
+	}
+	k.report, k.reported = report, asked
+}
+
+func (k *Keeper) advance() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.admit()
+}
+
+// admit grants places in order; one that does not fit holds up those behind it,
+// so that large runs get their turn.
+func (k *Keeper) admit() {
+	if k.down || !k.report.Decodes {
+		return
+	}
+	for len(k.waiting) > 0 && k.fits(k.waiting[0].ask) {
+		w := k.waiting[0]
+		k.waiting = k.waiting[1:]
+		k.grant(w.ask)
+		close(w.granted)
+	}
+}
+
+func (k *Keeper) grant(ask Ask) {
+	k.held[ask.Attempt] = &grant{ask: ask, since: time.Now()}
+}
+
+func (k *Keeper) policy(ask Ask) room.Policy {
+	return room.Policy{Capacity: k.report.Total, Slots: ask.Slots, Risk: risk}
+}
+
+func (k *Keeper) fits(ask Ask) bool { return k.policy(ask).Fits(k.runs(), expected(ask)) }
+
+// runs is what the engine holds or will hold by the places given out.
+func (k *Keeper) runs() []room.Run {
+	runs := make([]room.Run, 0, len(k.held))
+	for _, r := range k.report.Runs {
+		g, ok := k.held[r.Attempt]
+		if !ok {
+			// Another's run, of which only its memory is known.
+			runs = append(runs, room.Run{Now: r.Held, Left: room.Left(outputDefault, outputDefault/2, 0)})
+			continue
+		}
+		made := max(0, r.Held-g.ask.Prompt)
+		runs = append(runs, room.Run{Now: r.Held, Left: room.Left(g.ask.Output, made, g.ask.Most)})
+	}
+	for _, g := range k.held {
+		if !g.seen {
+			runs = append(runs, expected(g.ask))
+		}
+	}
+	return runs
+}
+
+func expected(ask Ask) room.Run {
+	return room.Run{Now: ask.Prompt, Left: room.Left(ask.Output, 0, ask.Most)}
+}
+
+// expectedWait is how long one more ask would wait behind those that do.
+func (k *Keeper) expectedWait(ask Ask) time.Duration {
+	next := expected(ask)
+	for _, w := range k.waiting {
+		if w.ask.Urgency <= ask.Urgency {
+			next.Now += w.ask.Prompt + expected(w.ask).Left/2
+		}
+	}
+	return time.Duration(k.policy(ask).Steps(k.runs(), next)) * k.step
+}
+
+func (k *Keeper) answer(ask Ask, granted bool) Answer {
+	free := k.policy(ask).Free(k.runs(), room.Run{})
+	for _, w := range k.waiting {
+		free -= w.ask.Prompt
+	}
+	return Answer{
+		Granted: granted,
+		Free:    free,
+		Wait:    k.expectedWait(ask),
+		Running: len(k.report.Runs),
+		Waiting: len(k.waiting),
+		Age:     time.Since(k.reported),
+	}
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,328 @@
+// Package pool is one process's view of the endpoints of every service: who is
+// there, what this process has under way at each, and how each has behaved.
+package pool
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"crocusstep/ident"
+)
+
+const (
+	// lapseGrace is how long an endpoint stays in use whose record went away in
+	// an outage of the store. Records of living endpoints are back 2 s after it.
+	lapseGrace = 2 * time.Second
+	// suspendFirst is the pause after failures in a row; it doubles up to suspendMost.
+	suspendFirst = 400 * time.Millisecond
+	suspendMost  = 6 * time.Second
+	// failureShare is the weight of the newest outcome in an endpoint's failure rate.
+	failureShare = 0.15
+	// paceShare is the weight of the newest time in an endpoint's mean.
+	paceShare = 0.2
+)
+
+// Stage is the part of a request that an endpoint works on.
+type Stage string
+
+const (
+	// Whole endpoints do all of a request.
+	Whole Stage = ""
+	// Prefill endpoints read prompts.
+	Prefill Stage = "prefill"
+	// Decode endpoints make answers.
+	Decode Stage = "decode"
+)
+
+// Revision orders the states of the endpoints' records; it only grows.
+type Revision int64
+
+// Endpoint is what the platform says of one back end.
+type Endpoint struct {
+	Name ident.EndpointName `json:"name"`
+	// Born is the Unix millisecond of its start; another value is another process.
+	Born    int64             `json:"born,omitempty"`
+	Service ident.ServiceName `json:"service"`
+	Address ident.Address     `json:"address"`
+	Zone    ident.ZoneName    `json:"zone"`
+	Stage   Stage             `json:"stage,omitempty"`
+	// Slots is how many requests it works on at once.
+	Slots int `json:"slots"`
+	// Leaving endpoints take no new work.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Change is one change of a record.
+type Change struct {
+	Endpoint Endpoint
+	// Gone is set if the record was removed; only the name is then known.
+	Gone bool
+}
+
+// Load is what an endpoint's agent reported last.
+type Load struct {
+	// Free is the tokens that a new run could take; negative if runs wait for it.
+	Free ident.TokenCount
+	At   time.Time
+}
+
+// Member is an endpoint with what this process knows of it, as a copy.
+type Member struct {
+	Endpoint
+	// Outstanding is this process's requests there that have not ended.
+	Outstanding int
+	// Tokens is the prompt tokens among them.
+	Tokens ident.TokenCount
+	// FailureRate is the share of failed requests, the newest counting most.
+	FailureRate float64
+	// Pace is the mean time of a request, or zero.
+	Pace time.Duration
+	// Suspended members have just failed several times in a row.
+	Suspended bool
+	// Lapsed members have no record since an outage of the store.
+	Lapsed bool
+	Load   Load
+}
+
+type member struct {
+	endpoint    Endpoint
+	outstanding int
+	tokens      ident.TokenCount
+	failureRate float64
+	pace        time.Duration
+	// row counts failures without a success between them.
+	row       int
+	suspended time.Time
+	// lapsed is when the record went away in an outage, or zero.
+	lapsed time.Time
+	load   Load
+}
+
+// Pool is safe for concurrent use.
+type Pool struct {
+	mutex   sync.Mutex
+	members map[ident.EndpointName]*member
+	// revision is that of the newest state taken over.
+	revision Revision
+	loaded   bool
+}
+
+// NewPool returns an empty view.
+func NewPool() *Pool { return &Pool{members: map[ident.EndpointName]*member{}} }
+
+// Load takes over a whole list, unless a newer state is known. After an outage
+// of the store records that are missing may only have lapsed.
+func (p *Pool) Load(list []Endpoint, revision Revision, outage bool) (taken bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.loaded && revision <= p.revision {
+		return false
+	}
+	p.loaded, p.revision = true, revision
+	listed := map[ident.EndpointName]bool{}
+	for _, e := range list {
+		listed[e.Name] = true
+		p.place(e)
+	}
+	for name := range p.members {
+		if !listed[name] {
+			p.remove(name, outage)
+		}
+	}
+	return true
+}
+
+// Apply takes over changes up to a revision.
+func (p *Pool) Apply(changes []Change, revision Revision, outage bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if revision <= p.revision {
+		return
+	}
+	p.revision = revision
+	for _, c := range changes {
+		if c.Gone {
+			p.remove(c.Endpoint.Name, outage)
+			continue
+		}
+		p.place(c.Endpoint)
+	}
+}
+
+func (p *Pool) place(e Endpoint) {
+	m, known := p.members[e.Name]
+	switch {
+	case known && e.Born < m.endpoint.Born:
+		// A late write of the process before.
+		return
+	case !known, m.endpoint.Born != e.Born, m.endpoint.Address != e.Address:
+		p.members[e.Name] = &member{endpoint: e}
+		return
+	}
+	m.endpoint = e
+	m.lapsed = time.Time{}
+}
+
+func (p *Pool) remove(name ident.EndpointName, outage bool) {
+	m, known := p.members[name]
+	switch {
+	case !known:
+	case outage && !m.endpoint.Leaving:
+		if m.lapsed.IsZero() {
+			m.lapsed = time.Now()
+		}
+	default:
+		delete(p.members, name)
+	}
+}
+
+// Expire removes members whose records lapsed and did not come back, counted
+// from the return of the store.
+func (p *Pool) Expire(now, returned time.Time) (gone []ident.EndpointName) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for name, m := range p.members {
+		if !m.lapsed.IsZero() && now.Sub(m.lapsed) > lapseGrace && now.Sub(returned) > lapseGrace {
+			delete(p.members, name)
+			gone = append(gone, name)
+		}
+	}
+	return gone
+}
+
+// Snapshot returns all endpoints with a record, and the revision they are of.
+func (p *Pool) Snapshot() ([]Endpoint, Revision) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := make([]Endpoint, 0, len(p.members))
+	for _, m := range p.members {
+		if m.lapsed.IsZero() {
+			list = append(list, m.endpoint)
+		}
+	}
+	slices.SortFunc(list, func(a, b Endpoint) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return list, p.revision
+}
+
+// Revision returns the newest revision taken over.
+func (p *Pool) Revision() Revision {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.revision
+}
+
+// Loaded reports whether any list was taken over.
+func (p *Pool) Loaded() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.loaded
+}
+
+// Members returns the members of a service in a stage that take new work.
+func (p *Pool) Members(service ident.ServiceName, stage Stage) []Member {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var list []Member
+	for _, m := range p.members {
+		if m.endpoint.Service == service && m.endpoint.Stage == stage && !m.endpoint.Leaving {
+			list = append(list, m.snapshot(now))
+		}
+	}
+	return list
+}
+
+func (m *member) snapshot(now time.Time) Member {
+	return Member{
+		Endpoint:    m.endpoint,
+		Outstanding: m.outstanding,
+		Tokens:      m.tokens,
+		FailureRate: m.failureRate,
+		Pace:        m.pace,
+		Suspended:   now.Before(m.suspended),
+		Lapsed:      !m.lapsed.IsZero(),
+		Load:        m.load,
+	}
+}
+
+// Usable reports whether the very process may still be given new work.
+func (p *Pool) Usable(e Endpoint) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	m, known := p.members[e.Name]
+	return known && m.endpoint.Born == e.Born && m.endpoint.Address == e.Address &&
+		m.endpoint.Stage == e.Stage && !m.endpoint.Leaving
+}
+
+// Observe takes over what an agent says of its endpoint.
+func (p *Pool) Observe(name ident.EndpointName, load Load) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if m, known := p.members[name]; known && load.At.After(m.load.At) {
+		m.load = load
+	}
+}
+
+// Verdict is how a request at an endpoint ended, as far as the endpoint shows.
+type Verdict int
+
+const (
+	// Silent ends say nothing of the endpoint, as when the caller left.
+	Silent Verdict = iota
+	// Good ends speak for it.
+	Good
+	// Failed ends speak against it.
+	Failed
+	// Broken ends suspend it at once: a connection refused or lost.
+	Broken
+)
+
+// Begin counts a request at an endpoint until the returned function is called.
+func (p *Pool) Begin(e Endpoint, tokens ident.TokenCount) (end func(Verdict, time.Duration)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	m, known := p.members[e.Name]
+	if !known {
+		return func(Verdict, time.Duration) {}
+	}
+	m.outstanding++
+	m.tokens += tokens
+	var once sync.Once
+	return func(v Verdict, span time.Duration) {
+		once.Do(func() {
+			p.mutex.Lock()
+			defer p.mutex.Unlock()
+			m.outstanding--
+			m.tokens -= tokens
+			m.learn(v, span, time.Now())
+		})
+	}
+}
+
+func (m *member) learn(v Verdict, span time.Duration, now time.Time) {
+	switch v {
+	case Silent:
+		return
+	case Good:
+		m.row = 0
+		m.suspended = time.Time{}
+		m.failureRate -= failureShare * m.failureRate
+		if m.pace == 0 {
+			m.pace = span
+		} else {
+			m.pace += time.Duration(paceShare * float64(span-m.pace))
+		}
+		return
+	}
+	m.failureRate += failureShare * (1 - m.failureRate)
+	m.row++
+	if v == Broken || m.row > 2 {
+		m.suspended = now.Add(min(suspendFirst<<min(m.row, 8), suspendMost))
+	}
+}
--- /dev/null
+++ b/pool/rank.go
@@ -0,0 +1,100 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"crocusstep/ident"
+)
+
+const (
+	// failureWeight turns a failure rate into a factor on the expected time: an
+	// endpoint that fails half of its requests must be three times as fast.
+	failureWeight = 4.0
+	// unknownPace is the expected time at a plain endpoint not seen at work yet.
+	unknownPace = 40 * time.Millisecond
+	// PrefillPerToken is the reading time taken for a prompt token: engines of
+	// today's sites read 55 in a millisecond.
+	PrefillPerToken = 18 * time.Microsecond
+	// prefillSetup is what a reading costs beside its tokens.
+	prefillSetup = 11 * time.Millisecond
+)
+
+// Home is where this process runs and how far it is to other places.
+type Home struct {
+	Zone    ident.ZoneName
+	Regions map[ident.ZoneName]ident.RegionName
+}
+
+// roundTrip estimates the time to a zone and back.
+func (h Home) roundTrip(zone ident.ZoneName) time.Duration {
+	switch {
+	case zone == h.Zone:
+		return 400 * time.Microsecond
+	case h.Regions[zone] == h.Regions[h.Zone]:
+		return 3 * time.Millisecond
+	}
+	return 26 * time.Millisecond
+}
+
+// Plain orders members for a call of a plain service: by the time until it
+// would be answered. Requests beyond the slots wait for one another.
+func (h Home) Plain(list []Member) []Member {
+	return ranked(list, func(m Member) float64 {
+		pace := m.Pace
+		if pace == 0 {
+			pace = unknownPace
+		}
+		queue := 1 + float64(m.Outstanding)/float64(max(1, m.Slots/2))
+		return (float64(pace)*queue + float64(h.roundTrip(m.Zone))) * (1 + failureWeight*m.FailureRate)
+	})
+}
+
+// Prefills orders members for reading a prompt: by when it would be read.
+func (h Home) Prefills(list []Member, tokens ident.TokenCount) []Member {
+	return ranked(list, func(m Member) float64 {
+		work := float64(m.Tokens+tokens)*float64(PrefillPerToken) + float64(prefillSetup)
+		return (work + float64(h.roundTrip(m.Zone))) * (1 + failureWeight*m.FailureRate)
+	})
+}
+
+// Decodes orders members for a run: by the memory that is free, as reported or
+// else by this process's own runs there.
+func (h Home) Decodes(list []Member, now time.Time) []Member {
+	return ranked(list, func(m Member) float64 {
+		free := float64(m.Load.Free)
+		if now.Sub(m.Load.At) > loadLife {
+			free = unknownFree - float64(m.Tokens)
+		}
+		return -free * (1 - m.FailureRate)
+	})
+}
+
+const (
+	// loadLife is how long an agent's report of its load is used.
+	loadLife = 1500 * time.Millisecond
+	// unknownFree is the free tokens taken for an endpoint without a report.
+	unknownFree = 40000.0
+)
+
+// ranked sorts by cost; members that are suspended or have lapsed come last.
+func ranked(list []Member, cost func(Member) float64) []Member {
+	slices.SortStableFunc(list, func(a, b Member) int {
+		if x, y := lastResort(a), lastResort(b); x != y {
+			return cmp.Compare(x, y)
+		}
+		return cmp.Compare(cost(a), cost(b))
+	})
+	return list
+}
+
+func lastResort(m Member) int {
+	switch {
+	case m.Suspended:
+		return 2
+	case m.Lapsed:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/relay/exchange.go
@@ -0,0 +1,153 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"crocusstep/fault"
+	"crocusstep/ident"
+	"crocusstep/link"
+	"crocusstep/news"
+	"crocusstep/pool"
+	"crocusstep/table"
+)
+
+const (
+	// sendsMost bounds the endpoints asked for one request, those included that
+	// did not run it.
+	sendsMost = 4
+	// leastLeft is the least time for which a request is sent to an endpoint.
+	leastLeft = 30 * time.Millisecond
+)
+
+// exchange is one request on its way.
+type exchange struct {
+	*Relay
+	request *Request
+	route   table.Route
+	service table.Service
+	// version is the table's that routed the request.
+	version table.Version
+	writer  http.ResponseWriter
+	// tried holds the endpoints that are not asked again.
+	tried map[ident.EndpointName]bool
+	// spent is how long the caller had waited before this attempt.
+	spent time.Duration
+	// ends is when the caller or the route gives up.
+	ends time.Time
+
+	// sends counts arrivals at endpoints beside a first reading; ran counts the
+	// endpoints that may have run the request.
+	sends int
+	ran   int
+	// started is set once a part of the answer has gone to the caller.
+	started bool
+	status  int
+	// endpoint is the last one that was asked.
+	endpoint ident.EndpointName
+	// first is when the first part of the answer came.
+	first time.Time
+	// note says what decided last, for the log.
+	note string
+}
+
+func (e *exchange) serve(ctx context.Context) *fault.Refusal {
+	ctx, cancel := context.WithDeadline(ctx, e.ends)
+	defer cancel()
+	e.window(e.service.Name).Request(e.request.Arrived)
+	if e.crashes.Blocked(e.request.fingerprint(), time.Now()) {
+		return fault.New(fault.RequestSuspended, "the request has crashed endpoints").After(blockedReturn)
+	}
+	if e.route.Prompted && e.request.Prompt != nil && e.service.Engine != nil {
+		return e.read(ctx)
+	}
+	return e.call(ctx)
+}
+
+func (e *exchange) left() time.Duration { return time.Until(e.ends) }
+
+// mayRepeat asks for one more arrival at the service's endpoints.
+func (e *exchange) mayRepeat(ctx context.Context) bool {
+	if ctx.Err() != nil || e.sends >= sendsMost || e.left() < leastLeft {
+		return false
+	}
+	return e.sends == 0 || e.window(e.service.Name).Take(time.Now(), e.config.Processes())
+}
+
+// mayRunAgain reports whether the request may run at one more endpoint.
+func (e *exchange) mayRunAgain() bool {
+	return e.ran == 0 || e.route.Repeatable() && e.ran < e.route.MaxEndpoints
+}
+
+// verdict is what a failed exchange says of the endpoint.
+func verdict(ctx context.Context, err error) pool.Verdict {
+	switch {
+	case ctx.Err() != nil, errors.Is(err, link.ErrConnections):
+		return pool.Silent
+	case err != nil:
+		return pool.Broken
+	}
+	return pool.Good
+}
+
+// crashed counts a connection that broke while the request was running.
+func (e *exchange) crashed(ctx context.Context, err error) {
+	if ctx.Err() != nil || !errors.Is(err, link.ErrLost) {
+		return
+	}
+	crash := news.Crash{Fingerprint: e.request.fingerprint(), Attempt: string(e.request.Attempt) + "/" + string(e.endpoint)}
+	count := e.crashes.Count(crash, time.Now())
+	e.Log.Info("an endpoint broke off with the request aboard", "request", e.request.Attempt, "endpoint", e.endpoint,
+		"fingerprint", crash.Fingerprint, "count", count, "error", err)
+}
+
+// failure is the final word on a request without an answer.
+func (e *exchange) failure(ctx context.Context, refusal *fault.Refusal) *fault.Refusal {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		refusal = fault.New(fault.Cancelled, "the caller left")
+	} else if ctx.Err() != nil {
+		refusal = fault.New(fault.PatienceExceeded, "no whole answer in time")
+	}
+	told := *refusal
+	told.Outcome = fault.NotRun
+	if e.ran > 0 {
+		told.Outcome = fault.Unknown
+	}
+	if told.Outcome == fault.Unknown && promises(told.Status()) {
+		told.Code = fault.EndpointFailed
+		told.RetryAfter = 0
+	}
+	if told.Outcome == fault.NotRun && !promises(told.Status()) && told.Code != fault.Cancelled {
+		told.Code = fault.EndpointBusy
+		told.RetryAfter = max(told.RetryAfter, e.comeBack(returnLeast))
+	}
+	return &told
+}
+
+// promises reports whether a status says that the request has not run.
+func promises(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+func (e *exchange) log(refusal *fault.Refusal) {
+	outcome := "answered"
+	var wait time.Duration
+	if refusal != nil {
+		outcome = string(refusal.Code)
+		wait = refusal.RetryAfter
+		e.note = refusal.Detail
+	}
+	first := time.Duration(0)
+	if !e.first.IsZero() {
+		first = e.first.Sub(e.request.Arrived)
+	}
+	whole := time.Since(e.request.Arrived)
+	e.Meter.Request(e.service.Name, outcome, refusal == nil && e.spent+first <= e.route.Objective)
+	e.Meter.WholeAnswer(e.service.Name, whole)
+	e.Log.Info("request ended", "request", e.request.Attempt, "route", e.route.Name, "service", e.service.Name,
+		"table", e.version, "endpoints", e.config.Pool.Revision(), "endpoint", e.endpoint, "outcome", outcome,
+		"status", e.status, "sends", e.sends, "ran", e.ran, "first", first, "whole", whole, "spent", e.spent,
+		"retry-after", wait, "note", e.note)
+}
--- /dev/null
+++ b/relay/read.go
@@ -0,0 +1,333 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"time"
+
+	"crocusstep/fault"
+	"crocusstep/ident"
+	"crocusstep/link"
+	"crocusstep/place"
+	"crocusstep/pool"
+)
+
+const (
+	// transferAllowance is kept for moving a prompt's memory and for the first
+	// token, when the latest start is worked out.
+	transferAllowance = 90 * time.Millisecond
+	// lateWait is how long a caller whose objective has passed waits for a place.
+	lateWait = 1200 * time.Millisecond
+	// triedDecodes bounds the decode endpoints asked before waiting at the best.
+	triedDecodes = 3
+	// agentPause is how long an agent that did not answer is not asked.
+	agentPause = 2 * time.Second
+	// blindTokens bounds the prompt tokens this process has under way at a decode
+	// endpoint whose agent does not answer: a third of the engines' memory.
+	blindTokens = 30000
+	// releaseTimeout bounds the giving back of places and prompts.
+	releaseTimeout = time.Second
+)
+
+// errBusy means that no endpoint has room in time.
+var errBusy = errors.New("no endpoint has room in time")
+
+// read serves a prompt: a place at a decode endpoint first, so that no prompt is
+// read in vain, then the reading, then the answer.
+func (e *exchange) read(ctx context.Context) *fault.Refusal {
+	refusal := fault.New(fault.NoEndpoint, "no endpoint of %s", e.service.Name).After(e.comeBack(returnLeast))
+	s := &stream{exchange: e, after: e.request.Prompt.After}
+	for {
+		if !e.mayRunAgain() || !e.mayRepeat(ctx) {
+			break
+		}
+		err := s.attempt(ctx)
+		if err == nil {
+			return nil
+		}
+		e.Log.Info("an attempt at a stream failed", "request", e.request.Attempt, "sends", e.sends, "ran", e.ran,
+			"started", e.started, "left", e.left(), "error", err)
+		var told *fault.Refusal
+		if errors.As(err, &told) {
+			refusal = told
+			break
+		}
+		refusal = fault.New(fault.EndpointFailed, "%s failed", e.endpoint).After(e.comeBack(returnLeast))
+	}
+	if e.started {
+		// The head is gone: only a broken connection tells that this is no end.
+		e.note = refusal.Detail
+		return fault.NewUnknown(fault.AnswerCut, "the stream broke off: %s", refusal.Detail)
+	}
+	return e.failure(ctx, refusal)
+}
+
+// grant is a place at a decode endpoint.
+type grant struct {
+	member pool.Member
+	// held is false where the agent was not there to ask.
+	held bool
+	end  func(pool.Verdict, time.Duration)
+}
+
+// attempt runs the request once.
+func (s *stream) attempt(ctx context.Context) error {
+	began := time.Now()
+	g, err := s.reserve(ctx)
+	if err != nil {
+		return err
+	}
+	judged := pool.Silent
+	kept := false
+	defer func() {
+		g.end(judged, time.Since(began))
+		if g.held && !kept {
+			s.release(g.member, s.request.Attempt)
+		}
+	}()
+	placed := time.Now()
+	from, err := s.prefill(ctx)
+	if err != nil {
+		return err
+	}
+	read := time.Now()
+	if !s.config.Pool.Usable(g.member.Endpoint) {
+		s.free(from)
+		return errors.Join(link.ErrNotSent, errors.New("the decode endpoint has left meanwhile"))
+	}
+	s.endpoint = g.member.Name
+	answer, err := s.config.Endpoints.Write(ctx, g.member.Endpoint, s.request, from, s.left())
+	s.Log.Info("stream begun", "request", s.request.Attempt, "decode", g.member.Name, "granted", g.held,
+		"place-wait", placed.Sub(began), "reading", read.Sub(placed), "error", err)
+	if err != nil {
+		judged = verdict(ctx, err)
+		if errors.Is(err, link.ErrNotSent) {
+			s.free(from)
+			return err
+		}
+		s.sends++
+		s.ran++
+		s.crashed(ctx, err)
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	s.sends++
+	if answer.NotRun {
+		judged = pool.Failed
+		if answer.Misdirected {
+			judged = pool.Broken
+		}
+		s.free(from)
+		s.Log.Info("an endpoint did not run a request", "request", s.request.Attempt, "endpoint", g.member.Name, "status", answer.Status)
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, answerMost))
+		return errNotRun
+	}
+	s.ran++
+	kept = true
+	err = s.forward(answer)
+	judged = verdict(ctx, err)
+	if err != nil {
+		s.crashed(ctx, errors.Join(link.ErrLost, err))
+	}
+	return err
+}
+
+// reserve gets a place at a decode endpoint: it asks the most promising at once
+// and then waits at the one with the shortest expected wait.
+func (s *stream) reserve(ctx context.Context) (*grant, error) {
+	window, urgency := s.waitWindow()
+	deadline := time.Now().Add(window)
+	best, shortest := pool.Member{}, time.Duration(-1)
+	members := s.decodes()
+	if len(members) == 0 {
+		return nil, fault.New(fault.NoEndpoint, "no decode endpoint of %s", s.service.Name).After(s.comeBack(returnLeast))
+	}
+	for _, m := range members[:min(triedDecodes, len(members))] {
+		answer, g := s.askPlace(ctx, m, 0, urgency)
+		if g != nil || ctx.Err() != nil {
+			return g, ctx.Err()
+		}
+		if !answer.Down && (shortest < 0 || answer.Wait < shortest) {
+			best, shortest = m, answer.Wait
+		}
+	}
+	if left := time.Until(deadline); shortest >= 0 && shortest <= left {
+		answer, g := s.askPlace(ctx, best, left, urgency)
+		if g != nil || ctx.Err() != nil {
+			return g, ctx.Err()
+		}
+		shortest = answer.Wait
+	}
+	s.Log.Info("no place in time", "request", s.request.Attempt, "window", window, "expected-wait", shortest, "spent", s.spent)
+	return nil, fault.New(fault.TargetUnreachable, "the expected wait for memory is %s", shortest.Round(time.Millisecond)).
+		After(s.comeBack(min(max(shortest, returnLeast), returnMost/2)))
+}
+
+// waitWindow is how long it helps to wait for a place, and with which urgency.
+func (s *stream) waitWindow() (time.Duration, int) {
+	if s.started {
+		return lateWait, -1
+	}
+	reading := time.Duration(s.request.Prompt.Tokens) * pool.PrefillPerToken
+	latest := s.request.Arrived.Add(s.route.Objective - s.spent - reading - transferAllowance)
+	if left := time.Until(latest); left > 0 {
+		return left, 0
+	}
+	return min(lateWait, s.left()/2), 1
+}
+
+func (s *stream) decodes() []pool.Member {
+	members := s.config.Pool.Members(s.service.Name, pool.Decode)
+	members = slices.DeleteFunc(members, func(m pool.Member) bool { return s.tried[m.Name] })
+	return s.config.Home.Decodes(members, time.Now())
+}
+
+// askPlace asks an agent for a place. An agent that does not answer is passed
+// over for a while, and its endpoint is used within a bound of this process's own.
+func (s *stream) askPlace(ctx context.Context, m pool.Member, wait time.Duration, urgency int) (place.Answer, *grant) {
+	if s.agentGone(m.Name) {
+		return s.askBlind(m)
+	}
+	p := s.request.Prompt
+	answer, err := s.config.Places.Ask(ctx, m.Address, place.Ask{
+		Attempt: s.request.Attempt,
+		Prompt:  p.Tokens,
+		Output:  p.Output,
+		Most:    p.Most,
+		Slots:   m.Slots,
+		Wait:    wait,
+		Urgency: urgency,
+	})
+	if err != nil {
+		if ctx.Err() != nil {
+			return place.Answer{Down: true}, nil
+		}
+		s.Log.Warn("an agent does not answer", "request", s.request.Attempt, "endpoint", m.Name, "error", err)
+		s.setAgentGone(m.Name)
+		return s.askBlind(m)
+	}
+	if answer.Down {
+		return answer, nil
+	}
+	s.config.Pool.Observe(m.Name, pool.Load{Free: answer.Free, At: time.Now()})
+	if !answer.Granted {
+		return answer, nil
+	}
+	return answer, s.hold(m, true)
+}
+
+// askBlind bounds the use of an endpoint by what this process has there.
+func (s *stream) askBlind(m pool.Member) (place.Answer, *grant) {
+	if m.Tokens+s.request.Prompt.Tokens > blindTokens {
+		return place.Answer{Wait: returnLeast}, nil
+	}
+	return place.Answer{Granted: true}, s.hold(m, false)
+}
+
+func (s *stream) hold(m pool.Member, held bool) *grant {
+	return &grant{member: m, held: held, end: s.config.Pool.Begin(m.Endpoint, s.request.Prompt.Tokens)}
+}
+
+func (r *Relay) agentGone(name ident.EndpointName) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return time.Now().Before(r.agentless[name])
+}
+
+func (r *Relay) setAgentGone(name ident.EndpointName) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.agentless[name] = time.Now().Add(agentPause)
+}
+
+// prefill has the prompt read at the endpoint that will be done first.
+func (s *stream) prefill(ctx context.Context) (*Reading, error) {
+	var last error
+	for asked := 0; asked < 2; asked++ {
+		members := s.config.Pool.Members(s.service.Name, pool.Prefill)
+		members = slices.DeleteFunc(members, func(m pool.Member) bool { return s.tried[m.Name] })
+		if len(members) == 0 {
+			return nil, errors.Join(last, errors.New("no prefill endpoint"))
+		}
+		if s.read > 0 && !s.mayRepeat(ctx) {
+			return nil, errors.Join(last, errors.New("no prompt may be read again"))
+		}
+		m := s.config.Home.Prefills(members, s.request.Prompt.Tokens)[0]
+		from, err := s.readAt(ctx, m)
+		if err == nil {
+			return from, nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			return nil, err
+		}
+	}
+	return nil, last
+}
+
+func (s *stream) readAt(ctx context.Context, m pool.Member) (from *Reading, err error) {
+	s.tried[m.Name] = true
+	end := s.config.Pool.Begin(m.Endpoint, s.request.Prompt.Tokens)
+	began := time.Now()
+	judged := pool.Silent
+	defer func() { end(judged, time.Since(began)) }()
+	from, answer, err := s.config.Endpoints.Read(ctx, m.Endpoint, s.request, s.left())
+	switch {
+	case err != nil:
+		judged = verdict(ctx, err)
+		if !errors.Is(err, link.ErrNotSent) {
+			s.countRead()
+		}
+		s.endpoint = m.Name
+		s.crashed(ctx, err)
+	case answer != nil:
+		judged = pool.Failed
+		if answer.Misdirected {
+			judged = pool.Broken
+		}
+		s.sends++
+		err = errNotRun
+	default:
+		judged = pool.Good
+		s.countRead()
+		delete(s.tried, m.Name)
+		s.Meter.Prefill(s.service.Name, s.request.Prompt.Tokens)
+	}
+	if err != nil {
+		s.Log.Info("a prompt was not read", "request", s.request.Attempt, "endpoint", m.Name,
+			"tokens-ahead", m.Tokens, "span", time.Since(began), "error", err)
+	}
+	return from, err
+}
+
+// countRead counts an accepted reading; the first is no repeat.
+func (s *stream) countRead() {
+	if s.read > 0 {
+		s.sends++
+	}
+	s.read++
+}
+
+// free gives up a prompt that will not be used.
+func (s *stream) free(from *Reading) {
+	s.Meter.WastedPrefill(s.service.Name, s.request.Prompt.Tokens)
+	s.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := s.config.Endpoints.Free(ctx, from); err != nil {
+			s.Log.Info("a prompt that was read was not freed", "request", s.request.Attempt, "endpoint", from.Endpoint.Name, "error", err)
+		}
+	})
+}
+
+func (r *Relay) release(m pool.Member, attempt ident.AttemptID) {
+	r.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := r.config.Places.Release(ctx, m.Address, attempt); err != nil {
+			r.Log.Info("a place was not released", "request", attempt, "endpoint", m.Name, "error", err)
+		}
+	})
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"crocusstep/common"
+	"crocusstep/fault"
+	"crocusstep/ident"
+	"crocusstep/news"
+	"crocusstep/place"
+	"crocusstep/pool"
+	"crocusstep/retry"
+	"crocusstep/table"
+)
+
+const (
+	// returnLeast and returnMost bound what a refused caller is told to wait when
+	// nothing better is known.
+	returnLeast = 500 * time.Millisecond
+	returnMost  = 4 * time.Second
+	// blockedReturn is for requests that crash endpoints.
+	blockedReturn = time.Minute
+	// deadlineMargin is kept to answer before the caller gives up.
+	deadlineMargin = 20 * time.Millisecond
+)
+
+// Places is where places at decode endpoints are asked for.
+type Places interface {
+	Ask(ctx context.Context, endpoint ident.Address, ask place.Ask) (place.Answer, error)
+	Release(ctx context.Context, endpoint ident.Address, attempt ident.AttemptID) error
+}
+
+// Config configures a Relay.
+type Config struct {
+	Home      pool.Home
+	Pool      *pool.Pool
+	Endpoints Endpoints
+	Places    Places
+	// Retries is the allowance of all processes together.
+	Retries retry.Allowance
+	// Processes returns how many processes share the allowance.
+	Processes func() int
+}
+
+// Relay serves callers. It is safe for concurrent use.
+type Relay struct {
+	*common.Common
+	config  Config
+	table   atomic.Pointer[table.Table]
+	crashes *news.Register
+	tasks   common.Tasks
+
+	mutex sync.Mutex
+	// windows bounds the repeats to each service.
+	windows map[ident.ServiceName]*retry.Window
+	// patience is the longest seen on each route, by which callers that have come
+	// back are told from new ones.
+	patience map[string]time.Duration
+	// agentless holds until when an endpoint's agent is not asked.
+	agentless map[ident.EndpointName]time.Time
+}
+
+// NewRelay returns a relay that refuses everything until it has a table.
+func NewRelay(c *common.Common, config Config) *Relay {
+	return &Relay{
+		Common:    c,
+		config:    config,
+		crashes:   news.NewRegister(),
+		windows:   map[ident.ServiceName]*retry.Window{},
+		patience:  map[string]time.Duration{},
+		agentless: map[ident.EndpointName]time.Time{},
+	}
+}
+
+// SetTable puts a newer table in force; it reports whether it was newer.
+func (r *Relay) SetTable(d *table.Document) bool {
+	next := table.NewTable(d)
+	for {
+		current := r.table.Load()
+		if current != nil && next.Version <= current.Version {
+			return false
+		}
+		if r.table.CompareAndSwap(current, next) {
+			return true
+		}
+	}
+}
+
+// Table returns the table in force, or nil.
+func (r *Relay) Table() *table.Table { return r.table.Load() }
+
+// Crashes returns the register of requests that crash endpoints.
+func (r *Relay) Crashes() *news.Register { return r.crashes }
+
+// Wait waits for the work that outlives its request.
+func (r *Relay) Wait() { r.tasks.Wait() }
+
+// Serve answers a request, or returns why it does not.
+func (r *Relay) Serve(ctx context.Context, request *Request, w http.ResponseWriter) *fault.Refusal {
+	t := r.table.Load()
+	if t == nil || !r.config.Pool.Loaded() {
+		return fault.New(fault.DocumentsNotLoaded, "no routes are known yet").After(r.comeBack(returnLeast))
+	}
+	route, found := t.Match(request.Host, request.Path)
+	if !found {
+		return fault.New(fault.UnknownRoute, "no route matches in version %d", t.Version)
+	}
+	service := route.Pick(rand.Float64())
+	e := &exchange{
+		Relay:   r,
+		request: request,
+		route:   route,
+		service: t.Services[service],
+		version: t.Version,
+		writer:  w,
+		tried:   map[ident.EndpointName]bool{},
+		spent:   r.spent(route.Name, request.Patience),
+		ends:    request.Arrived.Add(min(request.Patience, route.Timeout) - deadlineMargin),
+	}
+	e.service.Name = service
+	refusal := e.serve(ctx)
+	e.log(refusal)
+	return refusal
+}
+
+// spent estimates how long ago the caller began with an earlier attempt.
+func (r *Relay) spent(route string, patience time.Duration) time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	longest := max(r.patience[route], patience)
+	r.patience[route] = longest
+	return longest - patience
+}
+
+func (r *Relay) window(service ident.ServiceName) *retry.Window {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	w, ok := r.windows[service]
+	if !ok {
+		w = retry.NewWindow(r.config.Retries)
+		r.windows[service] = w
+	}
+	return w
+}
+
+// comeBack spreads callers that are refused together over a time.
+func (*Relay) comeBack(least time.Duration) time.Duration {
+	return least + rand.N(max(least, 200*time.Millisecond))
+}
--- /dev/null
+++ b/relay/request.go
@@ -0,0 +1,90 @@
+// Package relay passes requests of callers on to endpoints as they came: plain
+// calls to plain services, and prompts to separate prefill and decode endpoints.
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"crocusstep/ident"
+	"crocusstep/news"
+	"crocusstep/pool"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	Attempt ident.AttemptID
+	Method  string
+	// Target is path and query, and Path the path alone, exactly as they came.
+	Target string
+	Path   string
+	Host   string
+	// Header is what is passed on: neither of one connection nor the system's.
+	Header  http.Header
+	Body    []byte
+	HasBody bool
+	Arrived time.Time
+	// Patience is how long the caller waits, counted from the arrival.
+	Patience time.Duration
+	// Prompt is set where the request carries one.
+	Prompt *Prompt
+}
+
+// Prompt is what a caller states of a request to a language model.
+type Prompt struct {
+	// Tokens is the prompt's length.
+	Tokens ident.TokenCount
+	// Most is the limit of the answer's length.
+	Most ident.TokenCount
+	// Output is the estimated length of the answer, or zero.
+	Output ident.TokenCount
+	// After is the last event that the caller has, if it has any.
+	After string
+}
+
+func (r *Request) fingerprint() news.Fingerprint {
+	return news.FingerprintOf(r.Host, r.Target, r.Body)
+}
+
+// Answer is an endpoint's answer.
+type Answer struct {
+	Status int
+	// Header is what is passed on to the caller.
+	Header http.Header
+	Body   io.ReadCloser
+	// NotRun is the endpoint's promise that it did not run the request.
+	NotRun bool
+	// Misdirected is set if another process than the expected one answered.
+	Misdirected bool
+	// Sealed answers bear the service's own signature.
+	Sealed bool
+	// Framed answers state their length or end in a way that shows it.
+	Framed bool
+}
+
+// Good reports whether the endpoint answered with success.
+func (a *Answer) Good() bool { return a.Status >= 200 && a.Status < 300 }
+
+// Reading is a prompt that was read and is kept for a moment at its endpoint.
+type Reading struct {
+	Endpoint pool.Endpoint
+	Handle   string
+	// Done is when it was read.
+	Done time.Time
+}
+
+// Endpoints carries requests to endpoints. An error joins link.ErrNotSent if the
+// endpoint cannot have seen the request.
+type Endpoints interface {
+	// Call sends a request that the endpoint serves as a whole.
+	Call(ctx context.Context, e pool.Endpoint, r *Request, left time.Duration) (*Answer, error)
+	// Read has a prompt read. The answer is nil if it was.
+	Read(ctx context.Context, e pool.Endpoint, r *Request, left time.Duration) (*Reading, *Answer, error)
+	// Write has the answer made of a prompt that was read elsewhere, from after
+	// an event.
+	Write(ctx context.Context, e pool.Endpoint, r *Request, from *Reading, left time.Duration) (*Answer, error)
+	// Free gives up a prompt that was read.
+	Free(ctx context.Context, from *Reading) error
+}
--- /dev/null
+++ b/room/room.go
@@ -0,0 +1,121 @@
+// Package room decides whether one more run fits into an engine's memory. A run
+// holds its prompt and every token made so far, so that memory grows until runs
+// end; what counts is the highest point that lies ahead.
+package room
+
+import (
+	"math"
+	"slices"
+
+	"crocusstep/ident"
+)
+
+const (
+	// block is the unit in which engines give out memory, in tokens.
+	block = 16
+	// Spread is the standard deviation of the logarithm of an answer's length
+	// about its estimate.
+	Spread = 0.5
+)
+
+// Run is one request in an engine.
+type Run struct {
+	// Now is the tokens that it holds.
+	Now ident.TokenCount
+	// Left is the tokens that it is expected still to make.
+	Left ident.TokenCount
+}
+
+// Policy is how much risk of running out is taken.
+type Policy struct {
+	// Capacity is the engine's memory in tokens.
+	Capacity ident.TokenCount
+	// Slots is how many requests run at once; zero is no bound.
+	Slots int
+	// Risk is the margin in standard deviations of the expected peak.
+	Risk float64
+}
+
+// Fits reports whether another run may start beside those that are there.
+func (p Policy) Fits(runs []Run, next Run) bool { return p.Free(runs, next) >= 0 }
+
+// Free returns the memory left at the highest point ahead if another run
+// started now; it is negative if the run does not fit.
+func (p Policy) Free(runs []Run, next Run) ident.TokenCount {
+	all := append(slices.Clone(runs), next)
+	free := p.Capacity - peak(all) - p.margin(all)
+	if p.Slots > 0 && len(all) > p.Slots {
+		return min(free, -1)
+	}
+	return free
+}
+
+// Steps returns after how many tokens of each run another one would fit.
+func (p Policy) Steps(runs []Run, next Run) ident.TokenCount {
+	left := slices.Clone(runs)
+	slices.SortFunc(left, func(a, b Run) int { return int(a.Left - b.Left) })
+	var passed ident.TokenCount
+	for len(left) > 0 && !p.Fits(left, next) {
+		step := left[0].Left
+		passed += step
+		left = left[1:]
+		for i := range left {
+			left[i].Now += step
+			left[i].Left -= step
+		}
+	}
+	return passed
+}
+
+// margin is the part of the memory kept for answers longer than expected.
+func (p Policy) margin(runs []Run) ident.TokenCount {
+	sum := 0.0
+	for _, r := range runs {
+		sum += float64(r.Left) * float64(r.Left)
+	}
+	return ident.TokenCount(p.Risk * Spread * math.Sqrt(sum))
+}
+
+// peak returns the most memory that the runs hold together at any time ahead,
+// all growing at one pace. The highest points are the ends of runs.
+func peak(runs []Run) ident.TokenCount {
+	slices.SortFunc(runs, func(a, b Run) int { return int(b.Left - a.Left) })
+	var held, most ident.TokenCount
+	for i, r := range runs {
+		// At the end of this run it and all with more left are there.
+		held += r.Now + block
+		most = max(most, held+r.Left*ident.TokenCount(i+1))
+	}
+	return most
+}
+
+// Left returns the tokens that an answer is expected still to have after it has
+// made some, where its length is lognormal about an estimate and has a limit.
+func Left(estimate, made, limit ident.TokenCount) ident.TokenCount {
+	if limit > 0 && made >= limit {
+		return 0
+	}
+	if estimate <= 0 {
+		estimate = max(1, limit/2)
+	}
+	median := float64(estimate)
+	mean := median * math.Exp(Spread*Spread/2)
+	left := mean
+	if made > 0 {
+		z := math.Log(float64(made)/median) / Spread
+		above := normalTail(z)
+		if above < 1e-6 {
+			left = Spread * Spread * float64(made) / 2
+		} else {
+			left = mean*normalTail(z-Spread)/above - float64(made)
+		}
+	}
+	tokens := ident.TokenCount(max(left, block))
+	if limit > 0 {
+		tokens = min(tokens, limit-made)
+	}
+	return tokens
+}
+
+// normalTail is the chance that a standard normal exceeds z.
+func normalTail(z float64) float64 { return 0.5 * math.Erfc(z/math.Sqrt2) }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -31,12 +31,20 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
+// Dial opens a connection with the limits.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return newDialer().DialContext(ctx, network, address)
+}
+
+func newDialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+}
+
 // NewClient returns an HTTP client whose connections have the limits. It knows
 // no proxies, as all addresses are IP numbers of our own network.
 func NewClient() *http.Client {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         newDialer().DialContext,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 	}}
--- a/start/process.go
+++ b/start/process.go
@@ -92,13 +92,21 @@
 	var level slog.Level
 	// The level was checked with the settings.
 	_ = level.UnmarshalText([]byte(settings.Level))
-	options := &slog.HandlerOptions{Level: level}
+	options := &slog.HandlerOptions{Level: level, ReplaceAttr: spanText}
 	if settings.Format == "json" {
 		return slog.New(slog.NewJSONHandler(stderr, options))
 	}
 	return slog.New(slog.NewTextHandler(stderr, options))
 }
 
+// spanText writes time spans with their unit.
+func spanText(_ []string, a slog.Attr) slog.Attr {
+	if a.Value.Kind() == slog.KindDuration {
+		return slog.String(a.Key, a.Value.Duration().Round(10*time.Microsecond).String())
+	}
+	return a
+}
+
 // watchSignals begins a graceful shutdown at the first signal and ends the
 // process at the second.
 func (p *process) watchSignals() {
--- a/start/start.go
+++ b/start/start.go
@@ -54,6 +54,8 @@
 	c.app.HelpFlag.Short('h')
 	c.addEntry()
 	c.addAgent()
+	c.addRelay()
+	c.addKeeper()
 	c.addSettings()
 	c.addService()
 	c.addAction()
--- a/store/follower.go
+++ b/store/follower.go
@@ -4,14 +4,28 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"crocusstep/common"
 )
 
-// followRetry is the longest pause after a failed call; the pause is drawn at
-// random so that nodes do not come back together after an outage.
-const followRetry = 2 * time.Second
+const (
+	// followRetry is the longest pause after a failed call; the pause is drawn at
+	// random so that nodes do not come back together after an outage.
+	followRetry = time.Second
+	// outageLife is how long after the last failed call changes may still be due
+	// to the outage. Records that lapsed in it are back within 2 s.
+	outageLife = 2500 * time.Millisecond
+)
+
+// Reading is the part of a Store that a Follower needs.
+type Reading interface {
+	// List returns all objects of a kind.
+	List(ctx context.Context, kind Kind) (Listing, error)
+	// Watch waits for events of a kind after a version, at most for the wait.
+	Watch(ctx context.Context, kind Kind, since Version, wait time.Duration) (Batch, error)
+}
 
 // Reader takes over what a Follower reads of one kind.
 type Reader interface {
@@ -26,29 +40,68 @@
 // Follower keeps a reader up to date with all objects of a kind.
 type Follower struct {
 	*common.Common
-	store  Store
+	store  Reading
 	kind   Kind
 	reader Reader
 	// version is that of the newest answer; zero until the first listing.
 	version Version
 	loaded  bool
+
+	mutex sync.Mutex
+	// failed is when a call failed last, or zero.
+	failed time.Time
+	// lost is true from a failed call to the next that succeeds.
+	lost bool
 }
 
 // NewFollower returns a follower of a kind.
-func NewFollower(c *common.Common, s Store, kind Kind, reader Reader) *Follower {
+func NewFollower(c *common.Common, s Reading, kind Kind, reader Reader) *Follower {
 	return &Follower{Common: c, store: s, kind: kind, reader: reader}
 }
 
+// Failed returns when the store failed last, or the zero time.
+func (f *Follower) Failed() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.failed
+}
+
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
-			f.Log.Warn("the platform cannot be followed", "kind", f.kind, "error", err)
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err)
+		if err != nil {
 			common.Pause(ctx, rand.N(followRetry))
 		}
 	}
 }
 
+// note logs each loss and each return of the store once.
+func (f *Follower) note(err error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	switch {
+	case err != nil:
+		if !f.lost {
+			f.Log.Warn("the platform cannot be followed", "kind", f.kind, "version", f.version, "error", err)
+		}
+		f.lost, f.failed = true, time.Now()
+	case f.lost:
+		f.Log.Info("the platform is followed again", "kind", f.kind, "version", f.version)
+		f.lost = false
+	}
+}
+
+// outage reports whether the store failed shortly ago.
+func (f *Follower) outage() bool {
+	failed := f.Failed()
+	return !failed.IsZero() && time.Since(failed) < outageLife
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	if !f.loaded {
 		return f.load(ctx)
@@ -62,6 +115,7 @@
 	if err != nil {
 		return err
 	}
+	batch.Outage = f.outage()
 	f.reader.Apply(batch, asked)
 	f.version = max(f.version, batch.Version)
 	return nil
@@ -73,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	listing.Outage = f.outage()
 	f.reader.Load(listing, asked)
 	f.version = max(f.version, listing.Version)
 	f.loaded = true
--- a/store/store.go
+++ b/store/store.go
@@ -40,12 +40,16 @@
 type Listing struct {
 	Version Version  `json:"version"`
 	Objects []Object `json:"objects"`
+	// Outage is set by a Follower if the store failed shortly before.
+	Outage bool `json:"-"`
 }
 
 // Batch is the events of a kind after one version and up to another.
 type Batch struct {
 	Version Version  `json:"version"`
 	Events  []Object `json:"events"`
+	// Outage is set by a Follower if the store failed shortly before.
+	Outage bool `json:"-"`
 }
 
 // InstanceState is what the platform says of an instance.
