Ask prefill keepers for turns, read at the decode endpoint where none is free, balance the stages

Cause: four of nine engines read prompts though two would do, so memory for answers ran out in every burst; relays chose prefill engines blindly.

Change: package split works out how many engines should read prompts; the first relay asks the keepers, each the only holder for its own engine, to change the stage. Keepers give out turns by reading time. A decode engine reads the prompt itself where no turn is near.

--- a/news/board.go
+++ b/news/board.go
@@ -42,7 +42,7 @@
 		b.endpoints, b.revision = in.Endpoints, in.Digest.Endpoints
 	}
 	b.hear(in.Sender, now)
-	out := &Bulletin{Digest: Digest{Endpoints: b.revision, Crashes: b.crashes.Size()}, Peers: len(b.peers)}
+	out := &Bulletin{Digest: Digest{Endpoints: b.revision, Crashes: b.crashes.Size()}, Peers: len(b.peers), First: b.first()}
 	if b.table != nil {
 		out.Digest.Table = b.table.Version
 		if b.table.Version > in.Digest.Table {
@@ -68,3 +68,14 @@
 		}
 	}
 }
+
+// first returns the first name of those heard of lately.
+func (b *Board) first() string {
+	first := ""
+	for name := range b.peers {
+		if first == "" || name < first {
+			first = name
+		}
+	}
+	return first
+}
--- a/news/news.go
+++ b/news/news.go
@@ -61,6 +61,8 @@
 	Crashes   []Crash         `json:"crashes,omitempty"`
 	// Peers is how many processes like the receiver were heard of lately.
 	Peers int `json:"peers,omitempty"`
+	// First is the first of their names.
+	First string `json:"first,omitempty"`
 }
 
 // Register counts crashes by request. It is safe for concurrent use.
--- a/place/client.go
+++ b/place/client.go
@@ -45,6 +45,20 @@
 	return answer, err
 }
 
+// Turn asks the agent beside a prefill endpoint for a turn.
+func (c *Client) Turn(ctx context.Context, endpoint ident.Address, turn Turn) (answer TurnAnswer, err error) {
+	defer fault.Annotate(&err, "ask for a turn beside %s", endpoint)
+	err = c.call(ctx, endpoint, TurnPath, replyTimeout, turn, &answer)
+	return answer, err
+}
+
+// ChangeStage asks an agent to have its engine work on another stage.
+func (c *Client) ChangeStage(ctx context.Context, endpoint ident.Address, order StageOrder) (answer StageAnswer, err error) {
+	defer fault.Annotate(&err, "change the stage beside %s", endpoint)
+	err = c.call(ctx, endpoint, StagePath, orderTimeout+replyTimeout, order, &answer)
+	return answer, err
+}
+
 // Release gives a place back.
 func (c *Client) Release(ctx context.Context, endpoint ident.Address, attempt ident.AttemptID) (err error) {
 	defer fault.Annotate(&err, "release a place beside %s", endpoint)
--- a/place/keeper.go
+++ b/place/keeper.go
@@ -9,6 +9,7 @@
 
 	"crocusstep/common"
 	"crocusstep/ident"
+	"crocusstep/pool"
 	"crocusstep/room"
 )
 
@@ -33,15 +34,19 @@
 	risk = 1.0
 )
 
-// Reporter asks the engine beside this process for its state.
-type Reporter interface {
+// Engine is the engine beside this process.
+type Engine interface {
+	// Report returns its state.
 	Report(ctx context.Context) (Report, error)
+	// ChangeStage orders it to work on another stage. Of several orders that
+	// follow the same count of orders it carries out one at most.
+	ChangeStage(ctx context.Context, order StageOrder, follows Report) error
 }
 
 // Keeper gives out the places of one engine.
 type Keeper struct {
 	*common.Common
-	reporter Reporter
+	engine Engine
 
 	mutex sync.Mutex
 	// report is the newest state of the engine, taken at the time reported.
@@ -54,7 +59,13 @@
 	waiting []*waiter
 	// step is the learned time for one token of each run.
 	step time.Duration
-	wake chan struct{}
+	// readUntil is when all prompts will be read whose turns were granted.
+	readUntil time.Time
+	// turned is when the newest turn was granted.
+	turned time.Time
+	// staged is when the engine was last ordered to another stage.
+	staged time.Time
+	wake   chan struct{}
 }
 
 type grant struct {
@@ -73,8 +84,8 @@
 }
 
 // NewKeeper returns a keeper without places given out.
-func NewKeeper(c *common.Common, r Reporter) *Keeper {
-	return &Keeper{Common: c, reporter: r, held: map[ident.AttemptID]*grant{}, step: stepDefault, wake: make(chan struct{}, 1)}
+func NewKeeper(c *common.Common, e Engine) *Keeper {
+	return &Keeper{Common: c, engine: e, held: map[ident.AttemptID]*grant{}, step: stepDefault, wake: make(chan struct{}, 1)}
 }
 
 // Run looks at the engine while asks wait, until the context ends.
@@ -98,6 +109,11 @@
 	}
 }
 
+// works reports whether the engine works on a stage at the moment.
+func (k *Keeper) works(stage pool.Stage) bool {
+	return !k.report.Busy && (k.report.Stage == stage || k.report.Stage == pool.Whole)
+}
+
 func (k *Keeper) anyWaits() bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -109,7 +125,7 @@
 func (k *Keeper) Ask(ctx context.Context, ask Ask) Answer {
 	k.refresh(ctx)
 	k.mutex.Lock()
-	if k.down || !k.report.Decodes {
+	if k.down || !k.works(pool.Decode) {
 		k.mutex.Unlock()
 		return Answer{Down: true}
 	}
@@ -175,7 +191,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	asked := time.Now()
-	report, err := k.reporter.Report(ctx)
+	report, err := k.engine.Report(ctx)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if asked.Before(k.reported) {
@@ -234,7 +250,7 @@
 // admit grants places in order; one that does not fit holds up those behind it,
 // so that large runs get their turn.
 func (k *Keeper) admit() {
-	if k.down || !k.report.Decodes {
+	if k.down || !k.works(pool.Decode) {
 		return
 	}
 	for len(k.waiting) > 0 && k.fits(k.waiting[0].ask) {
@@ -303,5 +319,7 @@
 		Running: len(k.report.Runs),
 		Waiting: len(k.waiting),
 		Age:     time.Since(k.reported),
+		Memory:  k.report.Total,
+		Step:    k.step,
 	}
 }
--- a/place/messages.go
+++ b/place/messages.go
@@ -7,12 +7,15 @@
 	"time"
 
 	"crocusstep/ident"
+	"crocusstep/pool"
 )
 
 // The paths of the calls between our processes.
 const (
 	AskPath     = "/place/ask"
 	ReleasePath = "/place/release"
+	TurnPath    = "/place/turn"
+	StagePath   = "/stage"
 	NewsPath    = "/news"
 )
 
@@ -44,8 +47,45 @@
 	Waiting int           `json:"waiting"`
 	// Age is how old the engine's report is that decided.
 	Age time.Duration `json:"age-ns"`
-	// Down is set if the engine does not report.
+	// Down is set if the engine does not report, or does not make answers.
 	Down bool `json:"down,omitempty"`
+	// Memory is the engine's in tokens.
+	Memory ident.TokenCount `json:"memory"`
+	// Step is the learned time for one token of every run.
+	Step time.Duration `json:"step-ns"`
+}
+
+// Turn asks to have a prompt read next.
+type Turn struct {
+	Attempt ident.AttemptID  `json:"attempt"`
+	Tokens  ident.TokenCount `json:"tokens"`
+	// Wait is the longest wait that still helps.
+	Wait time.Duration `json:"wait-ns"`
+}
+
+// TurnAnswer grants a turn or says what stands against it.
+type TurnAnswer struct {
+	Granted bool `json:"granted"`
+	// Ahead is the time that what is to be read before takes.
+	Ahead time.Duration `json:"ahead-ns"`
+	// Down is set if the engine does not report, or does not read prompts.
+	Down bool `json:"down,omitempty"`
+}
+
+// StageOrder asks a keeper to have its engine work on another stage.
+type StageOrder struct {
+	// Endpoint and Born name the process that is meant.
+	Endpoint ident.EndpointName `json:"endpoint"`
+	Born     int64              `json:"born"`
+	Stage    pool.Stage         `json:"stage"`
+	// Want is the balance that decided, in engines that read prompts.
+	Want float64 `json:"want"`
+}
+
+// StageAnswer says whether the engine takes the order.
+type StageAnswer struct {
+	Taken bool   `json:"taken"`
+	Why   string `json:"why,omitempty"`
 }
 
 // Release gives a place back that will not be used.
@@ -59,10 +99,14 @@
 	Total ident.TokenCount
 	// Runs is what is running or admitted.
 	Runs []Running
-	// Waiting is the requests that wait inside the engine.
+	// Waiting is the requests that wait inside the engine, Active those under way.
 	Waiting int
-	// Decodes is false if the engine does not make answers at the moment.
-	Decodes bool
+	Active  int
+	Stage   pool.Stage
+	// Busy is set while the engine changes its stage.
+	Busy bool
+	// Orders counts the orders that the engine has accepted since its start.
+	Orders int64
 	// Born is the Unix millisecond of the engine's start, zero if not stated.
 	Born int64
 }
--- a/place/server.go
+++ b/place/server.go
@@ -24,6 +24,26 @@
 			"expected-wait", answer.Wait, "report-age", answer.Age, "down", answer.Down)
 		encode(w, answer)
 	})
+	router.HandlerFunc(http.MethodPost, TurnPath, func(w http.ResponseWriter, r *http.Request) {
+		var turn Turn
+		if !decode(w, r, &turn) {
+			return
+		}
+		answer := k.Turn(r.Context(), turn)
+		k.Log.Info("turn asked for", "request", turn.Attempt, "granted", answer.Granted, "tokens", turn.Tokens,
+			"ahead", answer.Ahead, "wait", turn.Wait, "down", answer.Down)
+		encode(w, answer)
+	})
+	router.HandlerFunc(http.MethodPost, StagePath, func(w http.ResponseWriter, r *http.Request) {
+		var order StageOrder
+		if !decode(w, r, &order) {
+			return
+		}
+		answer := k.ChangeStage(r.Context(), order)
+		k.Log.Info("change of stage asked for", "endpoint", order.Endpoint, "born", order.Born, "stage", order.Stage,
+			"want", order.Want, "taken", answer.Taken, "why", answer.Why)
+		encode(w, answer)
+	})
 	router.HandlerFunc(http.MethodPost, ReleasePath, func(w http.ResponseWriter, r *http.Request) {
 		var release Release
 		if !decode(w, r, &release) {
--- /dev/null
+++ b/place/turn.go
@@ -0,0 +1,75 @@
+package place
+
+import (
+	"context"
+	"time"
+
+	"crocusstep/pool"
+)
+
+const (
+	// stageDwell is the least time between two changes of an engine's stage: a
+	// change takes 6 s, in which the engine does nothing.
+	stageDwell = 15 * time.Second
+	// turnSettles is how long after a turn the engine's report may not show the
+	// prompt yet, as it is still on its way through two regions.
+	turnSettles = 60 * time.Millisecond
+	// orderTimeout bounds an order to the engine on the same instance.
+	orderTimeout = time.Second
+)
+
+// Turn grants the reading of a prompt if what is ahead of it is read in time.
+// Turns are given out by the time that readings take, so that nobody has to say
+// when one has ended.
+func (k *Keeper) Turn(ctx context.Context, turn Turn) TurnAnswer {
+	k.refresh(ctx)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.down || !k.works(pool.Prefill) {
+		return TurnAnswer{Down: true}
+	}
+	now := time.Now()
+	if k.report.Waiting == 0 && k.report.Active == 0 && now.Sub(k.turned) > turnSettles {
+		k.readUntil = now
+	}
+	ahead := max(0, k.readUntil.Sub(now))
+	if ahead > turn.Wait {
+		return TurnAnswer{Ahead: ahead}
+	}
+	k.turned = now
+	k.readUntil = now.Add(ahead + pool.ReadingTime(turn.Tokens))
+	return TurnAnswer{Granted: true, Ahead: ahead}
+}
+
+// ChangeStage has the engine work on another stage, unless it has changed
+// lately. This process is the only one that gives its engine orders.
+func (k *Keeper) ChangeStage(ctx context.Context, order StageOrder) StageAnswer {
+	k.refresh(ctx)
+	k.mutex.Lock()
+	report := k.report
+	why := ""
+	switch {
+	case k.down:
+		why = "the engine does not report"
+	case report.Busy:
+		why = "the engine carries out an order"
+	case report.Stage == order.Stage:
+		why = "the engine works on that stage"
+	case report.Born != 0 && report.Born != order.Born:
+		why = "the engine is another process"
+	case !k.staged.IsZero() && time.Since(k.staged) < stageDwell:
+		why = "the engine has changed its stage lately"
+	default:
+		k.staged = time.Now()
+	}
+	k.mutex.Unlock()
+	if why != "" {
+		return StageAnswer{Why: why}
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	defer cancel()
+	if err := k.engine.ChangeStage(ctx, order, report); err != nil {
+		return StageAnswer{Why: err.Error()}
+	}
+	return StageAnswer{Taken: true}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -64,7 +64,9 @@
 type Load struct {
 	// Free is the tokens that a new run could take; negative if runs wait for it.
 	Free ident.TokenCount
-	At   time.Time
+	// Ahead is the time that the prompts take which are to be read before.
+	Ahead time.Duration
+	At    time.Time
 }
 
 // Member is an endpoint with what this process knows of it, as a copy.
--- a/pool/rank.go
+++ b/pool/rank.go
@@ -17,10 +17,15 @@
 	// PrefillPerToken is the reading time taken for a prompt token: engines of
 	// today's sites read 55 in a millisecond.
 	PrefillPerToken = 18 * time.Microsecond
-	// prefillSetup is what a reading costs beside its tokens.
-	prefillSetup = 11 * time.Millisecond
+	// PrefillSetup is what a reading costs beside its tokens.
+	PrefillSetup = 11 * time.Millisecond
 )
 
+// ReadingTime is how long an engine that does nothing else reads a prompt.
+func ReadingTime(tokens ident.TokenCount) time.Duration {
+	return time.Duration(tokens)*PrefillPerToken + PrefillSetup
+}
+
 // Home is where this process runs and how far it is to other places.
 type Home struct {
 	Zone    ident.ZoneName
@@ -52,10 +57,13 @@
 }
 
 // Prefills orders members for reading a prompt: by when it would be read.
-func (h Home) Prefills(list []Member, tokens ident.TokenCount) []Member {
+func (h Home) Prefills(list []Member, now time.Time) []Member {
 	return ranked(list, func(m Member) float64 {
-		work := float64(m.Tokens+tokens)*float64(PrefillPerToken) + float64(prefillSetup)
-		return (work + float64(h.roundTrip(m.Zone))) * (1 + failureWeight*m.FailureRate)
+		ahead := max(0, m.Load.Ahead-now.Sub(m.Load.At))
+		if m.Load.At.IsZero() {
+			ahead = ReadingTime(m.Tokens)
+		}
+		return float64(ahead+h.roundTrip(m.Zone)) * (1 + failureWeight*m.FailureRate)
 	})
 }
 
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -39,6 +39,8 @@
 	peers Exchanger
 	self  string
 	count atomic.Int64
+	// leads is true while no relay with an earlier name is heard of.
+	leads atomic.Bool
 }
 
 // NewGossip returns a gossip of a relay's state under its own name.
@@ -54,6 +56,10 @@
 	return peersFirst
 }
 
+// Leads reports whether this relay is the first of all. Two may think so for a
+// while; nothing that a leader does needs to be done by one alone.
+func (g *Gossip) Leads() bool { return g.leads.Load() }
+
 // Run exchanges news until the context ends.
 func (g *Gossip) Run(ctx context.Context) {
 	for turn := rand.IntN(hubs); ctx.Err() == nil; turn++ {
@@ -123,6 +129,7 @@
 
 func (g *Gossip) learn(in *news.Bulletin, hub pool.Endpoint) {
 	g.count.Store(int64(in.Peers))
+	g.leads.Store(in.First == g.self)
 	for _, c := range in.Crashes {
 		g.relay.crashes.Count(c, time.Now())
 	}
--- a/relay/read.go
+++ b/relay/read.go
@@ -22,6 +22,11 @@
 	lateWait = 1200 * time.Millisecond
 	// triedDecodes bounds the decode endpoints asked before waiting at the best.
 	triedDecodes = 3
+	// triedPrefills bounds the prefill endpoints asked for one reading.
+	triedPrefills = 3
+	// turnWait is the longest wait for a turn: a decode endpoint that reads the
+	// mean prompt itself is done after twice the reading, some 200 ms.
+	turnWait = 250 * time.Millisecond
 	// agentPause is how long an agent that did not answer is not asked.
 	agentPause = 2 * time.Second
 	// blindTokens bounds the prompt tokens this process has under way at a decode
@@ -98,9 +103,9 @@
 		return errors.Join(link.ErrNotSent, errors.New("the decode endpoint has left meanwhile"))
 	}
 	s.endpoint = g.member.Name
-	answer, err := s.config.Endpoints.Write(ctx, g.member.Endpoint, s.request, from, s.left())
+	answer, err := s.write(ctx, g.member.Endpoint, from)
 	s.Log.Info("stream begun", "request", s.request.Attempt, "decode", g.member.Name, "granted", g.held,
-		"place-wait", placed.Sub(began), "reading", read.Sub(placed), "error", err)
+		"place-wait", placed.Sub(began), "reading", read.Sub(placed), "read-apart", from != nil, "error", err)
 	if err != nil {
 		judged = verdict(ctx, err)
 		if errors.Is(err, link.ErrNotSent) {
@@ -134,6 +139,14 @@
 	return err
 }
 
+// write has the answer made of a prompt that was read, or has yet to be.
+func (s *stream) write(ctx context.Context, e pool.Endpoint, from *Reading) (*Answer, error) {
+	if from == nil {
+		return s.config.Endpoints.Call(ctx, e, s.request, s.left())
+	}
+	return s.config.Endpoints.Write(ctx, e, s.request, from, s.left())
+}
+
 // reserve gets a place at a decode endpoint: it asks the most promising at once
 // and then waits at the one with the shortest expected wait.
 func (s *stream) reserve(ctx context.Context) (*grant, error) {
@@ -212,6 +225,10 @@
 		return answer, nil
 	}
 	s.config.Pool.Observe(m.Name, pool.Load{Free: answer.Free, At: time.Now()})
+	if !s.observed {
+		s.observed = true
+		s.observe(s.service.Name, p, m.Slots, answer)
+	}
 	if !answer.Granted {
 		return answer, nil
 	}
@@ -242,29 +259,61 @@
 	r.agentless[name] = time.Now().Add(agentPause)
 }
 
-// prefill has the prompt read at the endpoint that will be done first.
+// prefill has the prompt read at the endpoint that will be done first. It
+// returns no reading if the decode endpoint is to read the prompt itself, which
+// takes it twice the time: where no endpoint reads prompts, or all are late.
 func (s *stream) prefill(ctx context.Context) (*Reading, error) {
-	var last error
-	for asked := 0; asked < 2; asked++ {
+	for asked := 0; asked < triedPrefills; asked++ {
 		members := s.config.Pool.Members(s.service.Name, pool.Prefill)
 		members = slices.DeleteFunc(members, func(m pool.Member) bool { return s.tried[m.Name] })
-		if len(members) == 0 {
-			return nil, errors.Join(last, errors.New("no prefill endpoint"))
+		members = s.config.Home.Prefills(members, time.Now())
+		m, found := s.takeTurn(ctx, members)
+		if !found || ctx.Err() != nil {
+			return nil, ctx.Err()
 		}
 		if s.read > 0 && !s.mayRepeat(ctx) {
-			return nil, errors.Join(last, errors.New("no prompt may be read again"))
+			return nil, errors.New("no prompt may be read again")
 		}
-		m := s.config.Home.Prefills(members, s.request.Prompt.Tokens)[0]
 		from, err := s.readAt(ctx, m)
-		if err == nil {
-			return from, nil
+		if err == nil || ctx.Err() != nil {
+			return from, err
 		}
-		last = err
-		if ctx.Err() != nil {
-			return nil, err
+	}
+	return nil, nil
+}
+
+// takeTurn asks the keepers beside prefill endpoints for a turn.
+func (s *stream) takeTurn(ctx context.Context, members []pool.Member) (pool.Member, bool) {
+	for _, m := range members[:min(triedPrefills, len(members))] {
+		if m.Suspended {
+			break
+		}
+		if s.agentGone(m.Name) {
+			return m, true
+		}
+		answer, err := s.config.Places.Turn(ctx, m.Address, place.Turn{
+			Attempt: s.request.Attempt, Tokens: s.request.Prompt.Tokens, Wait: turnWait,
+		})
+		if err != nil {
+			if ctx.Err() == nil {
+				s.Log.Warn("an agent does not answer", "request", s.request.Attempt, "endpoint", m.Name, "error", err)
+				s.setAgentGone(m.Name)
+			}
+			return m, true
+		}
+		if answer.Down {
+			continue
+		}
+		ahead := answer.Ahead
+		if answer.Granted {
+			ahead += pool.ReadingTime(s.request.Prompt.Tokens)
+		}
+		s.config.Pool.Observe(m.Name, pool.Load{Ahead: ahead, At: time.Now()})
+		if answer.Granted {
+			return m, true
 		}
 	}
-	return nil, last
+	return pool.Member{}, false
 }
 
 func (s *stream) readAt(ctx context.Context, m pool.Member) (from *Reading, err error) {
@@ -312,6 +361,9 @@
 
 // free gives up a prompt that will not be used.
 func (s *stream) free(from *Reading) {
+	if from == nil {
+		return
+	}
 	s.Meter.WastedPrefill(s.service.Name, s.request.Prompt.Tokens)
 	s.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,8 @@
 type Places interface {
 	Ask(ctx context.Context, endpoint ident.Address, ask place.Ask) (place.Answer, error)
 	Release(ctx context.Context, endpoint ident.Address, attempt ident.AttemptID) error
+	Turn(ctx context.Context, endpoint ident.Address, turn place.Turn) (place.TurnAnswer, error)
+	ChangeStage(ctx context.Context, endpoint ident.Address, order place.StageOrder) (place.StageAnswer, error)
 }
 
 // Config configures a Relay.
@@ -63,6 +65,8 @@
 	patience map[string]time.Duration
 	// agentless holds until when an endpoint's agent is not asked.
 	agentless map[ident.EndpointName]time.Time
+	// loads is the mean request of each service with engines.
+	loads map[ident.ServiceName]*meanLoad
 }
 
 // NewRelay returns a relay that refuses everything until it has a table.
@@ -74,6 +78,7 @@
 		windows:   map[ident.ServiceName]*retry.Window{},
 		patience:  map[string]time.Duration{},
 		agentless: map[ident.EndpointName]time.Time{},
+		loads:     map[ident.ServiceName]*meanLoad{},
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -25,6 +25,8 @@
 	after string
 	// read counts the times that the prompt was read.
 	read int
+	// observed is true once the request counts in the mean load.
+	observed bool
 	// last is when the newest events came.
 	last time.Time
 }
--- /dev/null
+++ b/split/split.go
@@ -0,0 +1,110 @@
+// Package split decides how many of a service's engines read prompts and how
+// many make answers, so that neither waits for the other.
+package split
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"crocusstep/ident"
+	"crocusstep/pool"
+)
+
+const (
+	// slack is how far the engines may be off the balance before one changes its
+	// stage, in engines. Half an engine is what rounding leaves; the rest keeps a
+	// load that varies from moving engines to and fro.
+	slack = 0.6
+	// usable is the share of an engine's memory that runs fill on average.
+	usable = 0.9
+)
+
+// Load is the mean request and what the engines take for it.
+type Load struct {
+	Prompt ident.TokenCount
+	Output ident.TokenCount
+	// Memory is one engine's in tokens.
+	Memory ident.TokenCount
+	// Slots is how many runs an engine works on at once; zero is no bound.
+	Slots int
+	// Reading is the time to read one prompt token.
+	Reading time.Duration
+	// Setup is what a reading takes beside its tokens.
+	Setup time.Duration
+	// Step is the time to make one token of every run.
+	Step time.Duration
+}
+
+// Prefills returns how many of the engines should read prompts, as a fraction
+// still to be rounded. A reading takes an engine alone for its time; an answer
+// takes a share of an engine's memory, or a slot, for as long as it is made.
+func Prefills(engines int, l Load) float64 {
+	read := (time.Duration(l.Prompt)*l.Reading + l.Setup).Seconds()
+	held := float64(l.Prompt) + float64(l.Output)/2
+	share := held / (usable * float64(max(1, l.Memory)))
+	if l.Slots > 0 {
+		share = max(share, 1/float64(l.Slots))
+	}
+	write := share * (time.Duration(l.Output) * l.Step).Seconds()
+	if read+write <= 0 {
+		return 0
+	}
+	return float64(engines) * read / (read + write)
+}
+
+// Change is an engine that should work on another stage.
+type Change struct {
+	Endpoint pool.Endpoint
+	To       pool.Stage
+}
+
+// Changes returns which engines should change their stage, if any: those in the
+// zones that have the most of the stage that has too many. At least one engine
+// stays in each stage.
+func Changes(engines []pool.Endpoint, want float64) []Change {
+	byStage := map[pool.Stage][]pool.Endpoint{}
+	for _, e := range engines {
+		byStage[e.Stage] = append(byStage[e.Stage], e)
+	}
+	have := float64(len(byStage[pool.Prefill]))
+	from, to := pool.Prefill, pool.Decode
+	if want > have {
+		from, to = pool.Decode, pool.Prefill
+	}
+	off := math.Abs(have - want)
+	if off <= slack {
+		return nil
+	}
+	count := min(int(math.Round(off)), len(byStage[from])-1)
+	var changes []Change
+	for _, e := range crowdedFirst(byStage[from])[:max(0, count)] {
+		changes = append(changes, Change{Endpoint: e, To: to})
+	}
+	return changes
+}
+
+// crowdedFirst orders engines so that taking them from the front leaves the zones
+// evenly served.
+func crowdedFirst(engines []pool.Endpoint) []pool.Endpoint {
+	slices.SortFunc(engines, func(a, b pool.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	left := map[ident.ZoneName]int{}
+	for _, e := range engines {
+		left[e.Zone]++
+	}
+	var order []pool.Endpoint
+	rest := slices.Clone(engines)
+	for len(rest) > 0 {
+		most := 0
+		for i, e := range rest {
+			if left[e.Zone] > left[rest[most].Zone] {
+				most = i
+			}
+		}
+		left[rest[most].Zone]--
+		order = append(order, rest[most])
+		rest = slices.Delete(rest, most, most+1)
+	}
+	return order
+}
--- a/start/relay_command.go
+++ b/start/relay_command.go
@@ -221,6 +221,7 @@
 	s.tasks.Go(func() { tables.Run(s.ctx) })
 	s.tasks.Go(func() { records.Run(s.ctx) })
 	s.tasks.Go(func() { s.gossip.Run(s.ctx) })
+	s.tasks.Go(func() { s.relay.Balance(s.ctx, s.gossip.Leads) })
 	s.tasks.Go(func() { s.trim(records) })
 }
 
@@ -274,7 +275,7 @@
 		return err
 	}
 	defer p.close()
-	keeper := place.NewKeeper(p.Common, platform.NewEngine(socket.NewClient(), settings.Endpoint))
+	keeper := place.NewKeeper(p.Common, platform.NewEngine(socket.NewClient(), settings.Endpoint, settings.Place.Instance))
 	p.tasks.Go(func() { keeper.Run(p.ctx) })
 	server := newServer(place.NewHandler(keeper, news.NewBoard()), adminHeaderTimeout)
 	listen := net.JoinHostPort(settings.Address, strconv.Itoa(settings.Peers.KeeperPort))
