Reset connections whose request is given up; keep away from frozen instances

Requests given up by their callers lay in the socket buffers of a frozen instance and reached its engine when it woke 6 s later. The connection was closed in order, so the bytes before the close were still read; and relays went on using an endpoint blindly whose keeper did not answer at all.

Change: an exchange that is given up resets its connection. A keeper that refuses the connection is a dead process and its engine is used without it; one that is silent means that the instance is frozen or cut, and the endpoint is suspended.

--- a/link/conn.go
+++ b/link/conn.go
@@ -92,6 +92,16 @@
 	return err == nil && quiet
 }
 
+// abort closes a connection with a reset, so that an endpoint which has not read
+// the request yet, as it is frozen or cut off, does not run it later.
+func (k *conn) abort() {
+	if tcp, ok := k.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// Without it the close is an orderly one, which is the next best.
+		_ = tcp.SetLinger(0)
+	}
+	_ = k.Close()
+}
+
 // exchange sends a message and reads the head of the answer to it.
 func (k *conn) exchange(ctx context.Context, m *Message, echo string) (*http.Response, error) {
 	if err := k.send(m); err != nil {
--- a/link/link.go
+++ b/link/link.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
+	stop := context.AfterFunc(ctx, k.abort)
 	response, err = k.exchange(ctx, m, c.config.EchoHeader)
 	if err != nil {
 		stop()
@@ -173,7 +173,7 @@
 }
 
 func (c *Client) drop(address ident.Address, k *conn) {
-	_ = k.Close()
+	k.abort()
 	c.release(address)
 }
 
--- a/relay/read.go
+++ b/relay/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"slices"
+	"syscall"
 	"time"
 
 	"crocusstep/fault"
@@ -20,6 +21,12 @@
 	transferAllowance = 90 * time.Millisecond
 	// lateWait is how long a caller whose objective has passed waits for a place.
 	lateWait = 1200 * time.Millisecond
+	// cameBackAfter is the patience that a caller has used up when it counts as
+	// one that was refused before; new ones differ by their way here.
+	cameBackAfter = 250 * time.Millisecond
+	// cameBackWait is how long such a caller waits: callers leave a stream without
+	// an event after 3.6 s at an objective of 900 ms.
+	cameBackWait = 2800 * time.Millisecond
 	// triedDecodes bounds the decode endpoints asked before waiting at the best.
 	triedDecodes = 3
 	// triedPrefills bounds the prefill endpoints asked for one reading.
@@ -175,20 +182,36 @@
 	}
 	s.Log.Info("no place in time", "request", s.request.Attempt, "window", window, "expected-wait", shortest, "spent", s.spent)
 	return nil, fault.New(fault.TargetUnreachable, "the expected wait for memory is %s", shortest.Round(time.Millisecond)).
-		After(s.comeBack(min(max(shortest, returnLeast), returnMost/2)))
+		After(s.returnAfter(shortest))
 }
 
+// The order in which requests get places, the least first.
+const (
+	// goesOn streams have begun, and their callers see a pause.
+	goesOn = iota
+	// inTime requests can still meet their objective. They go before those that
+	// came back late, or in a burst all would be late.
+	inTime
+	// cameBack callers were refused before, and wait longer not to be again.
+	cameBack
+	// tooLate requests cannot.
+	tooLate
+)
+
 // waitWindow is how long it helps to wait for a place, and with which urgency.
 func (s *stream) waitWindow() (time.Duration, int) {
-	if s.started {
-		return lateWait, -1
+	switch {
+	case s.started:
+		return lateWait, goesOn
+	case s.spent > cameBackAfter:
+		return min(cameBackWait, s.left()/2), cameBack
 	}
-	reading := time.Duration(s.request.Prompt.Tokens) * pool.PrefillPerToken
-	latest := s.request.Arrived.Add(s.route.Objective - s.spent - reading - transferAllowance)
+	reading := pool.ReadingTime(s.request.Prompt.Tokens)
+	latest := s.request.Arrived.Add(s.route.Objective - reading - transferAllowance)
 	if left := time.Until(latest); left > 0 {
-		return left, 0
+		return left, inTime
 	}
-	return min(lateWait, s.left()/2), 1
+	return min(lateWait, s.left()/2), tooLate
 }
 
 func (s *stream) decodes() []pool.Member {
@@ -214,11 +237,9 @@
 		Urgency: urgency,
 	})
 	if err != nil {
-		if ctx.Err() != nil {
+		if !s.agentFailed(ctx, m, err) {
 			return place.Answer{Down: true}, nil
 		}
-		s.Log.Warn("an agent does not answer", "request", s.request.Attempt, "endpoint", m.Name, "error", err)
-		s.setAgentGone(m.Name)
 		return s.askBlind(m)
 	}
 	if answer.Down {
@@ -235,6 +256,23 @@
 	return answer, s.hold(m, true)
 }
 
+// agentFailed notes that an agent did not answer, and reports whether its
+// endpoint may be used without it. Where nothing answers at all, the whole
+// instance is frozen or cut off, and what is sent there may run much later.
+func (s *stream) agentFailed(ctx context.Context, m pool.Member, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	s.Log.Warn("an agent does not answer", "request", s.request.Attempt, "endpoint", m.Name, "refused", refused, "error", err)
+	if refused {
+		s.setAgentGone(m.Name)
+		return true
+	}
+	s.config.Pool.Begin(m.Endpoint, 0)(pool.Broken, 0)
+	return false
+}
+
 // askBlind bounds the use of an endpoint by what this process has there.
 func (s *stream) askBlind(m pool.Member) (place.Answer, *grant) {
 	if m.Tokens+s.request.Prompt.Tokens > blindTokens {
@@ -295,9 +333,8 @@
 			Attempt: s.request.Attempt, Tokens: s.request.Prompt.Tokens, Wait: turnWait,
 		})
 		if err != nil {
-			if ctx.Err() == nil {
-				s.Log.Warn("an agent does not answer", "request", s.request.Attempt, "endpoint", m.Name, "error", err)
-				s.setAgentGone(m.Name)
+			if !s.agentFailed(ctx, m, err) {
+				continue
 			}
 			return m, true
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -153,6 +153,14 @@
 	return w
 }
 
+// returnAfter is when a caller should come back that found no place: after the
+// expected wait, and spread over the time in which a burst passes, as those who
+// come back go first.
+func (*Relay) returnAfter(wait time.Duration) time.Duration {
+	least := min(max(wait, returnLeast), returnMost/2)
+	return least + rand.N(returnMost-least)
+}
+
 // comeBack spreads callers that are refused together over a time.
 func (*Relay) comeBack(least time.Duration) time.Duration {
 	return least + rand.N(max(least, 200*time.Millisecond))
