Let callers that came back wait no longer than others who are late

Cause: with 2.8 s of waiting, places that became free in a burst went to callers that were late already, and those who came in time became late in turn.

Change: they wait 1.2 s.

--- a/relay/read.go
+++ b/relay/read.go
@@ -26,7 +26,7 @@
 	cameBackAfter = 250 * time.Millisecond
 	// cameBackWait is how long such a caller waits: callers leave a stream without
 	// an event after 3.6 s at an objective of 900 ms.
-	cameBackWait = 2800 * time.Millisecond
+	cameBackWait = 1200 * time.Millisecond
 	// triedDecodes bounds the decode endpoints asked before waiting at the best.
 	triedDecodes = 3
 	// triedPrefills bounds the prefill endpoints asked for one reading.
