--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,157 @@
+package pool
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"crocusstep/ident"
+)
+
+func endpoint(name string) Endpoint {
+	return Endpoint{Name: ident.EndpointName(name), Born: 1, Service: "s", Address: "10.0.0.1:1", Slots: 4}
+}
+
+func names(p *Pool) []string {
+	var list []string
+	for _, m := range p.Members("s", Whole) {
+		list = append(list, string(m.Name))
+	}
+	return list
+}
+
+func TestPool(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		run      func(t *testing.T, p *Pool)
+	}{
+		{
+			testName: "an older list does not bring a removed endpoint back",
+			run: func(t *testing.T, p *Pool) {
+				p.Apply([]Change{{Endpoint: endpoint("a"), Gone: true}}, 6, false)
+				assert.Assert(t, !p.Load([]Endpoint{endpoint("a")}, 5, false))
+				assert.Equal(t, len(names(p)), 0)
+			},
+		},
+		{
+			testName: "a leaving endpoint takes no new work at once",
+			run: func(t *testing.T, p *Pool) {
+				e := endpoint("a")
+				e.Leaving = true
+				p.Apply([]Change{{Endpoint: e}}, 6, false)
+				assert.Equal(t, len(names(p)), 0)
+				assert.Assert(t, !p.Usable(endpoint("a")))
+			},
+		},
+		{
+			testName: "a record that lapsed in an outage stays in use for two seconds",
+			run: func(t *testing.T, p *Pool) {
+				p.Load(nil, 6, true)
+				returned := time.Now()
+				assert.Equal(t, len(names(p)), 1)
+				time.Sleep(lapseGrace / 2)
+				assert.Equal(t, len(p.Expire(time.Now(), returned)), 0)
+				time.Sleep(lapseGrace)
+				assert.Equal(t, len(p.Expire(time.Now(), returned)), 1)
+				assert.Equal(t, len(names(p)), 0)
+			},
+		},
+		{
+			testName: "a lapsed record that comes back is as before",
+			run: func(t *testing.T, p *Pool) {
+				p.Load(nil, 6, true)
+				p.Apply([]Change{{Endpoint: endpoint("a")}}, 7, true)
+				time.Sleep(2 * lapseGrace)
+				assert.Equal(t, len(p.Expire(time.Now(), time.Now().Add(-time.Hour))), 0)
+				assert.Assert(t, !p.Members("s", Whole)[0].Lapsed)
+			},
+		},
+		{
+			testName: "a removal without an outage counts at once",
+			run: func(t *testing.T, p *Pool) {
+				p.Load(nil, 6, false)
+				assert.Equal(t, len(names(p)), 0)
+			},
+		},
+		{
+			testName: "a new process of an old name knows nothing of the one before",
+			run: func(t *testing.T, p *Pool) {
+				p.Begin(endpoint("a"), 100)(Broken, 0)
+				e := endpoint("a")
+				e.Born = 2
+				p.Apply([]Change{{Endpoint: e}}, 6, false)
+				assert.Assert(t, !p.Members("s", Whole)[0].Suspended)
+				assert.Assert(t, !p.Usable(endpoint("a")))
+			},
+		},
+		{
+			testName: "a late write of the process before is passed over",
+			run: func(t *testing.T, p *Pool) {
+				e := endpoint("a")
+				e.Born = 2
+				p.Apply([]Change{{Endpoint: e}}, 6, false)
+				old := endpoint("a")
+				old.Leaving = true
+				p.Apply([]Change{{Endpoint: old}}, 7, false)
+				assert.Equal(t, len(names(p)), 1)
+			},
+		},
+		{
+			testName: "a broken connection suspends, success ends that",
+			run: func(t *testing.T, p *Pool) {
+				p.Begin(endpoint("a"), 0)(Broken, 0)
+				assert.Assert(t, p.Members("s", Whole)[0].Suspended)
+				p.Begin(endpoint("a"), 0)(Good, time.Millisecond)
+				assert.Assert(t, !p.Members("s", Whole)[0].Suspended)
+			},
+		},
+		{
+			testName: "work counts until it ends, and once",
+			run: func(t *testing.T, p *Pool) {
+				end := p.Begin(endpoint("a"), 70)
+				assert.Equal(t, p.Members("s", Whole)[0].Tokens, ident.TokenCount(70))
+				end(Silent, 0)
+				end(Silent, 0)
+				assert.Equal(t, p.Members("s", Whole)[0].Outstanding, 0)
+			},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := NewPool()
+				p.Load([]Endpoint{endpoint("a")}, 5, false)
+				s.run(t, p)
+			})
+		})
+	}
+}
+
+// TestViewNeverGoesBack hands lists of any age over in any order, as peers and
+// the store do: what is in force is the newest.
+func TestViewNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPool()
+		newest := Revision(-1)
+		for range rapid.IntRange(1, 20).Draw(t, "lists") {
+			revision := Revision(rapid.IntRange(0, 9).Draw(t, "revision"))
+			e := endpoint("a")
+			e.Slots = int(revision)
+			if rapid.Bool().Draw(t, "whole") {
+				p.Load([]Endpoint{e}, revision, false)
+			} else if newest >= 0 {
+				p.Apply([]Change{{Endpoint: e}}, revision, false)
+			} else {
+				continue
+			}
+			newest = max(newest, revision)
+			list, at := p.Snapshot()
+			if at != newest || list[0].Slots != int(newest) {
+				t.Fatalf("at %d with %v, newest %d", at, list, newest)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pool/rank_test.go
@@ -0,0 +1,61 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusstep/ident"
+)
+
+var home = Home{Zone: "z1", Regions: map[ident.ZoneName]ident.RegionName{"z1": "r1", "z2": "r1", "z3": "r2"}}
+
+func memberIn(name string, zone ident.ZoneName) Member {
+	return Member{Endpoint: Endpoint{Name: ident.EndpointName(name), Zone: zone, Slots: 6}}
+}
+
+func TestPlain(t *testing.T) {
+	busy, grey, slow, broken, lapsed := memberIn("busy", "z1"), memberIn("grey", "z1"), memberIn("slow", "z1"), memberIn("broken", "z1"), memberIn("lapsed", "z1")
+	busy.Outstanding = 12
+	grey.FailureRate = 0.5
+	slow.Pace = 400 * time.Millisecond
+	broken.Suspended = true
+	lapsed.Lapsed = true
+	scenarios := []struct {
+		testName string
+		list     []Member
+		first    string
+	}{
+		{testName: "the own zone goes first", list: []Member{memberIn("far", "z3"), memberIn("next", "z2"), memberIn("here", "z1")}, first: "here"},
+		{testName: "a burst spreads to the next zone", list: []Member{busy, memberIn("next", "z2")}, first: "next"},
+		{testName: "one that fails half of its requests goes behind another region", list: []Member{grey, memberIn("far", "z3")}, first: "far"},
+		{testName: "one that has become slow goes behind", list: []Member{slow, memberIn("far", "z3")}, first: "far"},
+		{testName: "a suspended one is the last resort", list: []Member{broken, lapsed}, first: "lapsed"},
+		{testName: "a pool of suspended ones is not empty", list: []Member{broken}, first: "broken"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			assert.Equal(t, string(home.Plain(s.list)[0].Name), s.first)
+		})
+	}
+}
+
+func TestPrefillsByBacklog(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	ahead, read := memberIn("ahead", "z1"), memberIn("read", "z2")
+	ahead.Load = Load{Ahead: 200 * time.Millisecond, At: now}
+	read.Load = Load{Ahead: 300 * time.Millisecond, At: now.Add(-280 * time.Millisecond)}
+	assert.Equal(t, string(home.Prefills([]Member{ahead, read}, now)[0].Name), "read", "a backlog shrinks as time passes")
+}
+
+func TestDecodesByMemory(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	full, free, stale := memberIn("full", "z1"), memberIn("free", "z1"), memberIn("stale", "z1")
+	full.Load = Load{Free: 1000, At: now}
+	free.Load = Load{Free: 60000, At: now}
+	stale.Load = Load{Free: 90000, At: now.Add(-time.Minute)}
+	order := home.Decodes([]Member{full, stale, free}, now)
+	assert.Equal(t, string(order[0].Name), "free")
+	assert.Equal(t, string(order[2].Name), "full")
+}
--- /dev/null
+++ b/room/room_test.go
@@ -0,0 +1,135 @@
+package room
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"crocusstep/ident"
+)
+
+func TestFits(t *testing.T) {
+	policy := Policy{Capacity: 1000}
+	scenarios := []struct {
+		testName string
+		policy   Policy
+		runs     []Run
+		next     Run
+		fits     bool
+	}{
+		{testName: "an empty engine takes a run that fits", policy: policy, next: Run{Now: 400, Left: 500}, fits: true},
+		{testName: "a run larger than the memory never fits", policy: policy, next: Run{Now: 600, Left: 500}},
+		{
+			testName: "runs that end before the peak leave their memory to it",
+			policy:   policy,
+			runs:     []Run{{Now: 500, Left: 10}},
+			next:     Run{Now: 100, Left: 800},
+			fits:     true,
+		},
+		{
+			testName: "runs that grow together meet at their peak",
+			policy:   policy,
+			runs:     []Run{{Now: 200, Left: 300}},
+			next:     Run{Now: 200, Left: 300},
+		},
+		{
+			testName: "slots bound small runs",
+			policy:   Policy{Capacity: 1000, Slots: 2},
+			runs:     []Run{{Now: 1, Left: 1}, {Now: 1, Left: 1}},
+			next:     Run{Now: 1, Left: 1},
+		},
+		{
+			testName: "risk keeps memory for answers longer than expected",
+			policy:   Policy{Capacity: 1000, Risk: 1},
+			next:     Run{Now: 400, Left: 500},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			assert.Equal(t, s.policy.Fits(s.runs, s.next), s.fits)
+		})
+	}
+}
+
+// TestPeak compares the closed form with memory counted step by step.
+func TestPeak(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runs := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Run {
+			return Run{Now: ident.TokenCount(rapid.IntRange(0, 50).Draw(t, "now")), Left: ident.TokenCount(rapid.IntRange(0, 50).Draw(t, "left"))}
+		}), 1, 8).Draw(t, "runs")
+		most := ident.TokenCount(0)
+		for step := ident.TokenCount(0); step <= 50; step++ {
+			held := ident.TokenCount(0)
+			for _, r := range runs {
+				if r.Left >= step {
+					held += r.Now + step + block
+				}
+			}
+			most = max(most, held)
+		}
+		if got := peak(runs); got != most {
+			t.Fatalf("peak %d, counted %d", got, most)
+		}
+	})
+}
+
+func TestSteps(t *testing.T) {
+	policy := Policy{Capacity: 1000}
+	next := Run{Now: 300, Left: 100}
+	assert.Equal(t, policy.Steps(nil, next), ident.TokenCount(0))
+	assert.Equal(t, policy.Steps([]Run{{Now: 700, Left: 20}, {Now: 200, Left: 50}}, next), ident.TokenCount(20))
+}
+
+func TestLeft(t *testing.T) {
+	assert.Equal(t, Left(1000, 500, 500), ident.TokenCount(0))
+	assert.Assert(t, Left(1000, 0, 0) > 1000)
+	assert.Assert(t, Left(1000, 2000, 0) > 0, "an answer past its estimate still goes on")
+	assert.Assert(t, Left(1000, 0, 100) <= 100)
+	assert.Assert(t, Left(0, 0, 100) <= 100)
+}
+
+// TestBurstOfLongAnswers is four times an engine's load of long prompts at once,
+// with answers as long as they turn out: runs admitted by the policy must seldom
+// outgrow the memory, and must fill most of it.
+func TestBurstOfLongAnswers(t *testing.T) {
+	const capacity, rounds = 101752, 400
+	random := rand.New(rand.NewPCG(1, 2))
+	policy := Policy{Capacity: capacity, Slots: 64, Risk: 1}
+	type running struct{ held, made, estimate, length ident.TokenCount }
+	var engine []running
+	outgrown, filled, samples := 0, 0.0, 0
+	for range rounds {
+		for {
+			estimate := ident.TokenCount(2000 + random.IntN(4600))
+			prompt := ident.TokenCount(2600 + random.IntN(5200))
+			runs := make([]Run, 0, len(engine))
+			for _, r := range engine {
+				runs = append(runs, Run{Now: r.held, Left: Left(r.estimate, r.made, 7930)})
+			}
+			if !policy.Fits(runs, Run{Now: prompt, Left: Left(estimate, 0, 7930)}) {
+				break
+			}
+			length := min(7930, ident.TokenCount(float64(estimate)*(0.6+0.9*random.Float64())))
+			engine = append(engine, running{held: prompt, estimate: estimate, length: length})
+		}
+		const step = 61
+		held, kept := ident.TokenCount(0), engine[:0]
+		for _, r := range engine {
+			r.held, r.made = r.held+step, r.made+step
+			if r.made < r.length {
+				kept = append(kept, r)
+				held += r.held
+			}
+		}
+		engine = kept
+		if held > capacity {
+			outgrown++
+		}
+		filled += float64(held) / capacity
+		samples++
+	}
+	assert.Assert(t, outgrown*100 <= rounds, "memory ran out in %d of %d rounds", outgrown, rounds)
+	assert.Assert(t, filled/float64(samples) > 0.7, "only %.2f of the memory is used", filled/float64(samples))
+}
--- /dev/null
+++ b/split/split_test.go
@@ -0,0 +1,86 @@
+package split
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusstep/ident"
+	"crocusstep/pool"
+)
+
+// today is the load of both sites: prompts of 5,200 tokens, answers of 4,300.
+var today = Load{
+	Prompt: 5200, Output: 4300, Memory: 101752, Slots: 64,
+	Reading: 18 * time.Microsecond, Setup: 11 * time.Millisecond, Step: 860 * time.Microsecond,
+}
+
+func TestPrefills(t *testing.T) {
+	longPrompts, longAnswers, fewSlots := today, today, today
+	longPrompts.Prompt *= 3
+	longAnswers.Output *= 3
+	fewSlots.Slots = 2
+	scenarios := []struct {
+		testName    string
+		load        Load
+		least, most float64
+	}{
+		{testName: "today's load needs two or three of nine", load: today, least: 2, most: 3},
+		{testName: "traffic that shifts to long prompts needs more", load: longPrompts, least: 2.2, most: 4},
+		{testName: "traffic that shifts to long answers needs fewer", load: longAnswers, least: 0.2, most: 1},
+		{testName: "where slots bind, answers need more engines", load: fewSlots, least: 0.1, most: 1},
+		{testName: "no load needs none", load: Load{}, least: 0, most: 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			got := Prefills(9, s.load)
+			assert.Assert(t, got >= s.least && got <= s.most, "%f", got)
+		})
+	}
+}
+
+func engines(prefills, decodes int) []pool.Endpoint {
+	var list []pool.Endpoint
+	for i := range prefills + decodes {
+		stage := pool.Decode
+		if i < prefills {
+			stage = pool.Prefill
+		}
+		zone := ident.ZoneName(fmt.Sprintf("zone-%d", i%3))
+		list = append(list, pool.Endpoint{Name: ident.EndpointName(fmt.Sprintf("e%02d", i)), Zone: zone, Stage: stage})
+	}
+	return list
+}
+
+func TestChanges(t *testing.T) {
+	scenarios := []struct {
+		testName          string
+		prefills, decodes int
+		want              float64
+		changes           int
+		to                pool.Stage
+	}{
+		{testName: "balanced engines stay", prefills: 3, decodes: 6, want: 2.6},
+		{testName: "half an engine off stays", prefills: 3, decodes: 6, want: 2.45},
+		{testName: "two too many change at once", prefills: 4, decodes: 5, want: 2.2, changes: 2, to: pool.Decode},
+		{testName: "too few are added to", prefills: 1, decodes: 8, want: 2.4, changes: 1, to: pool.Prefill},
+		{testName: "the last one stays", prefills: 1, decodes: 8, want: 0.1},
+		{testName: "after the loss of all that read, one is made of the others", prefills: 0, decodes: 5, want: 1.2, changes: 1, to: pool.Prefill},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			changes := Changes(engines(s.prefills, s.decodes), s.want)
+			assert.Equal(t, len(changes), s.changes)
+			for _, c := range changes {
+				assert.Equal(t, c.To, s.to)
+			}
+		})
+	}
+}
+
+func TestCrowdedZonesGiveFirst(t *testing.T) {
+	changes := Changes(engines(4, 5), 2.2)
+	assert.Equal(t, changes[0].Endpoint.Zone, ident.ZoneName("zone-0"), "two of the four are in that zone")
+}
--- /dev/null
+++ b/table/table_test.go
@@ -0,0 +1,50 @@
+package table
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func routeTo(name, prefix string) Route {
+	return Route{Name: name, Host: "a.example", Prefix: prefix, Shares: []Share{{Service: "s", Weight: 1}}}
+}
+
+func TestMatch(t *testing.T) {
+	of := NewTable(&Document{Version: 1, Routes: []Route{routeTo("short", "/a/"), routeTo("long", "/a/b/"), routeTo("other", "/c/")}})
+	scenarios := []struct {
+		testName   string
+		host, path string
+		route      string
+	}{
+		{testName: "the longest prefix wins", host: "a.example", path: "/a/b/x", route: "long"},
+		{testName: "a shorter prefix takes the rest", host: "a.example", path: "/a/x", route: "short"},
+		{testName: "a prefix ends with its slash", host: "a.example", path: "/a", route: ""},
+		{testName: "hosts have no case and no port", host: "A.Example:8080", path: "/c/", route: "other"},
+		{testName: "another host has other routes", host: "b.example", path: "/a/x", route: ""},
+		{testName: "paths are not cleaned", host: "a.example", path: "/x/../a/b/", route: ""},
+		{testName: "paths are not unescaped", host: "a.example", path: "/%61/x", route: ""},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			r, found := of.Match(s.host, s.path)
+			assert.Equal(t, found, s.route != "")
+			assert.Equal(t, r.Name, s.route)
+		})
+	}
+}
+
+func TestPick(t *testing.T) {
+	r := Route{Shares: []Share{{Service: "a", Weight: 90}, {Service: "none", Weight: 0}, {Service: "b", Weight: 10}}}
+	assert.Equal(t, r.Pick(0), r.Shares[0].Service)
+	assert.Equal(t, r.Pick(0.899), r.Shares[0].Service)
+	assert.Equal(t, r.Pick(0.9), r.Shares[2].Service)
+	assert.Equal(t, r.Pick(0.9999), r.Shares[2].Service)
+}
+
+func TestRepeatable(t *testing.T) {
+	assert.Assert(t, (&Route{Kind: Lookup}).Repeatable())
+	assert.Assert(t, !(&Route{Kind: Action, Resumable: true}).Repeatable())
+	assert.Assert(t, !(&Route{Kind: Reading}).Repeatable())
+	assert.Assert(t, (&Route{Kind: Reading, Resumable: true}).Repeatable())
+}
