--- /dev/null
+++ b/place/keeper_test.go
@@ -0,0 +1,288 @@
+package place
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusstep/common"
+	"crocusstep/ident"
+	"crocusstep/meter"
+	"crocusstep/pool"
+)
+
+// engine stands in for the engine beside a keeper: it holds the runs that it was
+// given and makes one token of each every step.
+type engine struct {
+	mutex  sync.Mutex
+	report Report
+	err    error
+	orders []StageOrder
+	// follows holds the count of orders that each order followed.
+	follows []int64
+}
+
+func (e *engine) Report(context.Context) (Report, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.report, e.err
+}
+
+func (e *engine) ChangeStage(_ context.Context, order StageOrder, follows Report) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.orders = append(e.orders, order)
+	e.follows = append(e.follows, follows.Orders)
+	return e.err
+}
+
+func (e *engine) set(change func(*Report)) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	change(&e.report)
+}
+
+// begin has the engine run a request that was granted a place.
+func (e *engine) begin(ask Ask) {
+	e.set(func(r *Report) { r.Runs = append(r.Runs, Running{Attempt: ask.Attempt, Held: ask.Prompt}) })
+}
+
+func (e *engine) finish(attempt ident.AttemptID) {
+	e.set(func(r *Report) {
+		var kept []Running
+		for _, run := range r.Runs {
+			if run.Attempt != attempt {
+				kept = append(kept, run)
+			}
+		}
+		r.Runs = kept
+	})
+}
+
+func newTestKeeper(t testing.TB, e *engine) *Keeper {
+	t.Helper()
+	m, err := meter.NewMeter()
+	assert.NilError(t, err)
+	return NewKeeper(common.NewCommon(slog.New(slog.NewTextHandler(io.Discard, nil)), m), e)
+}
+
+func askOf(name string, urgency int, wait time.Duration) Ask {
+	return Ask{Attempt: ident.AttemptID(name), Prompt: 4000, Output: 1000, Most: 1500, Slots: 64, Wait: wait, Urgency: urgency}
+}
+
+func TestKeeper(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		run      func(t *testing.T, k *Keeper, e *engine)
+	}{
+		{
+			testName: "places are granted while the memory ahead suffices",
+			run: func(t *testing.T, k *Keeper, _ *engine) {
+				granted := 0
+				for k.Ask(t.Context(), askOf(fmt.Sprint(granted), 0, 0)).Granted {
+					granted++
+				}
+				assert.Equal(t, granted, 3)
+			},
+		},
+		{
+			testName: "who cannot wait is refused at once",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				fill(t, k, e)
+				began := time.Now()
+				answer := k.Ask(t.Context(), askOf("x", 0, 0))
+				assert.Assert(t, !answer.Granted && answer.Wait > 0)
+				assert.Equal(t, time.Since(began), time.Duration(0))
+			},
+		},
+		{
+			testName: "who cannot be served in time is refused at once, not at the end of the wait",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				fill(t, k, e)
+				began := time.Now()
+				assert.Assert(t, !k.Ask(t.Context(), askOf("x", 0, 100*time.Millisecond)).Granted)
+				assert.Equal(t, time.Since(began), time.Duration(0))
+			},
+		},
+		{
+			testName: "a run that ends makes room for who waits",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				fill(t, k, e)
+				time.AfterFunc(500*time.Millisecond, func() { e.finish("0") })
+				began := time.Now()
+				assert.Assert(t, k.Ask(t.Context(), askOf("x", 0, 5*time.Second)).Granted)
+				assert.Assert(t, time.Since(began) < 500*time.Millisecond+2*pollInterval)
+			},
+		},
+		{
+			testName: "in a burst those in time go before those who are late",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				fill(t, k, e)
+				late, inTime := make(chan bool, 1), make(chan bool, 1)
+				go func() { late <- k.Ask(t.Context(), askOf("late", 3, 3*time.Second)).Granted }()
+				synctest.Wait()
+				go func() { inTime <- k.Ask(t.Context(), askOf("in time", 1, 3*time.Second)).Granted }()
+				synctest.Wait()
+				e.finish("0")
+				assert.Assert(t, <-inTime)
+				e.begin(askOf("in time", 1, 0))
+				assert.Assert(t, !<-late)
+			},
+		},
+		{
+			testName: "a place whose run never begins is taken back",
+			run: func(t *testing.T, k *Keeper, _ *engine) {
+				for i := range 3 {
+					assert.Assert(t, k.Ask(t.Context(), askOf(fmt.Sprint(i), 0, 0)).Granted)
+				}
+				time.Sleep(startLimit + reportLife)
+				assert.Assert(t, k.Ask(t.Context(), askOf("x", 0, 0)).Granted)
+			},
+		},
+		{
+			testName: "a place that is given back is free at once",
+			run: func(t *testing.T, k *Keeper, _ *engine) {
+				for i := range 3 {
+					assert.Assert(t, k.Ask(t.Context(), askOf(fmt.Sprint(i), 0, 0)).Granted)
+				}
+				k.Release("1")
+				assert.Assert(t, k.Ask(t.Context(), askOf("x", 0, 0)).Granted)
+			},
+		},
+		{
+			testName: "a place whose run has begun is not given back",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				fill(t, k, e)
+				k.Release("1")
+				assert.Assert(t, !k.Ask(t.Context(), askOf("x", 0, 0)).Granted)
+			},
+		},
+		{
+			testName: "an asker that leaves while it waits takes no place",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				fill(t, k, e)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				assert.Assert(t, !k.Ask(ctx, askOf("gone", 0, 5*time.Second)).Granted)
+				e.finish("0")
+				assert.Assert(t, k.Ask(t.Context(), askOf("x", 0, 0)).Granted)
+			},
+		},
+		{
+			testName: "an engine that restarts has no runs",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				fill(t, k, e)
+				e.set(func(r *Report) { r.Born, r.Runs = 2, nil })
+				time.Sleep(reportLife)
+				assert.Assert(t, k.Ask(t.Context(), askOf("x", 0, 0)).Granted)
+			},
+		},
+		{
+			testName: "an engine that does not report gets nothing",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				e.err = errors.New("connection refused")
+				assert.Assert(t, k.Ask(t.Context(), askOf("x", 0, 0)).Down)
+				assert.Assert(t, k.Turn(t.Context(), Turn{Tokens: 1}).Down)
+			},
+		},
+		{
+			testName: "an engine that changes its stage gets nothing",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				e.set(func(r *Report) { r.Busy = true })
+				assert.Assert(t, k.Ask(t.Context(), askOf("x", 0, 0)).Down)
+			},
+		},
+		{
+			testName: "runs of others count with their memory",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				e.set(func(r *Report) { r.Runs = []Running{{Attempt: "other", Held: 18000}} })
+				assert.Assert(t, !k.Ask(t.Context(), askOf("x", 0, 0)).Granted)
+			},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &engine{report: Report{Total: 20000, Stage: pool.Decode, Born: 1}}
+				k := newTestKeeper(t, e)
+				ctx, cancel := context.WithCancel(t.Context())
+				go k.Run(ctx)
+				s.run(t, k, e)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// fill has the engine run as many requests as there is room for.
+func fill(t *testing.T, k *Keeper, e *engine) {
+	t.Helper()
+	for i := range 3 {
+		ask := askOf(fmt.Sprint(i), 0, 0)
+		assert.Assert(t, k.Ask(t.Context(), ask).Granted)
+		e.begin(ask)
+	}
+	time.Sleep(reportLife)
+}
+
+func TestTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engine{report: Report{Stage: pool.Prefill, Born: 1, Waiting: 1}}
+		k := newTestKeeper(t, e)
+		turn := Turn{Tokens: 5000, Wait: 250 * time.Millisecond}
+		granted := 0
+		for k.Turn(t.Context(), turn).Granted {
+			granted++
+		}
+		assert.Equal(t, granted, 3, "three readings of 101 ms: the next would wait longer than 250 ms")
+		time.Sleep(pool.ReadingTime(5000))
+		assert.Assert(t, k.Turn(t.Context(), turn).Granted, "turns come free as time passes")
+		e.set(func(r *Report) { r.Waiting = 0 })
+		time.Sleep(turnSettles + time.Millisecond)
+		assert.Equal(t, k.Turn(t.Context(), turn).Ahead, time.Duration(0), "an engine that is seen idle has nothing ahead")
+	})
+}
+
+func TestChangeStage(t *testing.T) {
+	order := StageOrder{Endpoint: "e", Born: 1, Stage: pool.Decode}
+	scenarios := []struct {
+		testName string
+		report   Report
+		earlier  time.Duration
+		taken    bool
+	}{
+		{testName: "an engine changes its stage", report: Report{Stage: pool.Prefill, Born: 1, Orders: 4}, taken: true},
+		{testName: "not while it changes", report: Report{Stage: pool.Prefill, Born: 1, Busy: true}},
+		{testName: "not to what it is", report: Report{Stage: pool.Decode, Born: 1}},
+		{testName: "not if another process was meant", report: Report{Stage: pool.Prefill, Born: 2}},
+		{testName: "not again for a while", report: Report{Stage: pool.Prefill, Born: 1}, earlier: stageDwell / 2},
+		{testName: "again after a while", report: Report{Stage: pool.Prefill, Born: 1}, earlier: 2 * stageDwell, taken: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &engine{report: s.report}
+				k := newTestKeeper(t, e)
+				if s.earlier > 0 {
+					k.staged = time.Now()
+					time.Sleep(s.earlier)
+				}
+				answer := k.ChangeStage(t.Context(), order)
+				assert.Equal(t, answer.Taken, s.taken, answer.Why)
+				assert.Equal(t, len(e.orders) == 1, s.taken)
+				if s.taken {
+					assert.Equal(t, e.follows[0], s.report.Orders)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/relay/read_test.go
@@ -0,0 +1,225 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"crocusstep/fault"
+	"crocusstep/ident"
+	"crocusstep/pool"
+)
+
+const wholeStream = "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"
+
+func TestRead(t *testing.T) {
+	decodes := func(all ...behaviour) map[ident.EndpointName][]behaviour {
+		return map[ident.EndpointName][]behaviour{"d1": all, "d2": all}
+	}
+	scenarios := []struct {
+		testName string
+		path     string
+		stand    *standIn
+		check    func(t *testing.T, s *standIn, body string, refusal *fault.Refusal, took time.Duration)
+	}{
+		{
+			testName: "a prompt is read once and answered once",
+			path:     "/read/x",
+			stand:    &standIn{},
+			check: func(t *testing.T, s *standIn, body string, refusal *fault.Refusal, _ time.Duration) {
+				assert.Assert(t, refusal == nil)
+				assert.Equal(t, body, wholeStream)
+				assert.Equal(t, len(s.sent), 2)
+			},
+		},
+		{
+			testName: "without a place nothing is read, and the refusal comes at once",
+			path:     "/read/x",
+			stand:    &standIn{full: true},
+			check: func(t *testing.T, s *standIn, _ string, refusal *fault.Refusal, took time.Duration) {
+				assert.Equal(t, refusal.Code, fault.TargetUnreachable)
+				assert.Equal(t, refusal.Outcome, fault.NotRun)
+				assert.Assert(t, refusal.RetryAfter >= returnLeast && refusal.RetryAfter <= returnMost)
+				assert.Equal(t, len(s.sent), 0)
+				assert.Equal(t, took, time.Duration(0))
+			},
+		},
+		{
+			testName: "a stream that may not run again breaks off visibly",
+			path:     "/read/x",
+			stand:    &standIn{script: decodes(cutsStream)},
+			check: func(t *testing.T, s *standIn, body string, refusal *fault.Refusal, _ time.Duration) {
+				assert.Equal(t, refusal.Code, fault.AnswerCut)
+				assert.Equal(t, body, wholeStream[:len(body)])
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "a stream that may be resumed goes on after its last whole event",
+			path:     "/resume/x",
+			stand:    &standIn{script: map[ident.EndpointName][]behaviour{"d1": {cutsStream}, "d2": {cutsStream, answers}}},
+			check: func(t *testing.T, s *standIn, body string, refusal *fault.Refusal, _ time.Duration) {
+				if refusal == nil {
+					assert.Equal(t, body, wholeStream)
+				}
+				assert.DeepEqual(t, s.after, []string{"", "3"})
+			},
+		},
+		{
+			testName: "a stream whose head never came may be answered elsewhere",
+			path:     "/resume/x",
+			stand:    &standIn{script: decodes(breaksOff, answers)},
+			check: func(t *testing.T, s *standIn, _ string, _ *fault.Refusal, _ time.Duration) {
+				assert.Equal(t, s.runs, 2)
+			},
+		},
+		{
+			testName: "a lost run that may not repeat is unknown",
+			path:     "/read/x",
+			stand:    &standIn{script: decodes(breaksOff)},
+			check: func(t *testing.T, s *standIn, _ string, refusal *fault.Refusal, _ time.Duration) {
+				assert.Equal(t, refusal.Outcome, fault.Unknown)
+				assert.Assert(t, !promises(refusal.Status()))
+				assert.Equal(t, s.runs, 1)
+			},
+		},
+		{
+			testName: "a prompt whose decode endpoint rejects it is freed and its place released",
+			path:     "/read/x",
+			stand:    &standIn{script: decodes(rejects, rejects, rejects, rejects)},
+			check: func(t *testing.T, s *standIn, _ string, refusal *fault.Refusal, _ time.Duration) {
+				assert.Equal(t, refusal.Outcome, fault.NotRun)
+				assert.Assert(t, len(s.freed) > 0)
+				assert.Equal(t, s.released, len(s.freed))
+				assert.Equal(t, s.runs, 0)
+			},
+		},
+		{
+			testName: "with all that read gone, the decode endpoint reads the prompt",
+			path:     "/read/x",
+			stand:    &standIn{script: map[ident.EndpointName][]behaviour{"r1": {refuses, refuses}, "r2": {refuses, refuses}}},
+			check: func(t *testing.T, s *standIn, body string, refusal *fault.Refusal, _ time.Duration) {
+				assert.Assert(t, refusal == nil)
+				assert.Equal(t, body, wholeStream)
+				assert.Equal(t, len(s.sent), 1)
+			},
+		},
+		{
+			testName: "engines whose keepers have died are used without them",
+			path:     "/read/x",
+			stand:    &standIn{gone: true},
+			check: func(t *testing.T, _ *standIn, body string, refusal *fault.Refusal, took time.Duration) {
+				assert.Assert(t, refusal == nil)
+				assert.Equal(t, body, wholeStream)
+				assert.Equal(t, took, time.Duration(0))
+			},
+		},
+		{
+			testName: "engines whose instances are silent are sent nothing",
+			path:     "/read/x",
+			stand:    &standIn{silent: true},
+			check: func(t *testing.T, s *standIn, _ string, refusal *fault.Refusal, _ time.Duration) {
+				assert.Equal(t, refusal.Outcome, fault.NotRun)
+				assert.Equal(t, len(s.sent), 0)
+			},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRelay(t, s.stand)
+				began := time.Now()
+				w, refusal := send(t.Context(), r, s.path)
+				s.check(t, s.stand, w.Body.String(), refusal, time.Since(began))
+			})
+		})
+	}
+}
+
+// TestDecodeEndpointLeavesWhileThePromptIsRead has the endpoint that holds the
+// place marked as leaving between reading and answer.
+func TestDecodeEndpointLeavesWhileThePromptIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stand := &standIn{}
+		r := newTestRelay(t, stand)
+		stand.onRead = func() {
+			stand.onRead = nil
+			var left []pool.Change
+			for _, name := range []ident.EndpointName{"d1", "d2"} {
+				left = append(left, pool.Change{Endpoint: pool.Endpoint{Name: name}, Gone: true})
+			}
+			r.config.Pool.Apply(left, 2, false)
+		}
+		_, refusal := send(t.Context(), r, "/read/x")
+		assert.Equal(t, refusal.Outcome, fault.NotRun)
+		assert.Equal(t, stand.runs, 0)
+		assert.Equal(t, len(stand.freed), 1)
+		assert.Equal(t, stand.released, 1)
+	})
+}
+
+// TestReadPromises lets endpoints do anything: what reaches the caller is always
+// a beginning of the right answer, a stream that may not repeat runs once, and a
+// refusal that says not run is true.
+func TestReadPromises(t *testing.T) {
+	acts := []behaviour{answers, failsIt, rejects, breaksOff, unsealed, cutsStream, refuses}
+	rapid.Check(t, func(rt *rapid.T) {
+		script := map[ident.EndpointName][]behaviour{}
+		for _, name := range []ident.EndpointName{"r1", "r2", "d1", "d2"} {
+			script[name] = rapid.SliceOfN(rapid.SampledFrom(acts), 1, 3).Draw(rt, string(name))
+		}
+		path := rapid.SampledFrom([]string{"/read/x", "/resume/x"}).Draw(rt, "path")
+		stand := &standIn{script: script, full: rapid.Bool().Draw(rt, "full")}
+		w, refusal := send(context.Background(), newTestRelay(t, stand), path)
+		body := w.Body.String()
+		if path == "/read/x" && stand.runs > 1 || stand.runs > 2 {
+			rt.Fatalf("it ran %d times", stand.runs)
+		}
+		if w.Code == 200 && (len(body) > len(wholeStream) || body != wholeStream[:len(body)]) {
+			rt.Fatalf("the caller got %q", body)
+		}
+		if refusal == nil && w.Code == 200 && body != wholeStream {
+			rt.Fatalf("a part looks complete: %q", body)
+		}
+		if refusal != nil && stand.runs > 0 && (refusal.Outcome == fault.NotRun || promises(refusal.Status())) {
+			rt.Fatalf("%v, though it ran", refusal)
+		}
+	})
+}
+
+// TestWaitWindow is a burst in which callers come back: those who can still be
+// served in time go before those who cannot.
+func TestWaitWindow(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		waited   time.Duration
+		spent    time.Duration
+		started  bool
+		urgency  int
+		most     time.Duration
+	}{
+		{testName: "a new request waits while its objective can be met", urgency: inTime, most: 900 * time.Millisecond},
+		{testName: "one that has waited too long is late", waited: time.Second, urgency: tooLate, most: lateWait},
+		{testName: "one that was refused before comes after those in time", spent: 2 * time.Second, urgency: cameBack, most: cameBackWait},
+		{testName: "a stream that is under way goes first", started: true, urgency: goesOn, most: lateWait},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRelay(t, &standIn{})
+				route, _ := r.Table().Match("h", "/read/x")
+				e := &exchange{
+					Relay: r, route: route, started: s.started, spent: s.spent, ends: time.Now().Add(14 * time.Second),
+					request: &Request{Arrived: time.Now().Add(-s.waited), Prompt: &Prompt{Tokens: 5200}},
+				}
+				window, urgency := (&stream{exchange: e}).waitWindow()
+				assert.Equal(t, urgency, s.urgency)
+				assert.Assert(t, window > 0 && window <= s.most, "%s", window)
+			})
+		})
+	}
+}
