Tell nobody to come back whose request may have run

Cause: the adapter's test found a Retry-After beside status 502, which promises nothing.

Change: an unknown outcome carries no time to come back.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -115,9 +115,12 @@
 	if e.ran > 0 {
 		told.Outcome = fault.Unknown
 	}
-	if told.Outcome == fault.Unknown && promises(told.Status()) {
-		told.Code = fault.EndpointFailed
+	if told.Outcome == fault.Unknown {
+		// To come back would be to run it again.
 		told.RetryAfter = 0
+		if promises(told.Status()) {
+			told.Code = fault.EndpointFailed
+		}
 	}
 	if told.Outcome == fault.NotRun && !promises(told.Status()) && told.Code != fault.Cancelled {
 		told.Code = fault.EndpointBusy
