Use a prompt that was read at another decode endpoint

Prompts were given up when the endpoint with the place left or rejected the request meanwhile, and prefill endpoints whose prompts cannot be fetched were chosen again.

Change: while the prompt is kept, another endpoint is asked for a place. A rejection by an endpoint that had room counts against the one that read.

--- a/relay/read.go
+++ b/relay/read.go
@@ -80,8 +80,21 @@
 type grant struct {
 	member pool.Member
 	// held is false where the agent was not there to ask.
-	held bool
-	end  func(pool.Verdict, time.Duration)
+	held  bool
+	began time.Time
+	// used is set once the endpoint runs the request, which then keeps the place.
+	used bool
+	// judged is what the exchange says of the endpoint.
+	judged pool.Verdict
+	end    func(pool.Verdict, time.Duration)
+}
+
+// leave ends a grant and gives its place back if it was not used.
+func (s *stream) leave(g *grant) {
+	g.end(g.judged, time.Since(g.began))
+	if g.held && !g.used {
+		s.release(g.member, s.request.Attempt)
+	}
 }
 
 // attempt runs the request once.
@@ -91,59 +104,96 @@
 	if err != nil {
 		return err
 	}
-	judged := pool.Silent
-	kept := false
-	defer func() {
-		g.end(judged, time.Since(began))
-		if g.held && !kept {
-			s.release(g.member, s.request.Attempt)
-		}
-	}()
+	defer func() { s.leave(g) }()
 	placed := time.Now()
 	from, err := s.prefill(ctx)
 	if err != nil {
 		return err
 	}
 	read := time.Now()
-	if !s.config.Pool.Usable(g.member.Endpoint) {
-		s.free(from)
-		return errors.Join(link.ErrNotSent, errors.New("the decode endpoint has left meanwhile"))
+	answer, err := s.begin(ctx, g, from)
+	if next := s.elsewhere(ctx, err, from); next != nil {
+		s.leave(g)
+		g = next
+		answer, err = s.begin(ctx, g, from)
 	}
-	s.endpoint = g.member.Name
-	answer, err := s.write(ctx, g.member.Endpoint, from)
 	s.Log.Info("stream begun", "request", s.request.Attempt, "decode", g.member.Name, "granted", g.held,
 		"place-wait", placed.Sub(began), "reading", read.Sub(placed), "read-apart", from != nil, "error", err)
 	if err != nil {
-		judged = verdict(ctx, err)
-		if errors.Is(err, link.ErrNotSent) {
+		if errors.Is(err, link.ErrNotSent) || errors.Is(err, errNotRun) {
 			s.free(from)
-			return err
 		}
-		s.sends++
-		s.ran++
-		s.crashed(ctx, err)
 		return err
 	}
 	defer func() { _ = answer.Body.Close() }()
+	err = s.forward(answer)
+	g.judged = verdict(ctx, err)
+	if err != nil {
+		s.crashed(ctx, errors.Join(link.ErrLost, err))
+	}
+	return err
+}
+
+// begin sends the request to the decode endpoint that has a place for it.
+func (s *stream) begin(ctx context.Context, g *grant, from *Reading) (*Answer, error) {
+	s.endpoint = g.member.Name
+	if !s.config.Pool.Usable(g.member.Endpoint) {
+		return nil, errors.Join(link.ErrNotSent, errors.New("the decode endpoint has left meanwhile"))
+	}
+	answer, err := s.write(ctx, g.member.Endpoint, from)
+	if err != nil {
+		g.judged = verdict(ctx, err)
+		if !errors.Is(err, link.ErrNotSent) {
+			s.sends++
+			s.ran++
+			s.crashed(ctx, err)
+		}
+		return nil, err
+	}
 	s.sends++
 	if answer.NotRun {
-		judged = pool.Failed
-		if answer.Misdirected {
-			judged = pool.Broken
-		}
-		s.free(from)
-		s.Log.Info("an endpoint did not run a request", "request", s.request.Attempt, "endpoint", g.member.Name, "status", answer.Status)
+		s.rejected(g, from, answer)
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, answerMost))
-		return errNotRun
+		_ = answer.Body.Close()
+		return nil, errNotRun
 	}
 	s.ran++
-	kept = true
-	err = s.forward(answer)
-	judged = verdict(ctx, err)
-	if err != nil {
-		s.crashed(ctx, errors.Join(link.ErrLost, err))
+	g.used = true
+	return answer, nil
+}
+
+// rejected judges who is to blame for a request that was not run: an endpoint
+// with a place for it rejects it mostly because the prompt that was read cannot
+// be fetched.
+func (s *stream) rejected(g *grant, from *Reading, answer *Answer) {
+	g.judged = pool.Failed
+	if answer.Misdirected {
+		g.judged = pool.Broken
 	}
-	return err
+	if from != nil && g.held && !answer.Misdirected {
+		g.judged = pool.Silent
+		s.config.Pool.Begin(from.Endpoint, 0)(pool.Failed, 0)
+	}
+	s.Log.Info("an endpoint did not run a request", "request", s.request.Attempt, "endpoint", g.member.Name,
+		"status", answer.Status, "granted", g.held, "read-apart", from != nil)
+}
+
+// elsewhere returns a place at another decode endpoint for a prompt that was read
+// and is still kept, if the first endpoint did not run the request.
+func (s *stream) elsewhere(ctx context.Context, err error, from *Reading) *grant {
+	if err == nil || from == nil || !errors.Is(err, link.ErrNotSent) && !errors.Is(err, errNotRun) {
+		return nil
+	}
+	if time.Since(from.Done) > s.service.Engine.HandleLife/2 || errors.Is(err, errNotRun) && !s.mayRepeat(ctx) {
+		return nil
+	}
+	s.tried[s.endpoint] = true
+	for _, m := range s.decodes() {
+		if _, g := s.askPlace(ctx, m, 0, goesOn); g != nil {
+			return g
+		}
+	}
+	return nil
 }
 
 // write has the answer made of a prompt that was read, or has yet to be.
@@ -282,7 +332,7 @@
 }
 
 func (s *stream) hold(m pool.Member, held bool) *grant {
-	return &grant{member: m, held: held, end: s.config.Pool.Begin(m.Endpoint, s.request.Prompt.Tokens)}
+	return &grant{member: m, held: held, began: time.Now(), end: s.config.Pool.Begin(m.Endpoint, s.request.Prompt.Tokens)}
 }
 
 func (r *Relay) agentGone(name ident.EndpointName) bool {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -56,7 +56,7 @@
 			whole = len(pending)
 		}
 		if whole > 0 {
-			s.begin(answer)
+			s.open(answer)
 			s.remember(pending[:whole])
 			if _, err := s.writer.Write(pending[:whole]); err != nil {
 				return errors.Join(context.Canceled, err)
@@ -68,7 +68,7 @@
 		}
 		switch {
 		case ended:
-			s.begin(answer)
+			s.open(answer)
 			return nil
 		case err != nil:
 			return errors.Join(link.ErrLost, err)
@@ -78,8 +78,8 @@
 	}
 }
 
-// begin sends the head of the answer before its first event.
-func (s *stream) begin(answer *Answer) {
+// open sends the head of the answer before its first event.
+func (s *stream) open(answer *Answer) {
 	if s.started {
 		return
 	}
