Measure the time for a token steadily and change stages once at a time

Want moved between 5.8 and 13.8 engines; engines were ordered again while others were still changing, and back again at 28 s.

Change: a token's time is measured over 0.3 s of a run and averaged over keepers; no engine is ordered while others change; among those that wait for a place in time the least work goes first. Watches wait 4 s: a silent connection is then found within 5 s, and calls to the store are priced.

--- a/place/keeper.go
+++ b/place/keeper.go
@@ -26,7 +26,12 @@
 	// stepDefault is the time for one token until it was measured.
 	stepDefault = 900 * time.Microsecond
 	// stepShare is the weight of the newest measurement.
-	stepShare = 0.2
+	stepShare = 0.1
+	// stepSpanLeast and stepSpanMost bound the time over which a token's time is
+	// measured: an event of 61 tokens takes some 50 ms, and a run that pauses for
+	// longer than a second was preempted or not looked at.
+	stepSpanLeast = 300 * time.Millisecond
+	stepSpanMost  = 1500 * time.Millisecond
 	// outputDefault is the answer's length where neither an estimate nor a limit
 	// is given, in tokens.
 	outputDefault = 4000
@@ -73,9 +78,9 @@
 	since time.Time
 	// seen is true once the engine has reported the run.
 	seen bool
-	// held and events are as last reported.
-	held   ident.TokenCount
-	events int
+	// mark is the tokens held at the time marked, from which the pace is measured.
+	mark   ident.TokenCount
+	marked time.Time
 }
 
 type waiter struct {
@@ -142,7 +147,7 @@
 	}
 	w := &waiter{ask: ask, granted: make(chan struct{})}
 	k.waiting = append(k.waiting, w)
-	slices.SortStableFunc(k.waiting, func(a, b *waiter) int { return cmp.Compare(a.ask.Urgency, b.ask.Urgency) })
+	slices.SortStableFunc(k.waiting, func(a, b *waiter) int { return before(a.ask, b.ask) })
 	k.mutex.Unlock()
 	select {
 	case k.wake <- struct{}{}:
@@ -151,6 +156,18 @@
 	return k.await(ctx, w)
 }
 
+// before orders asks: by urgency, and then the least work first, so that in a
+// burst the fewest callers have to wait beyond their objective.
+func before(a, b Ask) int {
+	return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(work(a), work(b)))
+}
+
+// work is the memory that a run takes, summed over its tokens.
+func work(ask Ask) float64 {
+	r := expected(ask)
+	return (float64(r.Now) + float64(r.Left)/2) * float64(r.Left)
+}
+
 func (k *Keeper) await(ctx context.Context, w *waiter) Answer {
 	timer := time.NewTimer(w.ask.Wait)
 	defer timer.Stop()
@@ -213,7 +230,6 @@
 
 // take matches the places given out with the runs that the engine has.
 func (k *Keeper) take(report Report, asked time.Time) {
-	span := asked.Sub(k.reported)
 	if k.report.Born != 0 && report.Born != k.report.Born {
 		clear(k.held)
 	}
@@ -224,11 +240,8 @@
 		if !ok {
 			continue
 		}
-		if g.seen && r.Held > g.held && span < time.Second {
-			step := span / time.Duration(r.Held-g.held)
-			k.step += time.Duration(stepShare * float64(step-k.step))
-		}
-		g.seen, g.held, g.events = true, r.Held, r.Events
+		g.seen = true
+		k.learnStep(g, r.Held, asked)
 	}
 	for attempt, g := range k.held {
 		if reported[attempt] {
@@ -241,6 +254,21 @@
 	k.report, k.reported = report, asked
 }
 
+// learnStep measures the time for one token of a run. Tokens show in the report by
+// whole events, so that a short span would say little.
+func (k *Keeper) learnStep(g *grant, held ident.TokenCount, now time.Time) {
+	span := now.Sub(g.marked)
+	switch {
+	case g.marked.IsZero() || held < g.mark || span > stepSpanMost:
+	case span < stepSpanLeast || held == g.mark:
+		return
+	default:
+		step := span / time.Duration(held-g.mark)
+		k.step += time.Duration(stepShare * float64(step-k.step))
+	}
+	g.mark, g.marked = held, now
+}
+
 func (k *Keeper) advance() {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -300,7 +328,7 @@
 func (k *Keeper) expectedWait(ask Ask) time.Duration {
 	next := expected(ask)
 	for _, w := range k.waiting {
-		if w.ask.Urgency <= ask.Urgency {
+		if before(w.ask, ask) <= 0 {
 			next.Now += w.ask.Prompt + expected(w.ask).Left/2
 		}
 	}
--- a/place/keeper_test.go
+++ b/place/keeper_test.go
@@ -286,3 +286,24 @@
 		})
 	}
 }
+
+// TestStepIsMeasuredOverWholeEvents has the engine report its runs every 25 ms,
+// while tokens show 61 at a time: the time for one token is still the true one.
+func TestStepIsMeasuredOverWholeEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const step, event = 800 * time.Microsecond, 61
+		e := &engine{report: Report{Total: 100000, Stage: pool.Decode, Born: 1}}
+		k := newTestKeeper(t, e)
+		ask := askOf("a", 0, 0)
+		assert.Assert(t, k.Ask(t.Context(), ask).Granted)
+		e.begin(ask)
+		began := time.Now()
+		for range 200 {
+			time.Sleep(25 * time.Millisecond)
+			made := ident.TokenCount(time.Since(began)/step) / event * event
+			e.set(func(r *Report) { r.Runs[0].Held = ask.Prompt + made })
+			k.refresh(t.Context())
+		}
+		assert.Assert(t, k.step > step*9/10 && k.step < step*11/10, "%s", k.step)
+	})
+}
--- a/relay/balance.go
+++ b/relay/balance.go
@@ -15,12 +15,15 @@
 	// balanceInterval is the time between two looks at the balance.
 	balanceInterval = time.Second
 	// samplesLeast is the requests seen before the balance is judged.
-	samplesLeast = 10
+	samplesLeast = 20
 	// loadShare is the weight of the newest request in the mean, so that some 50
 	// requests make it up.
 	loadShare = 0.02
 	// settleTime is how long the engines must have had the same stages.
-	settleTime = 8 * time.Second
+	settleTime = 4 * time.Second
+	// orderTime is how long engines are left to change their stage, which takes
+	// them 6 s and what they have under way before.
+	orderTime = 12 * time.Second
 )
 
 // meanLoad is the mean request of one service, the newest counting most.
@@ -28,13 +31,15 @@
 	samples int
 	prompt  float64
 	output  float64
-	// memory and step are as the engines' keepers said last.
+	// memory is as an engine's keeper said last, step the mean of all in seconds.
 	memory ident.TokenCount
-	step   time.Duration
+	step   float64
 	slots  int
 	// stages is how many engines read prompts, of how many, since changed.
 	stages  [2]int
 	changed time.Time
+	// ordered is when engines were last asked to change their stage.
+	ordered time.Time
 }
 
 // observe adds a request and what a keeper said of its engine.
@@ -57,7 +62,8 @@
 	share := max(loadShare, 1/float64(l.samples))
 	l.prompt += share * (float64(p.Tokens) - l.prompt)
 	l.output += share * (output - l.output)
-	l.memory, l.step, l.slots = answer.Memory, answer.Step, slots
+	l.step += share * (answer.Step.Seconds() - l.step)
+	l.memory, l.slots = answer.Memory, slots
 }
 
 // Balance has engines change their stage where too many read prompts or too
@@ -85,12 +91,12 @@
 		if stages != l.stages {
 			l.stages, l.changed = stages, now
 		}
-		if l.samples < samplesLeast || now.Sub(l.changed) < settleTime {
+		if l.samples < samplesLeast || now.Sub(l.changed) < settleTime || now.Sub(l.ordered) < orderTime {
 			continue
 		}
 		loads[service] = split.Load{
 			Prompt: ident.TokenCount(l.prompt), Output: ident.TokenCount(l.output),
-			Memory: l.memory, Slots: l.slots, Step: l.step,
+			Memory: l.memory, Slots: l.slots, Step: time.Duration(l.step * float64(time.Second)),
 			Reading: pool.PrefillPerToken, Setup: pool.PrefillSetup,
 		}
 	}
@@ -107,7 +113,11 @@
 		}
 	}
 	want := split.Prefills(len(engines), load)
-	for _, change := range split.Changes(engines, want) {
+	changes := split.Changes(engines, want)
+	if len(changes) > 0 {
+		r.noteOrder(service)
+	}
+	for _, change := range changes {
 		order := place.StageOrder{Endpoint: change.Endpoint.Name, Born: change.Endpoint.Born, Stage: change.To, Want: want}
 		answer, err := r.config.Places.ChangeStage(ctx, change.Endpoint.Address, order)
 		r.Log.Info("an engine should change its stage", "service", service, "endpoint", order.Endpoint, "stage", order.Stage,
@@ -115,3 +125,9 @@
 			"step", load.Step, "taken", answer.Taken, "why", answer.Why, "error", err)
 	}
 }
+
+func (r *Relay) noteOrder(service ident.ServiceName) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.loads[service].ordered = time.Now()
+}
--- a/split/split.go
+++ b/split/split.go
@@ -17,6 +17,11 @@
 	// stage, in engines. Half an engine is what rounding leaves; the rest keeps a
 	// load that varies from moving engines to and fro.
 	slack = 0.6
+	// slackShare is how much more for each engine that should read prompts, as the
+	// mean of some 50 requests is off by a tenth.
+	slackShare = 0.12
+	// exactUpTo is the number of engines up to which only rounding counts.
+	exactUpTo = 3
 	// usable is the share of an engine's memory that runs fill on average.
 	usable = 0.9
 )
@@ -74,7 +79,7 @@
 		from, to = pool.Decode, pool.Prefill
 	}
 	off := math.Abs(have - want)
-	if off <= slack {
+	if off <= slack+slackShare*max(0, want-exactUpTo) {
 		return nil
 	}
 	count := min(int(math.Round(off)), len(byStage[from])-1)
--- a/start/relay_command.go
+++ b/start/relay_command.go
@@ -34,7 +34,7 @@
 const (
 	// watchSpan is how long a watch of the store waits. A connection that went
 	// silent shows after it and the call's time-out.
-	watchSpan = 2500 * time.Millisecond
+	watchSpan = 4 * time.Second
 	// storeTimeout bounds a call to the store, which answers in 4 ms and, when it
 	// is slow, in up to 60 times that.
 	storeTimeout = time.Second
