Learn how long answers are and how far callers' estimates are off

Change: relays learn the lengths of answers and the error of estimates, weigh both by their variance, and send median, spread and limit with each ask. What a run still makes is the mean of the truncated lognormal.

--- a/place/keeper.go
+++ b/place/keeper.go
@@ -32,13 +32,13 @@
 	// longer than a second was preempted or not looked at.
 	stepSpanLeast = 300 * time.Millisecond
 	stepSpanMost  = 1500 * time.Millisecond
-	// outputDefault is the answer's length where neither an estimate nor a limit
-	// is given, in tokens.
-	outputDefault = 4000
 	// risk is the margin in standard deviations; one run in six exceeds one.
 	risk = 1.0
 )
 
+// unknownAnswer is taken for runs that no place was asked for.
+var unknownAnswer = room.Length{Median: 4000, Spread: 0.5}
+
 // Engine is the engine beside this process.
 type Engine interface {
 	// Report returns its state.
@@ -306,11 +306,10 @@
 		g, ok := k.held[r.Attempt]
 		if !ok {
 			// Another's run, of which only its memory is known.
-			runs = append(runs, room.Run{Now: r.Held, Left: room.Left(outputDefault, outputDefault/2, 0)})
+			runs = append(runs, unknownAnswer.Run(r.Held, unknownAnswer.Median/2))
 			continue
 		}
-		made := max(0, r.Held-g.ask.Prompt)
-		runs = append(runs, room.Run{Now: r.Held, Left: room.Left(g.ask.Output, made, g.ask.Most)})
+		runs = append(runs, g.ask.Answer.Run(r.Held, max(0, r.Held-g.ask.Prompt)))
 	}
 	for _, g := range k.held {
 		if !g.seen {
@@ -321,7 +320,7 @@
 }
 
 func expected(ask Ask) room.Run {
-	return room.Run{Now: ask.Prompt, Left: room.Left(ask.Output, 0, ask.Most)}
+	return ask.Answer.Run(ask.Prompt, 0)
 }
 
 // expectedWait is how long one more ask would wait behind those that do.
@@ -335,6 +334,15 @@
 	return time.Duration(k.policy(ask).Steps(k.runs(), next)) * k.step
 }
 
+// used is the memory that runs hold as reported.
+func (k *Keeper) used() ident.TokenCount {
+	var sum ident.TokenCount
+	for _, r := range k.report.Runs {
+		sum += r.Held
+	}
+	return sum
+}
+
 func (k *Keeper) answer(ask Ask, granted bool) Answer {
 	free := k.policy(ask).Free(k.runs(), room.Run{})
 	for _, w := range k.waiting {
@@ -348,6 +356,7 @@
 		Waiting: len(k.waiting),
 		Age:     time.Since(k.reported),
 		Memory:  k.report.Total,
+		Used:    k.used(),
 		Step:    k.step,
 	}
 }
--- a/place/messages.go
+++ b/place/messages.go
@@ -8,6 +8,7 @@
 
 	"crocusstep/ident"
 	"crocusstep/pool"
+	"crocusstep/room"
 )
 
 // The paths of the calls between our processes.
@@ -24,9 +25,8 @@
 	Attempt ident.AttemptID `json:"attempt"`
 	// Prompt is the tokens that are read before the first is made.
 	Prompt ident.TokenCount `json:"prompt"`
-	// Output is the estimated length of the answer, and Most its limit.
-	Output ident.TokenCount `json:"output"`
-	Most   ident.TokenCount `json:"most"`
+	// Answer is what is known of the answer's length.
+	Answer room.Length `json:"answer"`
 	// Slots is how many runs the engine works on at once.
 	Slots int `json:"slots"`
 	// Wait is how long the asker can wait for the place.
@@ -49,8 +49,9 @@
 	Age time.Duration `json:"age-ns"`
 	// Down is set if the engine does not report, or does not make answers.
 	Down bool `json:"down,omitempty"`
-	// Memory is the engine's in tokens.
+	// Memory is the engine's in tokens, Used the part that runs hold.
 	Memory ident.TokenCount `json:"memory"`
+	Used   ident.TokenCount `json:"used"`
 	// Step is the learned time for one token of every run.
 	Step time.Duration `json:"step-ns"`
 }
--- a/place/server.go
+++ b/place/server.go
@@ -20,7 +20,7 @@
 		}
 		answer := k.Ask(r.Context(), ask)
 		k.Log.Info("place asked for", "request", ask.Attempt, "granted", answer.Granted, "prompt", ask.Prompt,
-			"output", ask.Output, "free", answer.Free, "running", answer.Running, "waiting", answer.Waiting,
+			"output", ask.Answer.Median, "spread", ask.Answer.Spread, "free", answer.Free, "used", answer.Used, "running", answer.Running, "waiting", answer.Waiting,
 			"expected-wait", answer.Wait, "report-age", answer.Age, "down", answer.Down)
 		encode(w, answer)
 	})
--- a/relay/balance.go
+++ b/relay/balance.go
@@ -47,10 +47,7 @@
 	if answer.Memory <= 0 {
 		return
 	}
-	output := float64(p.Output)
-	if output <= 0 {
-		output = float64(p.Most) / 2
-	}
+	output := float64(r.lengths(service).Expect(p.Output, p.Most).Run(0, 0).Left)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	l, ok := r.loads[service]
--- a/relay/read.go
+++ b/relay/read.go
@@ -50,7 +50,7 @@
 // read in vain, then the reading, then the answer.
 func (e *exchange) read(ctx context.Context) *fault.Refusal {
 	refusal := fault.New(fault.NoEndpoint, "no endpoint of %s", e.service.Name).After(e.comeBack(returnLeast))
-	s := &stream{exchange: e, after: e.request.Prompt.After}
+	s := &stream{exchange: e, after: e.request.Prompt.After, resumed: e.request.Prompt.After != ""}
 	for {
 		if !e.mayRunAgain() || !e.mayRepeat(ctx) {
 			break
@@ -280,8 +280,7 @@
 	answer, err := s.config.Places.Ask(ctx, m.Address, place.Ask{
 		Attempt: s.request.Attempt,
 		Prompt:  p.Tokens,
-		Output:  p.Output,
-		Most:    p.Most,
+		Answer:  s.lengths(s.service.Name).Expect(p.Output, p.Most),
 		Slots:   m.Slots,
 		Wait:    wait,
 		Urgency: urgency,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"crocusstep/place"
 	"crocusstep/pool"
 	"crocusstep/retry"
+	"crocusstep/room"
 	"crocusstep/table"
 )
 
@@ -67,6 +68,8 @@
 	agentless map[ident.EndpointName]time.Time
 	// loads is the mean request of each service with engines.
 	loads map[ident.ServiceName]*meanLoad
+	// answers is how long the answers of each service are.
+	answers map[ident.ServiceName]*room.Lengths
 }
 
 // NewRelay returns a relay that refuses everything until it has a table.
@@ -79,6 +82,7 @@
 		patience:  map[string]time.Duration{},
 		agentless: map[ident.EndpointName]time.Time{},
 		loads:     map[ident.ServiceName]*meanLoad{},
+		answers:   map[ident.ServiceName]*room.Lengths{},
 	}
 }
 
@@ -153,6 +157,17 @@
 	return w
 }
 
+func (r *Relay) lengths(service ident.ServiceName) *room.Lengths {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	l, ok := r.answers[service]
+	if !ok {
+		l = &room.Lengths{}
+		r.answers[service] = l
+	}
+	return l
+}
+
 // returnAfter is when a caller should come back that found no place: after the
 // expected wait, and spread over the time in which a burst passes, as those who
 // come back go first.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"crocusstep/ident"
 	"crocusstep/link"
 )
 
@@ -23,10 +24,14 @@
 	*exchange
 	// after is the id of the last event that the caller has.
 	after string
+	// resumed is set if the caller had events from an attempt before.
+	resumed bool
 	// read counts the times that the prompt was read.
 	read int
 	// observed is true once the request counts in the mean load.
 	observed bool
+	// events counts the events passed on.
+	events int
 	// last is when the newest events came.
 	last time.Time
 }
@@ -69,6 +74,7 @@
 		switch {
 		case ended:
 			s.open(answer)
+			s.lengths(s.service.Name).Observe(s.request.Prompt.Output, s.made())
 			return nil
 		case err != nil:
 			return errors.Join(link.ErrLost, err)
@@ -101,11 +107,20 @@
 	for line := range bytes.Lines(events) {
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			s.after = string(bytes.TrimSpace(id))
+			s.events++
 		}
 	}
 	s.request.Prompt.After = s.after
 }
 
+// made is the tokens in the events passed on, unless the caller had some before.
+func (s *stream) made() ident.TokenCount {
+	if s.resumed {
+		return 0
+	}
+	return ident.TokenCount(s.events) * s.service.Engine.EventTokens
+}
+
 // forwardFailure passes an endpoint's own failure on, once it is complete.
 func (s *stream) forwardFailure(answer *Answer) error {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, answerMost))
--- a/room/room.go
+++ b/room/room.go
@@ -10,13 +10,8 @@
 	"crocusstep/ident"
 )
 
-const (
-	// block is the unit in which engines give out memory, in tokens.
-	block = 16
-	// Spread is the standard deviation of the logarithm of an answer's length
-	// about its estimate.
-	Spread = 0.5
-)
+// block is the unit in which engines give out memory, in tokens.
+const block = 16
 
 // Run is one request in an engine.
 type Run struct {
@@ -24,6 +19,8 @@
 	Now ident.TokenCount
 	// Left is the tokens that it is expected still to make.
 	Left ident.TokenCount
+	// Doubt is the standard deviation of Left.
+	Doubt ident.TokenCount
 }
 
 // Policy is how much risk of running out is taken.
@@ -71,9 +68,9 @@
 func (p Policy) margin(runs []Run) ident.TokenCount {
 	sum := 0.0
 	for _, r := range runs {
-		sum += float64(r.Left) * float64(r.Left)
+		sum += float64(r.Doubt) * float64(r.Doubt)
 	}
-	return ident.TokenCount(p.Risk * Spread * math.Sqrt(sum))
+	return ident.TokenCount(p.Risk * math.Sqrt(sum))
 }
 
 // peak returns the most memory that the runs hold together at any time ahead,
@@ -88,34 +85,3 @@
 	}
 	return most
 }
-
-// Left returns the tokens that an answer is expected still to have after it has
-// made some, where its length is lognormal about an estimate and has a limit.
-func Left(estimate, made, limit ident.TokenCount) ident.TokenCount {
-	if limit > 0 && made >= limit {
-		return 0
-	}
-	if estimate <= 0 {
-		estimate = max(1, limit/2)
-	}
-	median := float64(estimate)
-	mean := median * math.Exp(Spread*Spread/2)
-	left := mean
-	if made > 0 {
-		z := math.Log(float64(made)/median) / Spread
-		above := normalTail(z)
-		if above < 1e-6 {
-			left = Spread * Spread * float64(made) / 2
-		} else {
-			left = mean*normalTail(z-Spread)/above - float64(made)
-		}
-	}
-	tokens := ident.TokenCount(max(left, block))
-	if limit > 0 {
-		tokens = min(tokens, limit-made)
-	}
-	return tokens
-}
-
-// normalTail is the chance that a standard normal exceeds z.
-func normalTail(z float64) float64 { return 0.5 * math.Erfc(z/math.Sqrt2) }
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -1,6 +1,7 @@
 package room
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -43,7 +44,7 @@
 		{
 			testName: "risk keeps memory for answers longer than expected",
 			policy:   Policy{Capacity: 1000, Risk: 1},
-			next:     Run{Now: 400, Left: 500},
+			next:     Run{Now: 400, Left: 500, Doubt: 101},
 		},
 	}
 	for _, s := range scenarios {
@@ -82,12 +83,31 @@
 	assert.Equal(t, policy.Steps([]Run{{Now: 700, Left: 20}, {Now: 200, Left: 50}}, next), ident.TokenCount(20))
 }
 
-func TestLeft(t *testing.T) {
-	assert.Equal(t, Left(1000, 500, 500), ident.TokenCount(0))
-	assert.Assert(t, Left(1000, 0, 0) > 1000)
-	assert.Assert(t, Left(1000, 2000, 0) > 0, "an answer past its estimate still goes on")
-	assert.Assert(t, Left(1000, 0, 100) <= 100)
-	assert.Assert(t, Left(0, 0, 100) <= 100)
+func TestLength(t *testing.T) {
+	of := Length{Median: 1000, Spread: 0.5}
+	assert.Assert(t, of.Run(0, 0).Left > 1000, "the mean of a skew distribution lies above its median")
+	assert.Assert(t, of.Run(0, 2000).Left > 0, "an answer past its estimate still goes on")
+	assert.Assert(t, of.Run(0, 20000).Left > 0)
+	assert.Equal(t, Length{Median: 1000, Spread: 0.5, Limit: 500}.Run(0, 500).Left, ident.TokenCount(0))
+	assert.Assert(t, Length{Median: 1000, Spread: 0.5, Limit: 100}.Run(0, 0).Left <= 100)
+}
+
+// TestLengths has callers whose estimates are off by as much as the answers differ:
+// half of each is believed, and what remains in doubt is less than either.
+func TestLengths(t *testing.T) {
+	var l Lengths
+	assert.Equal(t, l.Expect(500, 8000).Median, ident.TokenCount(500), "without experience the caller is believed")
+	assert.Equal(t, l.Expect(0, 8000).Median, ident.TokenCount(4000))
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		length := 4000 * math.Exp(0.5*random.NormFloat64())
+		l.Observe(ident.TokenCount(length*math.Exp(0.5*random.NormFloat64())), ident.TokenCount(length))
+	}
+	high := l.Expect(16000, 0)
+	assert.Assert(t, high.Median > 6000 && high.Median < 11000, "%d", high.Median)
+	assert.Assert(t, high.Spread > 0.25 && high.Spread < 0.45, "%f", high.Spread)
+	none := l.Expect(0, 0)
+	assert.Assert(t, none.Median > 3000 && none.Median < 5500, "%d", none.Median)
 }
 
 // TestBurstOfLongAnswers is four times an engine's load of long prompts at once,
@@ -106,9 +126,9 @@
 			prompt := ident.TokenCount(2600 + random.IntN(5200))
 			runs := make([]Run, 0, len(engine))
 			for _, r := range engine {
-				runs = append(runs, Run{Now: r.held, Left: Left(r.estimate, r.made, 7930)})
+				runs = append(runs, Length{Median: r.estimate, Spread: 0.5, Limit: 7930}.Run(r.held, r.made))
 			}
-			if !policy.Fits(runs, Run{Now: prompt, Left: Left(estimate, 0, 7930)}) {
+			if !policy.Fits(runs, Length{Median: estimate, Spread: 0.5, Limit: 7930}.Run(prompt, 0)) {
 				break
 			}
 			length := min(7930, ident.TokenCount(float64(estimate)*(0.6+0.9*random.Float64())))
