Have the first relays watch the store often and tell the others

When the store drops its history, watches go silent without an end; with a wait of 4 s all relays noticed within 0.2 s of each other, 4.7 s after the change.

Change: watches wait a drawn time, 1.2 to 2.4 s at the first three relays by name and at those that no keeper answers, longer at the others, which rest between watches and hear of changes through the keepers at once. The first failure of a watch is followed by a new one without a pause.

--- a/news/board.go
+++ b/news/board.go
@@ -42,7 +42,7 @@
 		b.endpoints, b.revision = in.Endpoints, in.Digest.Endpoints
 	}
 	b.hear(in.Sender, now)
-	out := &Bulletin{Digest: Digest{Endpoints: b.revision, Crashes: b.crashes.Size()}, Peers: len(b.peers), First: b.first()}
+	out := &Bulletin{Digest: Digest{Endpoints: b.revision, Crashes: b.crashes.Size()}, Peers: len(b.peers), Rank: b.rank(in.Sender)}
 	if b.table != nil {
 		out.Digest.Table = b.table.Version
 		if b.table.Version > in.Digest.Table {
@@ -69,13 +69,13 @@
 	}
 }
 
-// first returns the first name of those heard of lately.
-func (b *Board) first() string {
-	first := ""
+// rank returns how many of those heard of lately come before a name.
+func (b *Board) rank(of string) int {
+	rank := 0
 	for name := range b.peers {
-		if first == "" || name < first {
-			first = name
+		if name < of {
+			rank++
 		}
 	}
-	return first
+	return rank
 }
--- a/news/news.go
+++ b/news/news.go
@@ -61,8 +61,8 @@
 	Crashes   []Crash         `json:"crashes,omitempty"`
 	// Peers is how many processes like the receiver were heard of lately.
 	Peers int `json:"peers,omitempty"`
-	// First is the first of their names.
-	First string `json:"first,omitempty"`
+	// Rank is how many of their names come before the receiver's.
+	Rank int `json:"rank"`
 }
 
 // Register counts crashes by request. It is safe for concurrent use.
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -19,6 +19,10 @@
 	// gossipInterval is the time between two exchanges with one hub; with the
 	// hubs taken in turn, a change goes from any relay to any other in two.
 	gossipInterval = 600 * time.Millisecond
+	// watchers is how many relays look at the store often.
+	watchers = 3
+	// heardLife is how long after a keeper's answer this relay relies on others.
+	heardLife = 2 * time.Second
 	// hubs is how many keepers all relays exchange their news with.
 	hubs = 3
 	// peersFirst is the relays taken to be there until a keeper has counted them.
@@ -39,13 +43,17 @@
 	peers Exchanger
 	self  string
 	count atomic.Int64
-	// leads is true while no relay with an earlier name is heard of.
-	leads atomic.Bool
+	// rank is how many relays have an earlier name.
+	rank atomic.Int64
+	// heard is when a keeper answered last, in Unix nanoseconds.
+	heard atomic.Int64
+	// changed holds one entry if there is news that keepers should have at once.
+	changed chan struct{}
 }
 
 // NewGossip returns a gossip of a relay's state under its own name.
 func NewGossip(r *Relay, p *pool.Pool, peers Exchanger, self string) *Gossip {
-	return &Gossip{Common: r.Common, relay: r, pool: p, peers: peers, self: self}
+	return &Gossip{Common: r.Common, relay: r, pool: p, peers: peers, self: self, changed: make(chan struct{}, 1)}
 }
 
 // Peers returns how many relays there are, as far as the keepers know.
@@ -58,14 +66,43 @@
 
 // Leads reports whether this relay is the first of all. Two may think so for a
 // while; nothing that a leader does needs to be done by one alone.
-func (g *Gossip) Leads() bool { return g.leads.Load() }
+func (g *Gossip) Leads() bool { return g.heard.Load() > 0 && g.rank.Load() == 0 }
+
+// Watches reports whether this relay looks at the store often. The first few do,
+// and tell the others; so does every relay that no keeper answers. What the store
+// is asked then does not grow with the relays.
+func (g *Gossip) Watches() bool {
+	heard := time.Unix(0, g.heard.Load())
+	return g.rank.Load() < watchers || time.Since(heard) > heardLife
+}
+
+// Changed has the keepers told at once of news from the store.
+func (g *Gossip) Changed() {
+	if !g.Watches() {
+		return
+	}
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
 
 // Run exchanges news until the context ends.
 func (g *Gossip) Run(ctx context.Context) {
 	for turn := rand.IntN(hubs); ctx.Err() == nil; turn++ {
-		common.Pause(ctx, gossipInterval/2+rand.N(gossipInterval))
-		if hub, found := g.hub(turn); found && ctx.Err() == nil {
-			g.exchange(ctx, hub)
+		timer := time.NewTimer(gossipInterval/2 + rand.N(gossipInterval))
+		told := 1
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-g.changed:
+			told = hubs
+		}
+		timer.Stop()
+		for i := range told {
+			if hub, found := g.hub(turn + i); found && ctx.Err() == nil {
+				g.exchange(ctx, hub)
+			}
 		}
 	}
 }
@@ -129,7 +166,8 @@
 
 func (g *Gossip) learn(in *news.Bulletin, hub pool.Endpoint) {
 	g.count.Store(int64(in.Peers))
-	g.leads.Store(in.First == g.self)
+	g.rank.Store(int64(in.Rank))
+	g.heard.Store(time.Now().UnixNano())
 	for _, c := range in.Crashes {
 		g.relay.crashes.Count(c, time.Now())
 	}
--- a/start/relay_command.go
+++ b/start/relay_command.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -32,12 +33,17 @@
 )
 
 const (
-	// watchSpan is how long a watch of the store waits. A connection that went
-	// silent shows after it and the call's time-out.
-	watchSpan = 4 * time.Second
+	// watchSpan is the longest wait of a watch of those relays that look at the
+	// store often. A watch that went silent shows after it and the call's time-out:
+	// together less than the 4 s in which a change must be known after an outage.
+	watchSpan = 2400 * time.Millisecond
+	// relaxedSpan is that of the others, which hear of changes from the first.
+	relaxedSpan = 8 * time.Second
+	// relaxedRest is the time in which their keepers' news reach those relays.
+	relaxedRest = 1200 * time.Millisecond
 	// storeTimeout bounds a call to the store, which answers in 4 ms and, when it
 	// is slow, in up to 60 times that.
-	storeTimeout = time.Second
+	storeTimeout = 800 * time.Millisecond
 	// trimInterval is the time between two looks for old connections.
 	trimInterval = 500 * time.Millisecond
 	// lastAnswers is kept of the grace for the last answers to go out.
@@ -216,8 +222,8 @@
 		Timeout: storeTimeout,
 		Observe: func(call string, size ident.ByteCount) { s.Meter.Control("platform-"+call, size) },
 	})
-	tables := store.NewFollower(s.Common, client, platform.TableKey, &platform.Tables{Common: s.Common, Take: s.takeTable, Span: watchSpan})
-	records := store.NewFollower(s.Common, client, platform.EndpointKey, &platform.Records{Common: s.Common, Pool: s.pool, Span: watchSpan, Changed: func() {}})
+	tables := store.NewFollower(s.Common, client, platform.TableKey, &platform.Tables{Common: s.Common, Take: s.takeTable, Span: s.watchSpan})
+	records := store.NewFollower(s.Common, client, platform.EndpointKey, &platform.Records{Common: s.Common, Pool: s.pool, Span: s.watchSpan, Changed: s.gossip.Changed})
 	s.tasks.Go(func() { tables.Run(s.ctx) })
 	s.tasks.Go(func() { records.Run(s.ctx) })
 	s.tasks.Go(func() { s.gossip.Run(s.ctx) })
@@ -225,9 +231,23 @@
 	s.tasks.Go(func() { s.trim(records) })
 }
 
+// watchSpan draws the wait of a watch, so that those of different relays end at
+// different times and one cut off all at once is soon noticed by somebody.
+// Relays that hear of changes from others rest between two watches, so that
+// several changes cost one call.
+func (s *relayServer) watchSpan(ctx context.Context) time.Duration {
+	most := watchSpan
+	if !s.gossip.Watches() {
+		common.Pause(ctx, relaxedRest)
+		most = relaxedSpan
+	}
+	return most/2 + rand.N(most/2)
+}
+
 func (s *relayServer) takeTable(d *table.Document) {
 	if s.relay.SetTable(d) {
 		s.Log.Info("routes in force", "table", d.Version, "routes", len(d.Routes), "services", len(d.Services))
+		s.gossip.Changed()
 	}
 }
 
--- a/store/follower.go
+++ b/store/follower.go
@@ -73,17 +73,20 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.note(err)
-		if err != nil {
+		// The first failure may be a connection that went silent: a new one is
+		// tried at once.
+		if again := f.note(err); again {
 			common.Pause(ctx, rand.N(followRetry))
 		}
 	}
 }
 
-// note logs each loss and each return of the store once.
-func (f *Follower) note(err error) {
+// note logs each loss and each return of the store once. It reports whether the
+// store has failed twice or more in a row.
+func (f *Follower) note(err error) (again bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	again = err != nil && f.lost
 	switch {
 	case err != nil:
 		if !f.lost {
@@ -94,6 +97,7 @@
 		f.Log.Info("the platform is followed again", "kind", f.kind, "version", f.version)
 		f.lost = false
 	}
+	return again
 }
 
 // outage reports whether the store failed shortly ago.
