Reload settings, list the new roles' settings, split the start of native processes

A relay takes over changed retries and stop times at SIGHUP or within 5 s. It takes connections for 2.4 s after SIGTERM in place of 3: the balancer turns away after two probes, a second apart.

--- a/conf/reference.go
+++ b/conf/reference.go
@@ -6,6 +6,7 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"maps"
 	"reflect"
 	"strings"
 
@@ -15,19 +16,26 @@
 //go:embed settings.go
 var settingsSource string
 
-// Reference renders docs/Config.md from the comments and defaults in settings.go.
+//go:embed relay.go
+var relaySource string
+
+// Reference renders docs/Config.md from the settings' comments and defaults.
 func Reference() (text string, err error) {
 	defer fault.Annotate(&err, "render the settings reference")
-	comments, err := fieldComments(settingsSource)
-	if err != nil {
-		return "", err
+	comments := map[string]string{}
+	for _, source := range []string{settingsSource, relaySource} {
+		found, err := fieldComments(source)
+		if err != nil {
+			return "", err
+		}
+		maps.Copy(comments, found)
 	}
 	var page strings.Builder
-	page.WriteString("# Settings\n\nMade from conf/settings.go by `make generate`; do not edit.\n")
+	page.WriteString("# Settings\n\nMade from conf/settings.go and conf/relay.go by `make generate`; do not edit.\n")
 	roles := []struct {
 		name     string
 		settings any
-	}{{"entry", NewEntry()}, {"agent", NewAgent()}}
+	}{{"entry", NewEntry()}, {"agent", NewAgent()}, {"relay", NewRelay()}, {"keeper", NewKeeper()}}
 	for _, role := range roles {
 		fmt.Fprintf(&page, "\n## crocusstep %s\n\n| key | default | meaning |\n|---|---|---|\n", role.name)
 		writeRows(&page, comments, reflect.ValueOf(role.settings), "")
--- a/conf/relay.go
+++ b/conf/relay.go
@@ -82,7 +82,7 @@
 		MetricsPort: defaultMetricsPort,
 		Platform:    defaultPlatform(),
 		Retries:     RetryAllowance{Ratio: 0.1, Slack: 10, Window: strict.Duration(10 * time.Second)},
-		Stop:        Stop{LeaveDelay: strict.Duration(3 * time.Second), Grace: strict.Duration(8 * time.Second)},
+		Stop:        Stop{LeaveDelay: strict.Duration(2400 * time.Millisecond), Grace: strict.Duration(8 * time.Second)},
 		Memory:      128 * strict.MiB,
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,6 +103,16 @@
 // Table returns the table in force, or nil.
 func (r *Relay) Table() *table.Table { return r.table.Load() }
 
+// SetRetries changes how much may be sent once more.
+func (r *Relay) SetRetries(a retry.Allowance) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.config.Retries = a
+	for _, w := range r.windows {
+		w.Allow(a)
+	}
+}
+
 // Crashes returns the register of requests that crash endpoints.
 func (r *Relay) Crashes() *news.Register { return r.crashes }
 
--- a/retry/window.go
+++ b/retry/window.go
@@ -39,6 +39,14 @@
 // NewWindow returns an empty window.
 func NewWindow(a Allowance) *Window { return &Window{allowance: a} }
 
+// Allow changes the allowance; the length of the window stays.
+func (w *Window) Allow(a Allowance) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	a.Span = w.allowance.Span
+	w.allowance = a
+}
+
 // Request counts a caller's request.
 func (w *Window) Request(now time.Time) {
 	w.mutex.Lock()
--- /dev/null
+++ b/start/relay_server.go
@@ -0,0 +1,208 @@
+package start
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"crocusstep/common"
+	"crocusstep/conf"
+	"crocusstep/ident"
+	"crocusstep/place"
+	"crocusstep/platform"
+	"crocusstep/pool"
+	"crocusstep/relay"
+	"crocusstep/retry"
+	"crocusstep/socket"
+	"crocusstep/store"
+	"crocusstep/table"
+)
+
+const (
+	// watchSpan is the longest wait of a watch of those relays that look at the
+	// store often. A watch that went silent shows after it and the call's time-out:
+	// together less than the 4 s in which a change must be known after an outage.
+	watchSpan = 2400 * time.Millisecond
+	// relaxedSpan is that of the others, which hear of changes from the first.
+	relaxedSpan = 8 * time.Second
+	// relaxedRest is the time in which their keepers' news reach those relays.
+	relaxedRest = 1200 * time.Millisecond
+	// storeTimeout bounds a call to the store, which answers in 4 ms and, when it
+	// is slow, in up to 60 times that.
+	storeTimeout = 800 * time.Millisecond
+	// trimInterval is the time between two looks for old connections.
+	trimInterval = 500 * time.Millisecond
+	// settingsInterval is how soon a changed settings file is in force without a
+	// signal.
+	settingsInterval = 5 * time.Second
+	// lastAnswers is kept of the grace for the last answers to go out.
+	lastAnswers = 700 * time.Millisecond
+)
+
+// relayServer is a relay with its listeners.
+type relayServer struct {
+	*native
+	settings  conf.Relay
+	pool      *pool.Pool
+	relay     *relay.Relay
+	endpoints *platform.Endpoints
+	gossip    *relay.Gossip
+	callers   *http.Server
+	// leaving is set from the signal to stop.
+	leaving atomic.Bool
+	// stopping is the times of a stop that are in force.
+	stopping atomic.Pointer[conf.Stop]
+}
+
+func newRelayServer(p *native, settings conf.Relay) *relayServer {
+	s := &relayServer{native: p, settings: settings, pool: pool.NewPool()}
+	s.stopping.Store(&settings.Stop)
+	s.endpoints = platform.NewEndpoints(socket.Dial)
+	places := place.NewClient(socket.NewClient(), settings.Peers.KeeperPort)
+	s.relay = relay.NewRelay(p.Common, relay.Config{
+		Home:      homeOf(settings),
+		Pool:      s.pool,
+		Endpoints: s.endpoints,
+		Places:    places,
+		Retries:   allowanceOf(settings),
+		Processes: func() int { return s.gossip.Peers() },
+	})
+	s.gossip = relay.NewGossip(s.relay, s.pool, places, string(settings.Place.Instance))
+	s.callers = newServer(platform.NewCallers(s.relay, s.leaving.Load), adminHeaderTimeout)
+	return s
+}
+
+func allowanceOf(settings conf.Relay) retry.Allowance {
+	return retry.Allowance{Ratio: settings.Retries.Ratio, Slack: settings.Retries.Slack, Span: settings.Retries.Window.Std()}
+}
+
+func homeOf(settings conf.Relay) pool.Home {
+	home := pool.Home{Zone: settings.Place.Zone, Regions: map[ident.ZoneName]ident.RegionName{}}
+	for _, z := range settings.Zones {
+		home.Regions[z.Name] = z.Region
+	}
+	return home
+}
+
+func (s *relayServer) listen() error {
+	if err := s.serve(string(s.settings.Listen), s.callers); err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !s.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	if err := s.serve(string(s.settings.Readiness), newServer(mux, adminHeaderTimeout)); err != nil {
+		return err
+	}
+	return s.serveMetrics(s.settings.Address, s.settings.MetricsPort)
+}
+
+func (s *relayServer) ready() bool {
+	return !s.leaving.Load() && s.relay.Table() != nil && s.pool.Loaded()
+}
+
+// follow keeps the relay's view of routes and endpoints up to date.
+func (s *relayServer) follow() {
+	client := platform.NewStore(platform.StoreConfig{
+		Address: s.settings.Platform.Address,
+		HTTP:    socket.NewClient(),
+		Timeout: storeTimeout,
+		Observe: func(call string, size ident.ByteCount) { s.Meter.Control("platform-"+call, size) },
+	})
+	tables := store.NewFollower(s.Common, client, platform.TableKey, &platform.Tables{Common: s.Common, Take: s.takeTable, Span: s.watchSpan})
+	records := store.NewFollower(s.Common, client, platform.EndpointKey, &platform.Records{Common: s.Common, Pool: s.pool, Span: s.watchSpan, Changed: s.gossip.Changed})
+	s.tasks.Go(func() { tables.Run(s.ctx) })
+	s.tasks.Go(func() { records.Run(s.ctx) })
+	s.tasks.Go(func() { s.gossip.Run(s.ctx) })
+	s.tasks.Go(func() { s.relay.Balance(s.ctx, s.gossip.Leads) })
+	s.tasks.Go(func() { s.trim(records) })
+}
+
+// watchSpan draws the wait of a watch, so that those of different relays end at
+// different times and one cut off all at once is soon noticed by somebody.
+// Relays that hear of changes from others rest between two watches, so that
+// several changes cost one call.
+func (s *relayServer) watchSpan(ctx context.Context) time.Duration {
+	most := watchSpan
+	if !s.gossip.Watches() {
+		common.Pause(ctx, relaxedRest)
+		most = relaxedSpan
+	}
+	return most/2 + rand.N(most/2)
+}
+
+func (s *relayServer) takeTable(d *table.Document) {
+	if s.relay.SetTable(d) {
+		s.Log.Info("routes in force", "table", d.Version, "routes", len(d.Routes), "services", len(d.Services))
+		s.gossip.Changed()
+	}
+}
+
+// trim drops what has become too old.
+func (s *relayServer) trim(records *store.Follower) {
+	for s.ctx.Err() == nil {
+		common.Pause(s.ctx, trimInterval)
+		now := time.Now()
+		s.endpoints.Links().Trim(now)
+		for _, name := range s.pool.Expire(now, records.Failed()) {
+			s.Log.Info("an endpoint whose record lapsed did not come back", "endpoint", name)
+		}
+	}
+	s.endpoints.Links().Close()
+}
+
+// watchSettings takes over a changed settings file at SIGHUP or when it is found
+// changed: the retries and the times of a stop; all else needs a restart.
+func (s *relayServer) watchSettings(file string) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	var last []byte
+	for s.ctx.Err() == nil {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.reload:
+		}
+		data, err := os.ReadFile(file)
+		if err != nil {
+			s.Log.Error("the settings file cannot be read; those in force stay", "error", err)
+			continue
+		}
+		if bytes.Equal(data, last) {
+			continue
+		}
+		last = data
+		settings, err := conf.ParseRelay(file, data)
+		if err != nil {
+			s.Log.Error("the settings in force stay, as the file has faults", "error", err)
+			continue
+		}
+		s.relay.SetRetries(allowanceOf(settings))
+		s.stopping.Store(&settings.Stop)
+		s.Log.Info("settings reloaded", "retry-ratio", settings.Retries.Ratio, "retry-slack", settings.Retries.Slack, "grace", settings.Stop.Grace)
+	}
+}
+
+// stop lets the balancer turn away first, ends kept connections with their next
+// answer, and then waits for what is under way.
+func (s *relayServer) stop() {
+	began := time.Now()
+	s.leaving.Store(true)
+	times := s.stopping.Load()
+	time.Sleep(times.LeaveDelay.Std())
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(times.Grace.Std()-lastAnswers))
+	defer cancel()
+	if err := s.callers.Shutdown(ctx); err != nil {
+		s.Log.Warn("work was cut off at the end of the grace", "error", err)
+		_ = s.callers.Close()
+	}
+	s.relay.Wait()
+}
--- a/start/settings_command.go
+++ b/start/settings_command.go
@@ -10,31 +10,38 @@
 func (c *cli) addSettings() {
 	settings := c.app.Command("settings", "Check or print settings.")
 	check := settings.Command("check", "Check a settings file and list all faults.")
-	checkRole := check.Arg("role", "entry or agent").Required().Enum("entry", "agent")
+	checkRole := check.Arg("role", "entry, agent, relay or keeper").Required().Enum(roleNames...)
 	checkFile := check.Arg("file", "YAML file with the settings.").Required().String()
 	c.add(check, func() error { return checkSettings(*checkRole, *checkFile) })
 	defaults := settings.Command("default", "Print a role's settings with their defaults.")
-	defaultRole := defaults.Arg("role", "entry or agent").Required().Enum("entry", "agent")
+	defaultRole := defaults.Arg("role", "entry, agent, relay or keeper").Required().Enum(roleNames...)
 	c.add(defaults, func() error { return c.printDefaults(*defaultRole) })
 	reference := settings.Command("reference", "Print docs/Config.md.")
 	c.add(reference, c.printReference)
 }
 
-func checkSettings(role, file string) error {
-	if role == "entry" {
-		_, err := parseFile(file, conf.ParseEntry)
-		return err
+// roleNames lists the roles that have settings.
+var roleNames = []string{"entry", "agent", "relay", "keeper"}
+
+func checkSettings(role, file string) (err error) {
+	switch role {
+	case "entry":
+		_, err = parseFile(file, conf.ParseEntry)
+	case "agent":
+		_, err = parseFile(file, conf.ParseAgent)
+	case "relay":
+		_, err = parseFile(file, conf.ParseRelay)
+	case "keeper":
+		_, err = parseFile(file, conf.ParseKeeper)
 	}
-	_, err := parseFile(file, conf.ParseAgent)
 	return err
 }
 
 func (c *cli) printDefaults(role string) error {
-	var settings any = conf.NewEntry()
-	if role == "agent" {
-		settings = conf.NewAgent()
+	defaults := map[string]any{
+		"entry": conf.NewEntry(), "agent": conf.NewAgent(), "relay": conf.NewRelay(), "keeper": conf.NewKeeper(),
 	}
-	return printYAML(c.stdout, settings)
+	return printYAML(c.stdout, defaults[role])
 }
 
 func (c *cli) printReference() error {
