--- a/relay/read_test.go
+++ b/relay/read_test.go
@@ -108,6 +108,16 @@
 				assert.Equal(t, len(s.sent), 1)
 			},
 		},
+		{
+			testName: "a prompt that a dark endpoint does not read is read elsewhere in time",
+			path:     "/read/x",
+			stand:    &standIn{script: map[ident.EndpointName][]behaviour{"r1": {hangs}, "r2": {hangs}}},
+			check: func(t *testing.T, _ *standIn, body string, refusal *fault.Refusal, took time.Duration) {
+				assert.Assert(t, refusal == nil)
+				assert.Equal(t, body, wholeStream)
+				assert.Assert(t, took < 1500*time.Millisecond, "%s", took)
+			},
+		},
 		{
 			testName: "engines whose keepers have died are used without them",
 			path:     "/read/x",
