--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -19,6 +19,9 @@
 	transferAllowance = 90 * time.Millisecond
 	// lateWait is how long a caller whose objective has passed waits for a place.
 	lateWait = 1200 * time.Millisecond
+	// goesOnWait is how long a stream that broke off waits for another place: its
+	// caller leaves after a gap of 3.6 s, and the prompt must be read again.
+	goesOnWait = 2500 * time.Millisecond
 	// cameBackAfter is the patience that a caller has used up when it counts as
 	// one that was refused before; new ones differ by their way here.
 	cameBackAfter = 250 * time.Millisecond
@@ -82,7 +85,7 @@
 func (s *stream) waitWindow() (time.Duration, int) {
 	switch {
 	case s.started:
-		return lateWait, goesOn
+		return min(goesOnWait, s.left()/2), goesOn
 	case s.spent > cameBackAfter:
 		return min(cameBackWait, s.left()/2), cameBack
 	}
@@ -109,7 +112,7 @@
 	p := s.request.Prompt
 	answer, err := s.config.Places.Ask(ctx, m.Address, place.Ask{
 		Attempt: s.request.Attempt,
-		Prompt:  p.Tokens,
+		Prompt:  p.Tokens + s.made(),
 		Answer:  s.lengths(s.service.Name).Expect(p.Output, p.Most),
 		Slots:   m.Slots,
 		Wait:    wait,
