--- a/news/news.go
+++ b/news/news.go
@@ -71,10 +71,24 @@
 	// seen holds when each crash was seen, by attempt.
 	seen map[Fingerprint]map[string]time.Time
 	size int
+	// cleared is when a request last ran to its end; crashes before do not count.
+	cleared map[Fingerprint]time.Time
 }
 
 // NewRegister returns an empty register.
-func NewRegister() *Register { return &Register{seen: map[Fingerprint]map[string]time.Time{}} }
+func NewRegister() *Register {
+	return &Register{seen: map[Fingerprint]map[string]time.Time{}, cleared: map[Fingerprint]time.Time{}}
+}
+
+// Clear notes that a request ran to its end, so that it did not crash the
+// endpoints which went down with it aboard before.
+func (r *Register) Clear(f Fingerprint, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if _, suspected := r.seen[f]; suspected {
+		r.cleared[f] = now
+	}
+}
 
 // Count adds a crash and returns how many the request has caused.
 func (r *Register) Count(c Crash, now time.Time) int {
@@ -101,7 +115,7 @@
 	defer r.mutex.Unlock()
 	recent := 0
 	for _, at := range r.seen[f] {
-		if now.Sub(at) < crashLife {
+		if now.Sub(at) < crashLife && at.After(r.cleared[f]) {
 			recent++
 		}
 	}
@@ -139,6 +153,7 @@
 		}
 		if len(of) == 0 {
 			delete(r.seen, f)
+			delete(r.cleared, f)
 		}
 	}
 	for f, of := range r.seen {
@@ -147,5 +162,6 @@
 		}
 		r.size -= len(of)
 		delete(r.seen, f)
+		delete(r.cleared, f)
 	}
 }
--- a/news/news_test.go
+++ b/news/news_test.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// TestRequestThatRanIsNotBlocked is a lookup that many callers send and that was
+// aboard when endpoints crashed for other reasons.
+func TestRequestThatRanIsNotBlocked(t *testing.T) {
+	r := NewRegister()
+	for _, attempt := range []string{"1", "2", "3"} {
+		r.Count(Crash{Fingerprint: "f", Attempt: attempt}, start)
+	}
+	r.Clear("f", start.Add(time.Second))
+	assert.Assert(t, !r.Blocked("f", start.Add(2*time.Second)))
+	for _, attempt := range []string{"4", "5", "6"} {
+		r.Count(Crash{Fingerprint: "f", Attempt: attempt}, start.Add(3*time.Second))
+	}
+	assert.Assert(t, r.Blocked("f", start.Add(4*time.Second)), "it may crash endpoints later")
+}
+
 func TestRegisterIsBounded(t *testing.T) {
 	r := NewRegister()
 	for i := range 4 * crashesKept {
--- a/procs/fleet.go
+++ b/procs/fleet.go
@@ -74,7 +74,7 @@
 }
 
 func (f *Fleet) start(name string, p *Process, binary string, args ...string) error {
-	log, err := os.Create(filepath.Join(f.Folder, name+".log"))
+	log, err := os.OpenFile(filepath.Join(f.Folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/relay/call.go
+++ b/relay/call.go
@@ -87,6 +87,7 @@
 		if !errors.Is(err, link.ErrNotSent) {
 			e.sends++
 			e.ran++
+			e.crashed(ctx, err)
 		}
 		e.Log.Info("a call failed", "request", e.request.Attempt, "endpoint", m.Name, "outstanding", m.Outstanding,
 			"failure-rate", m.FailureRate, "left", e.left(), "error", err)
@@ -117,6 +118,7 @@
 		return nil, errors.Join(link.ErrLost, errors.New("the answer has no signature"))
 	}
 	judged = pool.Good
+	e.ranToItsEnd()
 	if answer.Status >= http.StatusInternalServerError {
 		judged = pool.Failed
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithDeadline(ctx, e.ends)
 	defer cancel()
 	e.window(e.service.Name).Request(e.request.Arrived)
-	if e.crashes.Blocked(e.request.fingerprint(), time.Now()) {
+	if e.crashes.Size() > 0 && e.crashes.Blocked(e.request.fingerprint(), time.Now()) {
 		return fault.New(fault.RequestSuspended, "the request has crashed endpoints").After(blockedReturn)
 	}
 	if e.route.Prompted && e.request.Prompt != nil && e.service.Engine != nil {
@@ -110,6 +110,13 @@
 		"fingerprint", crash.Fingerprint, "count", count, "error", err)
 }
 
+// ranToItsEnd ends what crashes have led to for requests like this one.
+func (e *exchange) ranToItsEnd() {
+	if e.crashes.Size() > 0 {
+		e.crashes.Clear(e.request.fingerprint(), time.Now())
+	}
+}
+
 // failure is the final word on a request without an answer.
 func (e *exchange) failure(ctx context.Context, refusal *fault.Refusal) *fault.Refusal {
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -74,6 +74,7 @@
 		switch {
 		case ended:
 			s.open(answer)
+			s.ranToItsEnd()
 			s.lengths(s.service.Name).Observe(s.request.Prompt.Output, s.made())
 			return nil
 		case err != nil:
