--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 # The promises that need no clock, for CI.
 soak-short: build
 	go build -o bin/soak ./soak
-	bin/soak --seed 1 --span 6s --timing=false
+	bin/soak --seed 1 --span 6s --no-timing
 
 demo: build
 	go run ./demo
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -118,7 +118,9 @@
 }
 
 // NewPool returns an empty view.
-func NewPool() *Pool { return &Pool{members: map[ident.EndpointName]*member{}, newest: map[ident.Address]int64{}} }
+func NewPool() *Pool {
+	return &Pool{members: map[ident.EndpointName]*member{}, newest: map[ident.Address]int64{}}
+}
 
 // Load takes over a whole list, unless a newer state is known. After an outage
 // of the store records that are missing may only have lapsed.
