--- a/relay/stand_in_test.go
+++ b/relay/stand_in_test.go
@@ -128,8 +128,12 @@
 		a.Sealed = false
 	}
 	content := io.Reader(bytes.NewBufferString(body))
-	if next == truncates || next == cutsStream {
+	switch next {
+	case truncates:
 		content = broken{bytes.NewBufferString(body[:len(body)*3/4])}
+	case cutsStream:
+		// Three of four events, and a part of the last.
+		content = broken{bytes.NewBufferString(body[:min(len(body), len(body)*3/4+5)])}
 	}
 	a.Body = io.NopCloser(content)
 	return a, nil
