One client of the platform's store for all roles

Cause: store.Client spoke the object API of our first stand-in beside the users'.

Change: platform.Store implements all of store.Store by the users' protocol, with conditional creates, replaces and deletes; store.Client goes, and its tests hold for the new one. fake.Platform and the emulator share one interface, double.Handler.

--- a/fake/platform.go
+++ b/fake/platform.go
@@ -5,19 +5,23 @@
 
 import (
 	"encoding/json"
-	"io"
+	"maps"
 	"net/http"
-	"sort"
-	"strconv"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 
 	"crocusstep/ident"
+	"crocusstep/platform/double"
 	"crocusstep/store"
 )
 
+// pageSize is the objects in one page of a list.
+const pageSize = 500
+
 // PlatformConfig configures a Platform.
 type PlatformConfig struct {
 	// Latency is the time that each call takes.
@@ -132,125 +136,108 @@
 // Handler returns the platform's HTTP interface.
 func (p *Platform) Handler() http.Handler {
 	router := httprouter.New()
-	router.GET("/objects/:kind", p.guard(p.listOrWatch))
-	router.GET("/objects/:kind/:name", p.guard(p.get))
-	router.PUT("/objects/:kind/:name", p.guard(p.put))
-	router.DELETE("/objects/:kind/:name", p.guard(p.remove))
-	router.GET("/instances", p.guard(p.list))
 	router.PUT("/stand-in/instances/:name", p.setInstance)
 	router.DELETE("/stand-in/instances/:name", p.removeInstance)
 	router.PUT("/stand-in/faults", p.putFaults)
 	router.GET("/stand-in/calls", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { reply(w, p.Calls()) })
+	router.NotFound = double.NewHandler(p, pageSize)
 	return router
 }
 
-// guard applies the present faults before a call has any effect.
-func (p *Platform) guard(next httprouter.Handle) httprouter.Handle {
-	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-		p.mutex.Lock()
-		faults := p.faults
-		p.mutex.Unlock()
-		if faults.Down {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		if wait := p.config.Latency + faults.SlowNS; wait > 0 {
-			time.Sleep(wait)
-		}
-		next(w, r, params)
+// Admit implements double.Backend: it applies the present faults before a call
+// has any effect, and counts it.
+func (p *Platform) Admit(call double.Access) int {
+	p.mutex.Lock()
+	faults := p.faults
+	switch {
+	case faults.Down:
+	case call == double.Write:
+		p.calls.Writes++
+	case call == double.Watch:
+		p.calls.Watches++
+	default:
+		p.calls.Reads++
+	}
+	p.mutex.Unlock()
+	if faults.Down {
+		return http.StatusServiceUnavailable
+	}
+	if wait := p.config.Latency + faults.SlowNS; wait > 0 {
+		time.Sleep(wait)
 	}
+	if call == double.Write {
+		p.waitTurn()
+	}
+	return 0
 }
 
-func (p *Platform) get(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+// Down implements double.Backend.
+func (p *Platform) Down() bool {
 	p.mutex.Lock()
-	p.calls.Reads++
-	object, ok := p.objects[store.Kind(params.ByName("kind"))][params.ByName("name")]
-	p.mutex.Unlock()
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	reply(w, object)
+	defer p.mutex.Unlock()
+	return p.faults.Down
 }
 
-func (p *Platform) listOrWatch(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	kind := store.Kind(params.ByName("kind"))
-	if r.URL.Query().Get("watch") == "true" {
-		p.watch(w, r, kind)
-		return
-	}
+// Objects implements double.Backend. The list of instances lags.
+func (p *Platform) Objects(kind string) ([]double.Object, int64) {
 	p.mutex.Lock()
-	p.calls.Reads++
-	listing := store.Listing{Version: p.version}
-	for _, object := range p.objects[kind] {
-		listing.Objects = append(listing.Objects, object)
+	defer p.mutex.Unlock()
+	if store.Kind(kind) == store.InstanceKind {
+		return p.instanceObjects(), int64(p.version)
 	}
-	p.mutex.Unlock()
-	sort.Slice(listing.Objects, func(i, j int) bool { return listing.Objects[i].Name < listing.Objects[j].Name })
-	reply(w, listing)
+	var objects []double.Object
+	for _, name := range slices.Sorted(maps.Keys(p.objects[store.Kind(kind)])) {
+		objects = append(objects, shown(p.objects[store.Kind(kind)][name]))
+	}
+	return objects, int64(p.version)
 }
 
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request, kind store.Kind) {
-	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
-	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	p.mutex.Lock()
-	p.calls.Watches++
-	p.mutex.Unlock()
-	for {
-		batch, gap, down, changed := p.eventsSince(kind, store.Version(since))
-		switch {
-		case down:
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		case gap:
-			w.WriteHeader(http.StatusGone)
-			return
-		case len(batch.Events) > 0:
-			reply(w, batch)
-			return
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			reply(w, batch)
-			return
-		case <-r.Context().Done():
-			return
-		}
+func (p *Platform) instanceObjects() []double.Object {
+	var objects []double.Object
+	for _, instance := range p.laggedInstances(time.Now().Add(-p.config.InstanceLag)) {
+		// Instances are plain structs, which can always be encoded.
+		data, _ := json.Marshal(instance)
+		objects = append(objects, double.Object{Name: string(instance.Name), Revision: 1, Spec: data})
 	}
+	slices.SortFunc(objects, func(a, b double.Object) int { return strings.Compare(a.Name, b.Name) })
+	return objects
+}
+
+func shown(o store.Object) double.Object {
+	return double.Object{Name: o.Name, Revision: int64(o.Version), Spec: o.Value}
 }
 
-func (p *Platform) eventsSince(kind store.Kind, since store.Version) (batch store.Batch, gap, down bool, changed chan struct{}) {
+// Since implements double.Backend.
+func (p *Platform) Since(kind string, from int64) (events []double.Change, revision int64, gap bool, changed <-chan struct{}) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	batch.Version = p.version
+	since := store.Version(from)
 	if len(p.events) > 0 && p.events[0].object.Version > since+1 && len(p.events) >= p.config.KeptEvents {
 		gap = true
 	}
 	for _, e := range p.events {
-		if e.kind == kind && e.object.Version > since {
-			batch.Events = append(batch.Events, e.object)
+		if e.kind == store.Kind(kind) && e.object.Version > since {
+			events = append(events, double.Change{Object: shown(e.object), Gone: e.object.Deleted})
 		}
 	}
-	return batch, gap, p.faults.Down, p.changed
+	return events, int64(p.version), gap, p.changed
 }
 
-func (p *Platform) put(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValue+1))
-	if err != nil {
-		return
+// Apply implements double.Backend.
+func (p *Platform) Apply(kind string, o double.Object, gone bool, expected int64) (double.Object, double.Verdict) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.objects[store.Kind(kind)][o.Name].Version != store.Version(expected) {
+		return double.Object{}, double.Conflict
 	}
-	if len(value) > store.MaxValue {
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return
+	p.version++
+	o.Revision = int64(p.version)
+	p.keep(store.Kind(kind), store.Object{Name: o.Name, Version: p.version, Value: o.Spec, Deleted: gone})
+	if p.faults.LoseAnswers > 0 {
+		p.faults.LoseAnswers--
+		return o, double.Lost
 	}
-	p.change(w, r, params, store.Object{Name: params.ByName("name"), Value: value})
-}
-
-func (p *Platform) remove(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	p.change(w, r, params, store.Object{Name: params.ByName("name"), Deleted: true})
+	return o, double.Written
 }
 
 // waitTurn keeps writes within the platform's rate.
@@ -269,43 +256,6 @@
 	time.Sleep(wait)
 }
 
-func (p *Platform) change(w http.ResponseWriter, r *http.Request, params httprouter.Params, object store.Object) {
-	expected, err := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
-	if err != nil {
-		w.WriteHeader(http.StatusPreconditionRequired)
-		return
-	}
-	p.waitTurn()
-	kind := store.Kind(params.ByName("kind"))
-	version, done, lost := p.apply(kind, object, store.Version(expected))
-	switch {
-	case !done:
-		w.WriteHeader(http.StatusPreconditionFailed)
-	case lost:
-		// net/http drops the connection without a word on this panic.
-		panic(http.ErrAbortHandler)
-	default:
-		reply(w, store.Object{Name: object.Name, Version: version})
-	}
-}
-
-func (p *Platform) apply(kind store.Kind, object store.Object, expected store.Version) (version store.Version, done, lost bool) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.calls.Writes++
-	if p.objects[kind][object.Name].Version != expected {
-		return 0, false, false
-	}
-	p.version++
-	object.Version = p.version
-	p.keep(kind, object)
-	if p.faults.LoseAnswers > 0 {
-		p.faults.LoseAnswers--
-		return p.version, true, true
-	}
-	return p.version, true, false
-}
-
 func (p *Platform) keep(kind store.Kind, object store.Object) {
 	if p.objects[kind] == nil {
 		p.objects[kind] = map[string]store.Object{}
@@ -323,15 +273,6 @@
 	p.changed = make(chan struct{})
 }
 
-func (p *Platform) list(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	p.mutex.Lock()
-	p.calls.Reads++
-	shown := p.laggedInstances(time.Now().Add(-p.config.InstanceLag))
-	p.mutex.Unlock()
-	sort.Slice(shown, func(i, j int) bool { return shown[i].Name < shown[j].Name })
-	reply(w, shown)
-}
-
 func (p *Platform) laggedInstances(at time.Time) []store.Instance {
 	shown := []store.Instance{}
 	for i := len(p.history) - 1; i >= 0; i-- {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"crocusstep/ident"
 	"crocusstep/memnet"
 	"crocusstep/meter"
+	"crocusstep/platform"
 	"crocusstep/route"
 	"crocusstep/spec"
 	"crocusstep/store"
@@ -169,7 +170,7 @@
 
 // Store returns a client of the platform for a host.
 func (f *Fleet) Store(host memnet.Host) store.Store {
-	return store.NewClient(store.ClientConfig{Address: platformAddress, HTTP: f.client(host), Timeout: platformTimeout})
+	return platform.NewStore(platform.StoreConfig{Address: platformAddress, HTTP: f.client(host), Timeout: platformTimeout})
 }
 
 func (f *Fleet) common(name string) (*common.Common, error) {
--- a/ledger/history_test.go
+++ b/ledger/history_test.go
@@ -20,6 +20,7 @@
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/memnet"
+	"crocusstep/platform"
 	"crocusstep/seed"
 	"crocusstep/store"
 )
@@ -137,7 +138,7 @@
 	b.t.Cleanup(client.CloseIdleConnections)
 	h := &holder{host: host, ctx: ctx, cancel: cancel}
 	h.ledger = NewLedger(ctx, c, Config{
-		Store:       store.NewClient(store.ClientConfig{Address: "platform:1", HTTP: client, Timeout: time.Second}),
+		Store:       platform.NewStore(platform.StoreConfig{Address: "platform:1", HTTP: client, Timeout: time.Second}),
 		Holder:      ident.InstanceName(host),
 		Incarnation: ident.NewNonce(),
 	})
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -17,6 +17,7 @@
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/memnet"
+	"crocusstep/platform"
 	"crocusstep/store"
 )
 
@@ -51,7 +52,7 @@
 func (s *script) store(host string) store.Store {
 	client := s.network.Client(memnet.Host(host))
 	s.t.Cleanup(client.CloseIdleConnections)
-	return store.NewClient(store.ClientConfig{Address: "platform:1", HTTP: client, Timeout: time.Second})
+	return platform.NewStore(platform.StoreConfig{Address: "platform:1", HTTP: client, Timeout: time.Second})
 }
 
 // holder starts a holder and returns it with a function that kills it.
--- a/roster/record_test.go
+++ b/roster/record_test.go
@@ -13,6 +13,7 @@
 	"crocusstep/fake"
 	"crocusstep/ident"
 	"crocusstep/memnet"
+	"crocusstep/platform"
 	"crocusstep/store"
 )
 
@@ -71,7 +72,7 @@
 		defer func() { _ = server.Close() }()
 		client := network.Client("test")
 		defer client.CloseIdleConnections()
-		s := store.NewClient(store.ClientConfig{Address: "platform:1", HTTP: client, Timeout: time.Second})
+		s := platform.NewStore(platform.StoreConfig{Address: "platform:1", HTTP: client, Timeout: time.Second})
 		value, err := json.Marshal(Record{Instance: store.Instance{Name: "i", Endpoint: "e"}, Registered: time.Now()})
 		assert.NilError(t, err)
 		key := store.Key{Kind: Kind, Name: "e"}
--- a/start/process.go
+++ b/start/process.go
@@ -17,8 +17,8 @@
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/meter"
+	"crocusstep/platform"
 	"crocusstep/socket"
-	"crocusstep/store"
 )
 
 const (
@@ -121,8 +121,8 @@
 	}()
 }
 
-func (p *process) newStore(settings conf.Platform) *store.Client {
-	return store.NewClient(store.ClientConfig{
+func (p *process) newStore(settings conf.Platform) *platform.Store {
+	return platform.NewStore(platform.StoreConfig{
 		Address: settings.Address,
 		HTTP:    p.http,
 		Timeout: settings.Timeout.Std(),
--- a/start/service_command.go
+++ b/start/service_command.go
@@ -11,9 +11,9 @@
 
 	"crocusstep/docset"
 	"crocusstep/ident"
+	"crocusstep/platform"
 	"crocusstep/socket"
 	"crocusstep/spec"
-	"crocusstep/store"
 )
 
 const (
@@ -52,9 +52,9 @@
 	c.add(history, func() error { return c.listHistory(books(), ident.ServiceName(*historyName)) })
 }
 
-func operatorStore(platform string) *store.Client {
-	return store.NewClient(store.ClientConfig{
-		Address: ident.Address(platform),
+func operatorStore(address string) *platform.Store {
+	return platform.NewStore(platform.StoreConfig{
+		Address: ident.Address(address),
 		HTTP:    socket.NewClient(),
 		Timeout: operatorCall,
 	})
--- a/store/store.go
+++ b/store/store.go
@@ -84,6 +84,9 @@
 	State    InstanceState      `json:"state"`
 }
 
+// InstanceKind is the kind of the platform's list of instances.
+const InstanceKind Kind = "instance"
+
 // MaxValue is the largest value in bytes that the platform takes.
 const MaxValue = 1 << 20
 
--- a/trial/ledger_trial_test.go
+++ b/trial/ledger_trial_test.go
@@ -15,7 +15,7 @@
 	"crocusstep/fake"
 	"crocusstep/ledger"
 	"crocusstep/memnet"
-	"crocusstep/store"
+	"crocusstep/platform"
 )
 
 const ledgerHolders = 3
@@ -26,8 +26,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		t.Cleanup(func() { time.Sleep(time.Hour) }) // Handlers that sleep end within this.
 		network := memnet.NewNetwork()
-		platform := fake.NewPlatform(fake.PlatformConfig{Latency: 3 * time.Millisecond, WritesPerSecond: 300})
-		server := &http.Server{Handler: platform.Handler()}
+		stand := fake.NewPlatform(fake.PlatformConfig{Latency: 3 * time.Millisecond, WritesPerSecond: 300})
+		server := &http.Server{Handler: stand.Handler()}
 		listener := network.Listen("platform", "platform:1")
 		go func() { _ = server.Serve(listener) }()
 		defer func() { _ = server.Close() }()
@@ -39,7 +39,7 @@
 		for i := range ledgerHolders {
 			client := network.Client(memnet.Host(fmt.Sprint("holder", i)))
 			defer client.CloseIdleConnections()
-			s := store.NewClient(store.ClientConfig{Address: "platform:1", HTTP: client, Timeout: 10 * time.Second})
+			s := platform.NewStore(platform.StoreConfig{Address: "platform:1", HTTP: client, Timeout: 10 * time.Second})
 			if !grouped {
 				holders = append(holders, PerAction{Store: s})
 				continue
@@ -54,7 +54,7 @@
 		for _, l := range ledgers {
 			l.Flush(ctx)
 		}
-		result.Writes = platform.Calls().Writes
+		result.Writes = stand.Calls().Writes
 		cancel()
 		for _, l := range ledgers {
 			l.Wait()
