--- a/procs/fleet.go
+++ b/procs/fleet.go
@@ -272,7 +272,7 @@
 	if f.Platform, err = f.StartStandin("platform", "platform"); err != nil {
 		return err
 	}
-	return f.AwaitStatus(f.Platform, "/instances")
+	return f.AwaitStatus(f.Platform, "/stand-in/calls")
 }
 
 // Count returns how many processes were started.
