Tell peers what has changed of endpoints, not all of them

Change: a pool keeps its last 500 changes; bulletins carry those after the receiver's revision, the whole list only where that is not known (TestSince).

--- a/news/board.go
+++ b/news/board.go
@@ -14,18 +14,19 @@
 // Board holds the newest state that any process told this one, for others to
 // fetch. It decides nothing by it. It is safe for concurrent use.
 type Board struct {
-	crashes *Register
+	crashes   *Register
+	endpoints *pool.Pool
 
-	mutex     sync.Mutex
-	table     *table.Document
-	endpoints []pool.Endpoint
-	revision  pool.Revision
+	mutex sync.Mutex
+	table *table.Document
 	// peers holds when each sender was last heard of.
 	peers map[string]time.Time
 }
 
 // NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{crashes: NewRegister(), peers: map[string]time.Time{}} }
+func NewBoard() *Board {
+	return &Board{crashes: NewRegister(), endpoints: pool.NewPool(), peers: map[string]time.Time{}}
+}
 
 // Exchange takes over what is newer in a bulletin and returns what the sender
 // lacks.
@@ -38,20 +39,16 @@
 	if in.Table != nil && (b.table == nil || in.Table.Version > b.table.Version) {
 		b.table = in.Table
 	}
-	if in.Endpoints != nil && in.Digest.Endpoints > b.revision {
-		b.endpoints, b.revision = in.Endpoints, in.Digest.Endpoints
-	}
+	in.Learn(b.endpoints)
 	b.hear(in.Sender, now)
-	out := &Bulletin{Digest: Digest{Endpoints: b.revision, Crashes: b.crashes.Size()}, Peers: len(b.peers), Rank: b.rank(in.Sender)}
+	out := &Bulletin{Digest: Digest{Crashes: b.crashes.Size()}, Peers: len(b.peers), Rank: b.rank(in.Sender)}
 	if b.table != nil {
 		out.Digest.Table = b.table.Version
 		if b.table.Version > in.Digest.Table {
 			out.Table = b.table
 		}
 	}
-	if b.revision > in.Digest.Endpoints {
-		out.Endpoints = b.endpoints
-	}
+	out.Tell(b.endpoints, in.Digest.Endpoints)
 	if out.Digest.Crashes > 0 && in.Digest.Crashes != out.Digest.Crashes {
 		out.Crashes = b.crashes.Crashes(now)
 	}
--- a/news/news.go
+++ b/news/news.go
@@ -55,9 +55,12 @@
 type Bulletin struct {
 	Digest Digest `json:"digest"`
 	// Sender names the process, so that receivers can count their peers.
-	Sender    string          `json:"sender"`
-	Table     *table.Document `json:"table,omitempty"`
+	Sender string          `json:"sender"`
+	Table  *table.Document `json:"table,omitempty"`
+	// Endpoints is the whole list; Changes is what to change after Since instead.
 	Endpoints []pool.Endpoint `json:"endpoints,omitempty"`
+	Changes   []pool.Change   `json:"changes,omitempty"`
+	Since     pool.Revision   `json:"since,omitempty"`
 	Crashes   []Crash         `json:"crashes,omitempty"`
 	// Peers is how many processes like the receiver were heard of lately.
 	Peers int `json:"peers,omitempty"`
@@ -65,6 +68,32 @@
 	Rank int `json:"rank"`
 }
 
+// Tell puts into a bulletin what a receiver lacks who is at a revision.
+func (b *Bulletin) Tell(p *pool.Pool, receiver pool.Revision) {
+	b.Digest.Endpoints = p.Revision()
+	if b.Digest.Endpoints <= receiver {
+		return
+	}
+	if changes, known := p.Since(receiver); known {
+		b.Changes, b.Since = changes, receiver
+		return
+	}
+	b.Endpoints, b.Digest.Endpoints = p.Snapshot()
+}
+
+// Learn takes over what a bulletin says of endpoints; it reports whether that was
+// news.
+func (b *Bulletin) Learn(p *pool.Pool) bool {
+	before := p.Revision()
+	switch {
+	case b.Endpoints != nil:
+		p.Load(b.Endpoints, b.Digest.Endpoints, false)
+	case b.Changes != nil && p.Loaded() && before >= b.Since:
+		p.Apply(b.Changes, b.Digest.Endpoints, false)
+	}
+	return p.Revision() > before
+}
+
 // Register counts crashes by request. It is safe for concurrent use.
 type Register struct {
 	mutex sync.Mutex
--- a/news/news_test.go
+++ b/news/news_test.go
@@ -99,8 +99,13 @@
 			if newestTable > version && out.Table.Version != newestTable {
 				t.Fatal("the sender is not told of the newer routes")
 			}
-			if newestRevision > revision && out.Endpoints[0].Born != int64(newestRevision) {
-				t.Fatal("the sender is not told of the newer endpoints")
+			receiver := pool.NewPool()
+			if revision > 0 {
+				receiver.Load([]pool.Endpoint{{Name: "e", Born: int64(revision)}}, revision, false)
+			}
+			out.Learn(receiver)
+			if list, at := receiver.Snapshot(); newestRevision > 0 && (at != newestRevision || list[0].Born != int64(newestRevision)) {
+				t.Fatalf("the sender is at %v of %d", list, newestRevision)
 			}
 		}
 	})
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -19,6 +19,9 @@
 	suspendMost  = 6 * time.Second
 	// failureShare is the weight of the newest outcome in an endpoint's failure rate.
 	failureShare = 0.15
+	// logMost bounds the changes kept for those who lag behind: some minutes of an
+	// unruly day.
+	logMost = 500
 	// absentFor is how long an endpoint is left out after another process answered
 	// at its address: its record goes away after three of its heartbeats.
 	absentFor = 4 * time.Second
@@ -58,9 +61,9 @@
 
 // Change is one change of a record.
 type Change struct {
-	Endpoint Endpoint
+	Endpoint Endpoint `json:"endpoint"`
 	// Gone is set if the record was removed; only the name is then known.
-	Gone bool
+	Gone bool `json:"gone,omitempty"`
 }
 
 // Load is what an endpoint's agent reported last.
@@ -115,6 +118,15 @@
 	// revision is that of the newest state taken over.
 	revision Revision
 	loaded   bool
+	// log holds the changes after the revision base, in order.
+	log  []logged
+	base Revision
+}
+
+// logged is a change with the revision of the state that brought it.
+type logged struct {
+	Change
+	revision Revision
 }
 
 // NewPool returns an empty view.
@@ -130,6 +142,9 @@
 	if p.loaded && revision <= p.revision {
 		return false
 	}
+	if !p.loaded {
+		p.base = revision
+	}
 	p.loaded, p.revision = true, revision
 	listed := map[ident.EndpointName]bool{}
 	for _, e := range list {
@@ -148,7 +163,7 @@
 func (p *Pool) Apply(changes []Change, revision Revision, outage bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if revision <= p.revision {
+	if !p.loaded || revision <= p.revision {
 		return
 	}
 	p.revision = revision
@@ -162,6 +177,9 @@
 }
 
 func (p *Pool) place(e Endpoint) {
+	if m, known := p.members[e.Name]; !known || m.endpoint != e || !m.lapsed.IsZero() {
+		p.record(Change{Endpoint: e})
+	}
 	p.newest[e.Address] = max(p.newest[e.Address], e.Born)
 	m, known := p.members[e.Name]
 	switch {
@@ -178,6 +196,9 @@
 
 func (p *Pool) remove(name ident.EndpointName, outage bool) {
 	m, known := p.members[name]
+	if known && m.lapsed.IsZero() {
+		p.record(Change{Endpoint: Endpoint{Name: name}, Gone: true})
+	}
 	switch {
 	case !known:
 	case outage && !m.endpoint.Leaving:
@@ -230,6 +251,33 @@
 	return list, p.revision
 }
 
+// record logs a change for Since; the oldest are forgotten.
+func (p *Pool) record(c Change) {
+	if p.revision == p.base {
+		return
+	}
+	p.log = append(p.log, logged{Change: c, revision: p.revision})
+	if excess := len(p.log) - logMost; excess > 0 {
+		p.base = p.log[excess-1].revision
+		p.log = slices.Clone(p.log[excess:])
+	}
+}
+
+// Since returns what has changed after a revision, and whether that is known.
+func (p *Pool) Since(revision Revision) (changes []Change, known bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.loaded || revision < p.base || revision > p.revision {
+		return nil, false
+	}
+	for _, l := range p.log {
+		if l.revision > revision {
+			changes = append(changes, l.Change)
+		}
+	}
+	return changes, true
+}
+
 // Revision returns the newest revision taken over.
 func (p *Pool) Revision() Revision {
 	p.mutex.Lock()
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,3 +176,36 @@
 		}
 	})
 }
+
+// TestSince has one view follow another by what changed, from any revision, or by
+// the whole list where that is no longer known: both then hold the same.
+func TestSince(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ahead, behind := NewPool(), NewPool()
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			revision := Revision(i + 1)
+			e := endpoint(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"))
+			e.Slots = i
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				ahead.Load([]Endpoint{e}, revision, false)
+			case 1:
+				ahead.Apply([]Change{{Endpoint: e, Gone: true}}, revision, false)
+			case 2:
+				ahead.Apply([]Change{{Endpoint: e}}, revision, false)
+			case 3:
+				if changes, known := ahead.Since(behind.Revision()); known && behind.Loaded() {
+					behind.Apply(changes, ahead.Revision(), false)
+				} else if ahead.Loaded() {
+					list, at := ahead.Snapshot()
+					behind.Load(list, at, false)
+				}
+				want, _ := ahead.Snapshot()
+				got, at := behind.Snapshot()
+				if at != ahead.Revision() || !slices.Equal(got, want) {
+					t.Fatalf("%v at %d, want %v at %d", got, at, want, ahead.Revision())
+				}
+			}
+		}
+	})
+}
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -155,13 +155,11 @@
 	if out.Digest.Table > theirs.Table {
 		out.Table = g.relay.Table().Document
 	}
-	if out.Digest.Endpoints > theirs.Endpoints {
-		out.Endpoints, out.Digest.Endpoints = g.pool.Snapshot()
-	}
+	out.Tell(g.pool, theirs.Endpoints)
 	if out.Digest.Crashes > 0 && out.Digest.Crashes != theirs.Crashes {
 		out.Crashes = g.relay.crashes.Crashes(time.Now())
 	}
-	return out.Table != nil || out.Endpoints != nil || out.Crashes != nil
+	return out.Table != nil || out.Endpoints != nil || out.Changes != nil || out.Crashes != nil
 }
 
 func (g *Gossip) learn(in *news.Bulletin, hub pool.Endpoint) {
@@ -174,7 +172,8 @@
 	if in.Table != nil && g.relay.SetTable(in.Table) {
 		g.Log.Info("routes learned from a peer", "table", in.Table.Version, "keeper", hub.Name)
 	}
-	if in.Endpoints != nil && g.pool.Load(in.Endpoints, in.Digest.Endpoints, false) {
-		g.Log.Info("endpoints learned from a peer", "revision", in.Digest.Endpoints, "keeper", hub.Name, "endpoints", len(in.Endpoints))
+	if in.Learn(g.pool) {
+		g.Log.Info("endpoints learned from a peer", "revision", in.Digest.Endpoints, "keeper", hub.Name,
+			"endpoints", len(in.Endpoints), "changes", len(in.Changes), "since", in.Since)
 	}
 }
--- a/sizing/sample.go
+++ b/sizing/sample.go
@@ -2,18 +2,19 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"crocusstep/docset"
 	"crocusstep/fake"
 	"crocusstep/ident"
+	"crocusstep/platform"
 	"crocusstep/procs"
+	"crocusstep/store"
 )
 
 // ticksPerSecond is the kernel's unit of processor time in /proc.
@@ -113,19 +114,15 @@
 	return nil
 }
 
+// putTimeout bounds the writing of one document.
+const putTimeout = 5 * time.Second
+
 func putDocument(f *procs.Fleet, name, text string) error {
 	value, err := docset.Sheet{Current: docset.Draft{Number: 1, Text: text}}.Encode()
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/objects/%s/%s", f.Platform, docset.Kind, name), bytes.NewReader(value))
-	if err != nil {
-		return err
-	}
-	request.Header.Set("If-Match", "0")
-	response, err := client.Do(request)
-	if err != nil {
-		return err
-	}
-	return response.Body.Close()
+	client := platform.NewStore(platform.StoreConfig{Address: f.Platform, HTTP: f.HTTP, Timeout: putTimeout})
+	_, err = client.Put(context.Background(), store.Key{Kind: docset.Kind, Name: name}, value, 0)
+	return err
 }
