--- a/mutant/mutants.go
+++ b/mutant/mutants.go
@@ -312,7 +312,7 @@
 	},
 	{
 		promise: "a place whose run never begins is taken back",
-		file:    "place/keeper.go",
+		file:    "place/engine_state.go",
 		old:     "asked.Sub(g.since) > startLimit",
 		changed: "false",
 		pkg:     "place", test: "TestKeeper",
