Serve streams of plain services and of engines that do both

Cause: a streaming route to a service without engines was answered as a whole once it had ended, and combined engines were never chosen: no site has either, but a deployment may.

Change: every streaming route passes events on; without split engines nothing is read apart. Test: TestStreamsWithoutSplitEngines.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -60,7 +60,7 @@
 	if e.crashes.Size() > 0 && e.crashes.Blocked(e.request.fingerprint(), time.Now()) {
 		return fault.New(fault.RequestSuspended, "the request has crashed endpoints").After(blockedReturn)
 	}
-	if e.route.Prompted && e.request.Prompt != nil && e.service.Engine != nil {
+	if e.route.Kind == table.Reading {
 		return e.read(ctx)
 	}
 	return e.call(ctx)
--- a/relay/read.go
+++ b/relay/read.go
@@ -22,7 +22,7 @@
 // read in vain, then the reading, then the answer.
 func (e *exchange) read(ctx context.Context) *fault.Refusal {
 	refusal := fault.New(fault.NoEndpoint, "no endpoint of %s", e.service.Name).After(e.comeBack(returnLeast))
-	s := &stream{exchange: e, after: e.request.Prompt.After, resumed: e.request.Prompt.After != ""}
+	s := &stream{exchange: e, after: e.request.After, resumed: e.request.After != ""}
 	for tries := 0; tries < sendsMost && e.mayTryAgain(ctx); tries++ {
 		err := s.attempt(ctx)
 		if err == nil {
@@ -69,8 +69,14 @@
 	}
 }
 
+// split reports whether the prompt is read and answered at engines.
+func (s *stream) split() bool { return s.request.Prompt != nil && s.service.Engine != nil }
+
 // attempt runs the request once.
 func (s *stream) attempt(ctx context.Context) error {
+	if !s.split() {
+		return s.attemptWhole(ctx)
+	}
 	began := time.Now()
 	g, err := s.reserve(ctx)
 	if err != nil {
@@ -78,9 +84,11 @@
 	}
 	defer func() { s.leave(g) }()
 	placed := time.Now()
-	from, err := s.prefill(ctx)
-	if err != nil {
-		return err
+	var from *Reading
+	if g.member.Stage == pool.Decode {
+		if from, err = s.prefill(ctx); err != nil {
+			return err
+		}
 	}
 	read := time.Now()
 	answer, err := s.begin(ctx, g, from)
@@ -97,8 +105,29 @@
 		}
 		return err
 	}
+	return s.finish(ctx, g, answer)
+}
+
+// attemptWhole runs the request once at an endpoint of a plain service.
+func (s *stream) attemptWhole(ctx context.Context) error {
+	m, found := s.choose()
+	if !found {
+		return fault.New(fault.NoEndpoint, "no endpoint of %s", s.service.Name).After(s.comeBack(returnLeast))
+	}
+	s.tried[m.Name] = true
+	g := &grant{member: m, began: time.Now(), end: s.config.Pool.Begin(m.Endpoint, 0)}
+	defer func() { s.leave(g) }()
+	answer, err := s.begin(ctx, g, nil)
+	if err != nil {
+		return err
+	}
+	return s.finish(ctx, g, answer)
+}
+
+// finish passes an answer on to its end.
+func (s *stream) finish(ctx context.Context, g *grant, answer *Answer) error {
 	defer func() { _ = answer.Body.Close() }()
-	err = s.forward(answer)
+	err := s.forward(answer)
 	g.judged = verdict(ctx, err)
 	if err != nil {
 		s.crashed(ctx, errors.Join(link.ErrLost, err))
--- a/relay/read_test.go
+++ b/relay/read_test.go
@@ -150,6 +150,46 @@
 	}
 }
 
+// TestStreamsWithoutSplitEngines has engines that read and answer themselves, and a
+// plain service that streams: nothing is read apart, and the promises hold.
+func TestStreamsWithoutSplitEngines(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		once     behaviour
+		combined bool
+		path     string
+		runs     int
+		cut      bool
+	}{
+		{testName: "combined engines answer", combined: true, path: "/read/x", runs: 1},
+		{testName: "a plain service streams", path: "/plain-stream/x", runs: 1},
+		{testName: "a plain stream that was rejected runs elsewhere", once: rejects, path: "/plain-stream/x", runs: 1},
+		{testName: "a plain stream that breaks off is cut visibly", once: cutsStream, path: "/plain-stream/x", runs: 1, cut: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stand := &standIn{once: s.once}
+				r := newTestRelay(t, stand)
+				if s.combined {
+					r.config.Pool.Load([]pool.Endpoint{{Name: "c1", Service: "model", Address: "c1:1", Slots: 4}}, 2, false)
+				}
+				w, refusal := send(t.Context(), r, s.path)
+				assert.Equal(t, stand.runs, s.runs)
+				if s.cut {
+					assert.Equal(t, refusal.Code, fault.AnswerCut)
+					return
+				}
+				assert.Assert(t, refusal == nil)
+				assert.Equal(t, w.Body.String(), wholeStream)
+				for _, sent := range stand.sent {
+					assert.Assert(t, sent[:4] != "read", sent)
+				}
+			})
+		})
+	}
+}
+
 // TestDecodeEndpointLeavesWhileThePromptIsRead has the endpoint that holds the
 // place marked as leaving between reading and answer.
 func TestDecodeEndpointLeavesWhileThePromptIsRead(t *testing.T) {
--- a/relay/request.go
+++ b/relay/request.go
@@ -28,6 +28,8 @@
 	Arrived time.Time
 	// Patience is how long the caller waits, counted from the arrival.
 	Patience time.Duration
+	// After is the last event that the caller has, if it has any.
+	After string
 	// Prompt is set where the request carries one.
 	Prompt *Prompt
 }
@@ -40,8 +42,6 @@
 	Most ident.TokenCount
 	// Output is the estimated length of the answer, or zero.
 	Output ident.TokenCount
-	// After is the last event that the caller has, if it has any.
-	After string
 }
 
 func (r *Request) fingerprint() news.Fingerprint {
--- a/relay/stand_in_test.go
+++ b/relay/stand_in_test.go
@@ -140,7 +140,7 @@
 }
 
 func (s *standIn) Call(ctx context.Context, e pool.Endpoint, r *Request, _ time.Duration) (*Answer, error) {
-	if r.Prompt != nil {
+	if r.Prompt != nil || strings.HasPrefix(r.Path, "/plain-stream") {
 		return s.Write(ctx, e, r, nil, 0)
 	}
 	return s.act(ctx, s.next(e, "call"), "whole")
@@ -164,11 +164,11 @@
 // Write answers with four events, from after the last that the caller has.
 func (s *standIn) Write(ctx context.Context, e pool.Endpoint, r *Request, _ *Reading, _ time.Duration) (*Answer, error) {
 	s.mutex.Lock()
-	s.after = append(s.after, r.Prompt.After)
+	s.after = append(s.after, r.After)
 	s.mutex.Unlock()
 	first := 1
-	if r.Prompt.After != "" {
-		_, err := fmt.Sscan(r.Prompt.After, &first)
+	if r.After != "" {
+		_, err := fmt.Sscan(r.After, &first)
 		if err != nil {
 			return nil, err
 		}
@@ -263,6 +263,7 @@
 		Routes: []table.Route{
 			route("/action/", table.Action, "plain", 2, false),
 			route("/lookup/", table.Lookup, "plain", 2, false),
+			route("/plain-stream/", table.Reading, "plain", 2, false),
 			route("/read/", table.Reading, "model", 2, false),
 			route("/resume/", table.Reading, "model", 2, true),
 		},
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -75,7 +75,7 @@
 		case ended:
 			s.open(answer)
 			s.ranToItsEnd()
-			s.lengths(s.service.Name).Observe(s.request.Prompt.Output, s.made())
+			s.learn()
 			return nil
 		case err != nil:
 			return errors.Join(link.ErrLost, err)
@@ -111,7 +111,14 @@
 			s.events++
 		}
 	}
-	s.request.Prompt.After = s.after
+	s.request.After = s.after
+}
+
+// learn takes the length of a whole answer over.
+func (s *stream) learn() {
+	if s.split() {
+		s.lengths(s.service.Name).Observe(s.request.Prompt.Output, s.made())
+	}
 }
 
 // made is the tokens in the events passed on, unless the caller had some before.
