Share connections among relays, log every refusal, name keepers keepers

Requests beyond an endpoint's connections were reset there, with unknown outcome; a relay now opens its share, and says not run. Refusals before a route is known are logged and counted as others are.

--- a/place/client.go
+++ b/place/client.go
@@ -15,21 +15,21 @@
 	"crocusstep/news"
 )
 
-// replyTimeout bounds a call to an agent beyond the wait that it was granted;
-// regions are 24 ms apart, and agents have a third of a core.
+// replyTimeout bounds a call to a keeper beyond the wait that it was granted;
+// regions are 24 ms apart, and keepers have a third of a core.
 const replyTimeout = 250 * time.Millisecond
 
-// Client calls the agents beside engines.
+// Client calls the keepers beside engines.
 type Client struct {
 	http *http.Client
-	// port is where every agent listens.
+	// port is where every keeper listens.
 	port int
 }
 
-// NewClient returns a client for agents at a port of their instances.
+// NewClient returns a client for keepers at a port of their instances.
 func NewClient(client *http.Client, port int) *Client { return &Client{http: client, port: port} }
 
-// Beside returns the address of the agent on an endpoint's instance.
+// Beside returns the address of the keeper on an endpoint's instance.
 func (c *Client) Beside(endpoint ident.Address) ident.Address {
 	host, _, err := net.SplitHostPort(string(endpoint))
 	if err != nil {
@@ -38,21 +38,21 @@
 	return ident.Address(net.JoinHostPort(host, strconv.Itoa(c.port)))
 }
 
-// Ask asks the agent beside an endpoint for a place.
+// Ask asks the keeper beside an endpoint for a place.
 func (c *Client) Ask(ctx context.Context, endpoint ident.Address, ask Ask) (answer Answer, err error) {
 	defer fault.Annotate(&err, "ask for a place beside %s", endpoint)
 	err = c.call(ctx, endpoint, AskPath, ask.Wait+replyTimeout, ask, &answer)
 	return answer, err
 }
 
-// Turn asks the agent beside a prefill endpoint for a turn.
+// Turn asks the keeper beside a prefill endpoint for a turn.
 func (c *Client) Turn(ctx context.Context, endpoint ident.Address, turn Turn) (answer TurnAnswer, err error) {
 	defer fault.Annotate(&err, "ask for a turn beside %s", endpoint)
 	err = c.call(ctx, endpoint, TurnPath, replyTimeout, turn, &answer)
 	return answer, err
 }
 
-// ChangeStage asks an agent to have its engine work on another stage.
+// ChangeStage asks a keeper to have its engine work on another stage.
 func (c *Client) ChangeStage(ctx context.Context, endpoint ident.Address, order StageOrder) (answer StageAnswer, err error) {
 	defer fault.Annotate(&err, "change the stage beside %s", endpoint)
 	err = c.call(ctx, endpoint, StagePath, orderTimeout+replyTimeout, order, &answer)
@@ -65,9 +65,9 @@
 	return c.call(ctx, endpoint, ReleasePath, replyTimeout, Release{Attempt: attempt}, &struct{}{})
 }
 
-// Exchange tells an agent the news and returns what it knows beyond them.
+// Exchange tells a keeper the news and returns what it knows beyond them.
 func (c *Client) Exchange(ctx context.Context, endpoint ident.Address, bulletin *news.Bulletin) (reply news.Bulletin, err error) {
-	defer fault.Annotate(&err, "exchange news with the agent beside %s", endpoint)
+	defer fault.Annotate(&err, "exchange news with the keeper beside %s", endpoint)
 	err = c.call(ctx, endpoint, NewsPath, time.Second, bulletin, &reply)
 	return reply, err
 }
@@ -90,7 +90,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("the agent answered with status %d", response.StatusCode)
+		return fmt.Errorf("the keeper answered with status %d", response.StatusCode)
 	}
 	return json.NewDecoder(response.Body).Decode(reply)
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -66,7 +66,7 @@
 	Gone bool `json:"gone,omitempty"`
 }
 
-// Load is what an endpoint's agent reported last.
+// Load is what an endpoint's keeper reported last.
 type Load struct {
 	// Free is the tokens that a new run could take; negative if runs wait for it.
 	Free ident.TokenCount
@@ -332,7 +332,7 @@
 		m.endpoint.Stage == e.Stage && !m.endpoint.Leaving
 }
 
-// Observe takes over what an agent says of its endpoint.
+// Observe takes over what a keeper says of its endpoint.
 func (p *Pool) Observe(name ident.EndpointName, load Load) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/pool/rank.go
+++ b/pool/rank.go
@@ -80,7 +80,7 @@
 }
 
 const (
-	// loadLife is how long an agent's report of its load is used.
+	// loadLife is how long a keeper's report of its load is used.
 	loadLife = 1500 * time.Millisecond
 	// unknownFree is the free tokens taken for an endpoint without a report.
 	unknownFree = 40000.0
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -57,14 +57,14 @@
 		if m.Suspended {
 			break
 		}
-		if s.agentGone(m.Name) {
+		if s.keeperGone(m.Name) {
 			return m, turnWait, true
 		}
 		answer, err := s.config.Places.Turn(ctx, m.Address, place.Turn{
 			Attempt: s.request.Attempt, Tokens: s.request.Prompt.Tokens, Wait: turnWait,
 		})
 		if err != nil {
-			if !s.agentFailed(ctx, m, err) {
+			if !s.keeperFailed(ctx, m, err) {
 				continue
 			}
 			return m, turnWait, true
--- a/relay/read.go
+++ b/relay/read.go
@@ -51,7 +51,7 @@
 // grant is a place at a decode endpoint.
 type grant struct {
 	member pool.Member
-	// held is false where the agent was not there to ask.
+	// held is false where the keeper was not there to ask.
 	held  bool
 	began time.Time
 	// used is set once the endpoint runs the request, which then keeps the place.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -64,8 +64,8 @@
 	// patience is the longest seen on each route, by which callers that have come
 	// back are told from new ones.
 	patience map[string]time.Duration
-	// agentless holds until when an endpoint's agent is not asked.
-	agentless map[ident.EndpointName]time.Time
+	// keeperless holds until when an endpoint's keeper is not asked.
+	keeperless map[ident.EndpointName]time.Time
 	// loads is the mean request of each service with engines.
 	loads map[ident.ServiceName]*meanLoad
 	// answers is how long the answers of each service are.
@@ -75,14 +75,14 @@
 // NewRelay returns a relay that refuses everything until it has a table.
 func NewRelay(c *common.Common, config Config) *Relay {
 	return &Relay{
-		Common:    c,
-		config:    config,
-		crashes:   news.NewRegister(),
-		windows:   map[ident.ServiceName]*retry.Window{},
-		patience:  map[string]time.Duration{},
-		agentless: map[ident.EndpointName]time.Time{},
-		loads:     map[ident.ServiceName]*meanLoad{},
-		answers:   map[ident.ServiceName]*room.Lengths{},
+		Common:     c,
+		config:     config,
+		crashes:    news.NewRegister(),
+		windows:    map[ident.ServiceName]*retry.Window{},
+		patience:   map[string]time.Duration{},
+		keeperless: map[ident.EndpointName]time.Time{},
+		loads:      map[ident.ServiceName]*meanLoad{},
+		answers:    map[ident.ServiceName]*room.Lengths{},
 	}
 }
 
@@ -123,11 +123,11 @@
 func (r *Relay) Serve(ctx context.Context, request *Request, w http.ResponseWriter) *fault.Refusal {
 	t := r.table.Load()
 	if t == nil || !r.config.Pool.Loaded() {
-		return fault.New(fault.DocumentsNotLoaded, "no routes are known yet").After(r.comeBack(returnLeast))
+		return r.Refused(request.Attempt, fault.New(fault.DocumentsNotLoaded, "no routes are known yet").After(r.comeBack(returnLeast)))
 	}
 	route, found := t.Match(request.Host, request.Path)
 	if !found {
-		return fault.New(fault.UnknownRoute, "no route matches in version %d", t.Version)
+		return r.Refused(request.Attempt, fault.New(fault.UnknownRoute, "no route matches in version %d", t.Version))
 	}
 	service := route.Pick(rand.Float64())
 	e := &exchange{
@@ -147,6 +147,15 @@
 	return refusal
 }
 
+// Refused notes a request that was refused before it had a route, and returns the
+// refusal.
+func (r *Relay) Refused(attempt ident.AttemptID, refusal *fault.Refusal) *fault.Refusal {
+	r.Meter.Request("", string(refusal.Code), false)
+	r.Log.Info("request ended", "request", attempt, "outcome", refusal.Code, "sends", 0, "ran", 0,
+		"endpoints", r.config.Pool.Revision(), "retry-after", refusal.RetryAfter, "note", refusal.Detail)
+	return refusal
+}
+
 // spent estimates how long ago the caller began with an earlier attempt.
 func (r *Relay) spent(route string, patience time.Duration) time.Duration {
 	r.mutex.Lock()
@@ -179,8 +188,8 @@
 }
 
 // returnAfter is when a caller should come back that found no place: after the
-// expected wait, and spread over the time in which a burst passes, as those who
-// come back go first.
+// expected wait, and spread over the time in which a burst passes, so that those
+// refused together do not return together.
 func (*Relay) returnAfter(wait time.Duration) time.Duration {
 	least := min(max(wait, returnLeast), returnMost/2)
 	return least + rand.N(returnMost-least)
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -30,10 +30,10 @@
 	cameBackWait = 1200 * time.Millisecond
 	// triedDecodes bounds the decode endpoints asked before waiting at the best.
 	triedDecodes = 3
-	// agentPause is how long an agent that did not answer is not asked.
-	agentPause = 2 * time.Second
+	// keeperPause is how long a keeper that did not answer is not asked.
+	keeperPause = 2 * time.Second
 	// blindTokens bounds the prompt tokens this process has under way at a decode
-	// endpoint whose agent does not answer: a third of the engines' memory.
+	// endpoint whose keeper does not answer: a third of the engines' memory.
 	blindTokens = 30000
 )
 
@@ -75,9 +75,9 @@
 	// inTime requests can still meet their objective. They go before those that
 	// came back late, or in a burst all would be late.
 	inTime
-	// cameBack callers were refused before, and wait longer not to be again.
+	// cameBack callers were refused before.
 	cameBack
-	// tooLate requests cannot.
+	// tooLate requests can no longer meet their objective.
 	tooLate
 )
 
@@ -105,10 +105,10 @@
 	return s.config.Home.Decodes(members, time.Now())
 }
 
-// askPlace asks an agent for a place. An agent that does not answer is passed
+// askPlace asks a keeper for a place. A keeper that does not answer is passed
 // over for a while, and its endpoint is used within a bound of this process's own.
 func (s *stream) askPlace(ctx context.Context, m pool.Member, wait time.Duration, urgency int) (place.Answer, *grant) {
-	if s.agentGone(m.Name) {
+	if s.keeperGone(m.Name) {
 		return s.askBlind(m)
 	}
 	p := s.request.Prompt
@@ -121,7 +121,7 @@
 		Urgency: urgency,
 	})
 	if err != nil {
-		if !s.agentFailed(ctx, m, err) {
+		if !s.keeperFailed(ctx, m, err) {
 			return place.Answer{Down: true}, nil
 		}
 		return s.askBlind(m)
@@ -140,17 +140,17 @@
 	return answer, s.hold(m, true)
 }
 
-// agentFailed notes that an agent did not answer, and reports whether its
+// keeperFailed notes that a keeper did not answer, and reports whether its
 // endpoint may be used without it. Where nothing answers at all, the whole
 // instance is frozen or cut off, and what is sent there may run much later.
-func (s *stream) agentFailed(ctx context.Context, m pool.Member, err error) bool {
+func (s *stream) keeperFailed(ctx context.Context, m pool.Member, err error) bool {
 	if ctx.Err() != nil {
 		return false
 	}
 	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-	s.Log.Warn("an agent does not answer", "request", s.request.Attempt, "endpoint", m.Name, "refused", refused, "error", err)
+	s.Log.Warn("a keeper does not answer", "request", s.request.Attempt, "endpoint", m.Name, "refused", refused, "error", err)
 	if refused {
-		s.setAgentGone(m.Name)
+		s.setKeeperGone(m.Name)
 		return true
 	}
 	s.config.Pool.Begin(m.Endpoint, 0)(pool.Broken, 0)
@@ -169,14 +169,14 @@
 	return &grant{member: m, held: held, began: time.Now(), end: s.config.Pool.Begin(m.Endpoint, s.request.Prompt.Tokens)}
 }
 
-func (r *Relay) agentGone(name ident.EndpointName) bool {
+func (r *Relay) keeperGone(name ident.EndpointName) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return time.Now().Before(r.agentless[name])
+	return time.Now().Before(r.keeperless[name])
 }
 
-func (r *Relay) setAgentGone(name ident.EndpointName) {
+func (r *Relay) setKeeperGone(name ident.EndpointName) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.agentless[name] = time.Now().Add(agentPause)
+	r.keeperless[name] = time.Now().Add(keeperPause)
 }
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -34,6 +34,9 @@
 	// storeTimeout bounds a call to the store, which answers in 4 ms and, when it
 	// is slow, in up to 60 times that.
 	storeTimeout = 800 * time.Millisecond
+	// connectionsLeast is what a relay may open to one endpoint however many relays
+	// there are: endpoints of the users take 110 and more.
+	connectionsLeast = 16
 	// trimInterval is the time between two looks for old connections.
 	trimInterval = 500 * time.Millisecond
 	// settingsInterval is how soon a changed settings file is in force without a
@@ -151,6 +154,7 @@
 		common.Pause(s.ctx, trimInterval)
 		now := time.Now()
 		s.endpoints.Links().Trim(now)
+		s.limitConnections()
 		for _, name := range s.pool.Expire(now, records.Failed()) {
 			s.Log.Info("an endpoint whose record lapsed did not come back", "endpoint", name)
 		}
@@ -158,6 +162,20 @@
 	s.endpoints.Links().Close()
 }
 
+// limitConnections shares what each endpoint takes among all relays.
+func (s *relayServer) limitConnections() {
+	t := s.relay.Table()
+	if t == nil {
+		return
+	}
+	endpoints, _ := s.pool.Snapshot()
+	for _, e := range endpoints {
+		if most := t.Services[e.Service].MaxConns; most > 0 {
+			s.endpoints.Links().Limit(e.Address, max(connectionsLeast, most/s.gossip.Peers()))
+		}
+	}
+}
+
 // watchSettings takes over a changed settings file at SIGHUP or when it is found
 // changed: the retries and the times of a stop; all else needs a restart.
 func (s *relayServer) watchSettings(file string) {
