--- /dev/null
+++ b/logs/writer_test.go
@@ -0,0 +1,71 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stuck is a standard output that nobody reads until it is freed.
+type stuck struct {
+	mutex sync.Mutex
+	free  chan struct{}
+	text  bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.free
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.text.Write(p)
+}
+
+func TestWriter(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		run      func(t *testing.T, w *Writer, out *stuck)
+	}{
+		{
+			testName: "lines come out in order",
+			run: func(t *testing.T, w *Writer, out *stuck) {
+				close(out.free)
+				for _, line := range []string{"a\n", "b\n"} {
+					_, err := w.Write([]byte(line))
+					assert.NilError(t, err)
+				}
+				time.Sleep(2 * flushInterval)
+				assert.Equal(t, out.text.String(), "a\nb\n")
+				assert.NilError(t, w.Close())
+			},
+		},
+		{
+			testName: "a reader that is stuck holds nobody up, and what was dropped is told",
+			run: func(t *testing.T, w *Writer, out *stuck) {
+				line := []byte(strings.Repeat("x", 1023) + "\n")
+				began := time.Now()
+				for range 4 * bufferMost / len(line) {
+					_, err := w.Write(line)
+					assert.NilError(t, err)
+				}
+				assert.Equal(t, time.Since(began), time.Duration(0))
+				assert.Assert(t, w.pending.Len() <= bufferMost)
+				close(out.free)
+				assert.NilError(t, w.Close())
+				assert.Assert(t, strings.Contains(out.text.String(), "log lines were dropped"))
+			},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				out := &stuck{free: make(chan struct{})}
+				s.run(t, NewWriter(out), out)
+			})
+		})
+	}
+}
--- a/start/keeper_command.go
+++ b/start/keeper_command.go
@@ -9,25 +9,24 @@
 	"crocusstep/place"
 	"crocusstep/platform"
 	"crocusstep/socket"
+	"crocusstep/strict"
 )
 
 func (c *cli) addKeeper() {
 	command := c.app.Command("keeper", "Give out the places of the engine on the same instance.")
 	file := command.Flag("settings", "YAML file with the settings.").Envar(platform.SettingsVariable).Required().String()
-	c.add(command, func() error { return c.runKeeper(*file) })
+	c.add(command, func() error {
+		return runNative(c, *file, nativeRole[conf.Keeper]{
+			parse: conf.ParseKeeper,
+			needs: func(s conf.Keeper) (conf.Place, strict.Size) { return s.Place, s.Memory },
+			run:   c.runKeeper,
+		})
+	})
 }
 
-func (c *cli) runKeeper(file string) error {
-	settings, err := parseFile(file, conf.ParseKeeper)
-	if err != nil {
-		return err
-	}
-	p, err := c.bootNative(settings.Place, settings.Memory)
-	if err != nil {
-		return err
-	}
-	defer p.close()
-	keeper := place.NewKeeper(p.Common, platform.NewEngine(socket.NewClient(), settings.Endpoint, settings.Place.Instance))
+func (c *cli) runKeeper(p *native, settings conf.Keeper) error {
+	engine := platform.NewEngine(socket.NewClient(), settings.Endpoint, settings.Place.Instance)
+	keeper := place.NewKeeper(p.Common, engine)
 	p.tasks.Go(func() { keeper.Run(p.ctx) })
 	server := newServer(place.NewHandler(keeper, news.NewBoard()), adminHeaderTimeout)
 	listen := net.JoinHostPort(settings.Address, strconv.Itoa(settings.Peers.KeeperPort))
--- a/start/native.go
+++ b/start/native.go
@@ -39,6 +39,29 @@
 	servers []*http.Server
 }
 
+// nativeRole is what a role on the users' platform does.
+type nativeRole[Settings any] struct {
+	parse func(file string, data []byte) (Settings, error)
+	// needs returns where the process runs and its memory limit.
+	needs func(Settings) (conf.Place, strict.Size)
+	// run serves until the process is asked to stop.
+	run func(*native, Settings) error
+}
+
+// runNative runs a role with the settings of a file.
+func runNative[Settings any](c *cli, file string, role nativeRole[Settings]) error {
+	settings, err := parseFile(file, role.parse)
+	if err != nil {
+		return err
+	}
+	p, err := c.bootNative(role.needs(settings))
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	return role.run(p, settings)
+}
+
 func (c *cli) bootNative(at conf.Place, memory strict.Size) (*native, error) {
 	debug.SetMemoryLimit(int64(memory) * heapShare / 100)
 	m, err := meter.NewMeter()
--- a/start/relay_command.go
+++ b/start/relay_command.go
@@ -3,24 +3,22 @@
 import (
 	"crocusstep/conf"
 	"crocusstep/platform"
+	"crocusstep/strict"
 )
 
 func (c *cli) addRelay() {
 	command := c.app.Command("relay", "Pass callers' requests on to endpoints as they came.")
 	file := command.Flag("settings", "YAML file with the settings.").Envar(platform.SettingsVariable).Required().String()
-	c.add(command, func() error { return c.runRelay(*file) })
+	c.add(command, func() error {
+		return runNative(c, *file, nativeRole[conf.Relay]{
+			parse: conf.ParseRelay,
+			needs: func(s conf.Relay) (conf.Place, strict.Size) { return s.Place, s.Memory },
+			run:   func(p *native, s conf.Relay) error { return c.runRelay(p, s, *file) },
+		})
+	})
 }
 
-func (c *cli) runRelay(file string) error {
-	settings, err := parseFile(file, conf.ParseRelay)
-	if err != nil {
-		return err
-	}
-	p, err := c.bootNative(settings.Place, settings.Memory)
-	if err != nil {
-		return err
-	}
-	defer p.close()
+func (c *cli) runRelay(p *native, settings conf.Relay, file string) error {
 	s := newRelayServer(p, settings)
 	if err := s.listen(); err != nil {
 		return err
