--- a/logs/writer_test.go
+++ b/logs/writer_test.go
@@ -25,6 +25,12 @@
 	return s.text.Write(p)
 }
 
+func (s *stuck) written() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.text.String()
+}
+
 func TestWriter(t *testing.T) {
 	scenarios := []struct {
 		testName string
@@ -39,7 +45,7 @@
 					assert.NilError(t, err)
 				}
 				time.Sleep(2 * flushInterval)
-				assert.Equal(t, out.text.String(), "a\nb\n")
+				assert.Equal(t, out.written(), "a\nb\n")
 				assert.NilError(t, w.Close())
 			},
 		},
@@ -53,10 +59,13 @@
 					assert.NilError(t, err)
 				}
 				assert.Equal(t, time.Since(began), time.Duration(0))
-				assert.Assert(t, w.pending.Len() <= bufferMost)
+				w.mutex.Lock()
+				waiting := w.pending.Len()
+				w.mutex.Unlock()
+				assert.Assert(t, waiting <= bufferMost)
 				close(out.free)
 				assert.NilError(t, w.Close())
-				assert.Assert(t, strings.Contains(out.text.String(), "log lines were dropped"))
+				assert.Assert(t, strings.Contains(out.written(), "log lines were dropped"))
 			},
 		},
 	}
