--- a/relay/relay.go
+++ b/relay/relay.go
@@ -113,9 +113,6 @@
 	}
 }
 
-// Crashes returns the register of requests that crash endpoints.
-func (r *Relay) Crashes() *news.Register { return r.crashes }
-
 // Wait waits for the work that outlives its request.
 func (r *Relay) Wait() { r.tasks.Wait() }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -60,8 +60,6 @@
 	Misdirected bool
 	// Sealed answers bear the service's own signature.
 	Sealed bool
-	// Framed answers state their length or end in a way that shows it.
-	Framed bool
 }
 
 // Good reports whether the endpoint answered with success.
--- a/relay/stand_in_test.go
+++ b/relay/stand_in_test.go
@@ -111,7 +111,7 @@
 }
 
 func (s *standIn) act(ctx context.Context, next behaviour, body string) (*Answer, error) {
-	a := &Answer{Status: http.StatusOK, Header: http.Header{"X-From": {"endpoint"}}, Sealed: true, Framed: true}
+	a := &Answer{Status: http.StatusOK, Header: http.Header{"X-From": {"endpoint"}}, Sealed: true}
 	switch next {
 	case refuses:
 		return nil, errors.Join(link.ErrNotSent, syscall.ECONNREFUSED)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -22,8 +22,6 @@
 // stream is an exchange whose answer is a series of events.
 type stream struct {
 	*exchange
-	// after is the id of the last event that the caller has.
-	after string
 	// resumed is set if the caller had events from an attempt before.
 	resumed bool
 	// read counts the times that the prompt was read.
@@ -107,11 +105,10 @@
 	s.last = now
 	for line := range bytes.Lines(events) {
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
-			s.after = string(bytes.TrimSpace(id))
+			s.request.After = string(bytes.TrimSpace(id))
 			s.events++
 		}
 	}
-	s.request.After = s.after
 }
 
 // learn takes the length of a whole answer over.
