Tell callers who came back by how far callers' deadlines differ

Cause: a caller counted as one that came back if its deadline was shorter than the longest seen on the route. Change: retry.Patience learns each route's median patience and, over all routes, the tenth of callers that wait least; only who waits less than these has come back. Test: TestPatience, with four new callers in five taken for others before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -56,14 +56,13 @@
 	config  Config
 	table   atomic.Pointer[table.Table]
 	crashes *news.Register
-	tasks   common.Tasks
+	// patience tells callers that have come back from new ones.
+	patience *retry.Patience
+	tasks    common.Tasks
 
 	mutex sync.Mutex
 	// windows bounds the repeats to each service.
 	windows map[ident.ServiceName]*retry.Window
-	// patience is the longest seen on each route, by which callers that have come
-	// back are told from new ones.
-	patience map[string]time.Duration
 	// keeperless holds until when an endpoint's keeper is not asked.
 	keeperless map[ident.EndpointName]time.Time
 	// loads is the mean request of each service with engines.
@@ -79,7 +78,7 @@
 		config:     config,
 		crashes:    news.NewRegister(),
 		windows:    map[ident.ServiceName]*retry.Window{},
-		patience:   map[string]time.Duration{},
+		patience:   retry.NewPatience(),
 		keeperless: map[ident.EndpointName]time.Time{},
 		loads:      map[ident.ServiceName]*meanLoad{},
 		answers:    map[ident.ServiceName]*room.Lengths{},
@@ -135,7 +134,7 @@
 		version: t.Version,
 		writer:  w,
 		tried:   map[ident.EndpointName]bool{},
-		spent:   r.spent(route.Name, request.Patience),
+		spent:   r.patience.Spent(route.Name, request.Patience),
 		ends:    request.Arrived.Add(min(request.Patience, route.Timeout) - deadlineMargin),
 	}
 	e.service.Name = service
@@ -153,15 +152,6 @@
 	return refusal
 }
 
-// spent estimates how long ago the caller began with an earlier attempt.
-func (r *Relay) spent(route string, patience time.Duration) time.Duration {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	longest := max(r.patience[route], patience)
-	r.patience[route] = longest
-	return longest - patience
-}
-
 func (r *Relay) window(service ident.ServiceName) *retry.Window {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
