--- a/relay/balance.go
+++ b/relay/balance.go
@@ -15,12 +15,12 @@
 	// balanceInterval is the time between two looks at the balance.
 	balanceInterval = time.Second
 	// samplesLeast is the requests seen before the balance is judged.
-	samplesLeast = 20
+	samplesLeast = 8
 	// loadShare is the weight of the newest request in the mean, so that some 50
 	// requests make it up.
 	loadShare = 0.02
 	// settleTime is how long the engines must have had the same stages.
-	settleTime = 4 * time.Second
+	settleTime = 2 * time.Second
 	// orderTime is how long engines are left to change their stage, which takes
 	// them 6 s and what they have under way before.
 	orderTime = 12 * time.Second
--- a/split/split.go
+++ b/split/split.go
@@ -22,6 +22,9 @@
 	slackShare = 0.12
 	// exactUpTo is the number of engines up to which only rounding counts.
 	exactUpTo = 3
+	// atOnce is the part of the engines that changes its stage at one time: one in
+	// this many, as an engine does nothing for seconds meanwhile.
+	atOnce = 8
 	// usable is the share of an engine's memory that runs fill on average.
 	usable = 0.9
 )
@@ -82,7 +85,7 @@
 	if off <= slack+slackShare*max(0, want-exactUpTo) {
 		return nil
 	}
-	count := min(int(math.Round(off)), len(byStage[from])-1)
+	count := min(int(math.Round(off)), len(byStage[from])-1, max(1, len(engines)/atOnce))
 	var changes []Change
 	for _, e := range crowdedFirst(byStage[from])[:max(0, count)] {
 		changes = append(changes, Change{Endpoint: e, To: to})
