Serve those of one urgency as they came; tell callers that left from cut streams

Change: the order of arrival within one urgency; outcome cancelled; the log's last line has longest-pause and tokens-made. Tests: TestKeeper/in_a_burst_a_long_prompt, TestCallerLeavesInMidStream, both failed first.

--- a/place/keeper.go
+++ b/place/keeper.go
@@ -140,17 +140,9 @@
 	return k.await(ctx, w)
 }
 
-// before orders asks: by urgency, and then the least work first, so that in a
-// burst the fewest callers have to wait beyond their objective.
-func before(a, b Ask) int {
-	return cmp.Or(cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(work(a), work(b)))
-}
-
-// work is the memory that a run takes, summed over its tokens.
-func work(ask Ask) float64 {
-	r := expected(ask)
-	return (float64(r.Now) + float64(r.Left)/2) * float64(r.Left)
-}
+// before orders asks by urgency, those of one urgency as they came. Least work
+// first would serve more callers in a burst, but the largest requests last.
+func before(a, b Ask) int { return cmp.Compare(a.Urgency, b.Urgency) }
 
 func (k *Keeper) await(ctx context.Context, w *waiter) Answer {
 	timer := time.NewTimer(w.ask.Wait)
--- a/place/keeper_test.go
+++ b/place/keeper_test.go
@@ -79,6 +79,9 @@
 	return Ask{Attempt: ident.AttemptID(name), Prompt: 4000, Answer: room.Length{Median: 1000, Spread: 0.5, Limit: 1500}, Slots: 64, Wait: wait, Urgency: urgency}
 }
 
+// inOrder is one urgency of all.
+const inOrder = 1
+
 func TestKeeper(t *testing.T) {
 	scenarios := []struct {
 		testName string
@@ -138,6 +141,31 @@
 				assert.Assert(t, !<-late)
 			},
 		},
+		{
+			testName: "in a burst a long prompt keeps its turn before shorter ones",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				fill(t, k, e)
+				order := make(chan string, 2)
+				ask := func(name string, prompt ident.TokenCount) {
+					a := askOf(name, inOrder, 3*time.Second)
+					a.Prompt = prompt
+					go func() {
+						if k.Ask(t.Context(), a).Granted {
+							order <- name
+						}
+					}()
+					synctest.Wait()
+				}
+				ask("long", 9000)
+				ask("shorter", 8000)
+				e.finish("0")
+				e.finish("1")
+				assert.Equal(t, <-order, "long")
+				e.finish("2")
+				k.Release("long")
+				assert.Equal(t, <-order, "shorter")
+			},
+		},
 		{
 			testName: "a place whose run never begins is taken back",
 			run: func(t *testing.T, k *Keeper, _ *engine) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -49,8 +49,10 @@
 	endpoint ident.EndpointName
 	// first is when the first part of the answer came.
 	first time.Time
-	// note says what decided last, for the log.
-	note string
+	// pause is the longest between two parts of the answer.
+	pause time.Duration
+	// made is the answer's tokens passed on, if they are known.
+	made ident.TokenCount
 }
 
 func (e *exchange) serve(ctx context.Context) *fault.Refusal {
@@ -150,11 +152,12 @@
 
 func (e *exchange) log(refusal *fault.Refusal) {
 	outcome := "answered"
+	note := ""
 	var wait time.Duration
 	if refusal != nil {
 		outcome = string(refusal.Code)
 		wait = refusal.RetryAfter
-		e.note = refusal.Detail
+		note = refusal.Detail
 	}
 	first := time.Duration(0)
 	if !e.first.IsZero() {
@@ -166,5 +169,5 @@
 	e.Log.Info("request ended", "request", e.request.Attempt, "route", e.route.Name, "service", e.service.Name,
 		"table", e.version, "endpoints", e.config.Pool.Revision(), "endpoint", e.endpoint, "outcome", outcome,
 		"status", e.status, "sends", e.sends, "ran", e.ran, "first", first, "whole", whole, "spent", e.spent,
-		"retry-after", wait, "note", e.note)
+		"longest-pause", e.pause, "tokens-made", e.made, "retry-after", wait, "note", note)
 }
--- a/relay/read.go
+++ b/relay/read.go
@@ -40,9 +40,11 @@
 			break
 		}
 	}
+	if e.started && errors.Is(ctx.Err(), context.Canceled) {
+		return fault.NewUnknown(fault.Cancelled, "the caller left in mid-stream")
+	}
 	if e.started {
 		// The head is gone: only a broken connection tells that this is no end.
-		e.note = refusal.Detail
 		return fault.NewUnknown(fault.AnswerCut, "the stream broke off: %s", refusal.Detail)
 	}
 	return e.failure(ctx, refusal)
--- a/relay/read_test.go
+++ b/relay/read_test.go
@@ -152,6 +152,26 @@
 
 // TestStreamsWithoutSplitEngines has engines that read and answer themselves, and a
 // plain service that streams: nothing is read apart, and the promises hold.
+// TestCallerLeavesInMidStream tells a caller that left from an endpoint that broke
+// off: nothing else in the log does.
+func TestCallerLeavesInMidStream(t *testing.T) {
+	for _, path := range []string{"/read/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				timer := time.AfterFunc(time.Second, cancel)
+				defer timer.Stop()
+				stand := &standIn{script: map[ident.EndpointName][]behaviour{"d1": {stalls}, "d2": {stalls}}}
+				w, refusal := send(ctx, newTestRelay(t, stand), path)
+				assert.Equal(t, refusal.Code, fault.Cancelled)
+				assert.Equal(t, refusal.Outcome, fault.Unknown)
+				assert.Equal(t, w.Body.String(), wholeStream)
+				assert.Equal(t, stand.runs, 1)
+			})
+		})
+	}
+}
+
 func TestStreamsWithoutSplitEngines(t *testing.T) {
 	scenarios := []struct {
 		testName string
--- a/relay/stand_in_test.go
+++ b/relay/stand_in_test.go
@@ -41,6 +41,7 @@
 	refuses    behaviour = "refuses the connection"
 	hangs      behaviour = "hangs"
 	cutsStream behaviour = "cuts the stream in mid-event"
+	stalls     behaviour = "stops in mid-stream"
 )
 
 // standIn takes the place of all endpoints and keepers.
@@ -110,6 +111,21 @@
 	return n, err
 }
 
+// stalled ends in silence in place of EOF, as long as the context lasts.
+type stalled struct {
+	io.Reader
+	context.Context
+}
+
+func (s stalled) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		<-s.Done()
+		err = s.Err()
+	}
+	return n, err
+}
+
 func (s *standIn) act(ctx context.Context, next behaviour, body string) (*Answer, error) {
 	a := &Answer{Status: http.StatusOK, Header: http.Header{"X-From": {"endpoint"}}, Sealed: true}
 	switch next {
@@ -131,6 +147,8 @@
 	switch next {
 	case truncates:
 		content = broken{bytes.NewBufferString(body[:len(body)*3/4])}
+	case stalls:
+		content = stalled{content, ctx}
 	case cutsStream:
 		// Three of four events, and a part of the last.
 		content = broken{bytes.NewBufferString(body[:min(len(body), len(body)*3/4+5)])}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"crocusstep/ident"
 	"crocusstep/link"
 )
 
@@ -28,8 +27,6 @@
 	read int
 	// observed is true once the request counts in the mean load.
 	observed bool
-	// events counts the events passed on.
-	events int
 	// last is when the newest events came.
 	last time.Time
 }
@@ -101,29 +98,29 @@
 	now := time.Now()
 	if !s.last.IsZero() {
 		s.Meter.BetweenTokens(s.service.Name, now.Sub(s.last))
+		s.pause = max(s.pause, now.Sub(s.last))
 	}
 	s.last = now
 	for line := range bytes.Lines(events) {
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			s.request.After = string(bytes.TrimSpace(id))
-			s.events++
+			s.count()
 		}
 	}
 }
 
-// learn takes the length of a whole answer over.
-func (s *stream) learn() {
-	if s.split() {
-		s.lengths(s.service.Name).Observe(s.request.Prompt.Output, s.made())
+// count counts one event's tokens, unless the caller had some of the answer before.
+func (s *stream) count() {
+	if s.split() && !s.resumed {
+		s.made += s.service.Engine.EventTokens
 	}
 }
 
-// made is the tokens in the events passed on, unless the caller had some before.
-func (s *stream) made() ident.TokenCount {
-	if s.resumed {
-		return 0
+// learn takes the length of a whole answer over.
+func (s *stream) learn() {
+	if s.split() {
+		s.lengths(s.service.Name).Observe(s.request.Prompt.Output, s.made)
 	}
-	return ident.TokenCount(s.events) * s.service.Engine.EventTokens
 }
 
 // forwardFailure passes an endpoint's own failure on, once it is complete.
