The relay that leads knows all relays' requests by the keepers' answers

Cause: the balance of stages rested on the requests of the leading relay alone, 1.7 a second, so that the first change came 4 s after traffic began and rested on eight. Change: a keeper's answer says the mean of all asks at its engine; the leader weighs keepers by their asks, takes the median of their steps, and judges after 20 asks, 2 s after traffic began. Test: TestOneChangeOfStagesAtATime, with asks of several keepers.

--- /dev/null
+++ b/bound/play.go
@@ -0,0 +1,288 @@
+package bound
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"crocusstep/ident"
+	"crocusstep/pool"
+	"crocusstep/room"
+	"crocusstep/split"
+)
+
+const (
+	// tick is the time between two moments of a play.
+	tick = Seconds(0.005)
+	// returnLeast and returnMost bound the time after which a refused caller comes
+	// back, as relays ask for.
+	returnLeast = Seconds(0.5)
+	returnMost  = Seconds(4)
+	// lateWait is how long a late request waits for a place, as in relays.
+	lateWait = Seconds(1.2)
+	// turnWait is how long a prompt waits for a prefill engine before the decode
+	// engine reads it, as in relays, and selfReading how much longer that takes.
+	turnWait    = Seconds(0.25)
+	selfReading = 2
+	// moving is the time between a reading and the first token.
+	moving = Seconds(0.02)
+)
+
+// Policy places requests at engines.
+type Policy interface {
+	// Name of the policy, for tables.
+	Name() string
+	// Place returns the decode engine that a request goes to now, or nil.
+	Place(p *play, j *job) *engine
+	// Patience is how long a request that arrives now waits for a place; if it is
+	// over, the request is refused.
+	Patience(p *play, j *job) Seconds
+}
+
+// job is a request on its way.
+type job struct {
+	*Request
+	number  int
+	attempt int
+	arrived Seconds
+	// read is when its prompt will have been read.
+	read Seconds
+	made float64
+	// first is when its first token came.
+	first Seconds
+	// stalled is set if its answer stood still for longer than it may.
+	stalled bool
+}
+
+func (j *job) held() float64 { return float64(j.Prompt) + j.made }
+
+// engine is one engine in a play.
+type engine struct {
+	// runs are those with a place, reading or making their answer; queue waits in
+	// the engine itself.
+	runs  []*job
+	queue []*job
+	// reads is until when it reads a prompt itself; its runs stand still meanwhile.
+	reads Seconds
+}
+
+func (e *engine) held() float64 {
+	sum := 0.0
+	for _, j := range e.runs {
+		sum += j.held()
+	}
+	return sum
+}
+
+// play is one run through a day.
+type play struct {
+	*Day
+	policy  Policy
+	now     Seconds
+	decodes []*engine
+	// free is when each prefill engine has read all that it was given.
+	free    []Seconds
+	waiting []*job
+	random  *rand.Rand
+	outcome []Seen
+}
+
+// Play runs the day under a policy and returns what becomes of each request, with
+// some of the engines reading prompts. Engines that are lost or added in the day
+// are left out: there are as many as at the start.
+func (d *Day) Play(policy Policy, prefills int, seed uint64) []Seen {
+	p := &play{Day: d, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), outcome: make([]Seen, len(d.Requests))}
+	count := d.engines(0)
+	prefills = max(1, min(count-1, prefills))
+	p.free = make([]Seconds, prefills)
+	for range count - prefills {
+		p.decodes = append(p.decodes, &engine{})
+	}
+	coming := make([]*job, len(d.Requests))
+	for i := range d.Requests {
+		coming[i] = &job{Request: &d.Requests[i], number: i, arrived: d.Requests[i].At}
+	}
+	end := d.Length + seconds(d.Engine.Patience)
+	for ; p.now < end; p.now += tick {
+		for len(coming) > 0 && coming[0].arrived <= p.now {
+			p.waiting = append(p.waiting, coming[0])
+			coming = coming[1:]
+		}
+		coming = p.admit(coming)
+		for _, e := range p.decodes {
+			p.advance(e)
+		}
+	}
+	return p.outcome
+}
+
+// prefills is the balance of stages for the day's mean request.
+func (d *Day) prefills() int {
+	var prompt, made ident.TokenCount
+	for _, r := range d.Requests {
+		prompt += r.Prompt
+		made += r.Made
+	}
+	n := ident.TokenCount(max(1, len(d.Requests)))
+	return int(0.5 + split.Prefills(d.engines(0), split.Load{
+		Prompt: prompt / n, Output: made / n, Memory: d.Engine.Memory, Slots: d.Engine.Slots,
+		Reading: pool.PrefillPerToken, Setup: pool.PrefillSetup, Step: time.Duration(float64(d.full()) * float64(time.Second)),
+	}))
+}
+
+// admit places whom the policy places and refuses whom it refuses; those come
+// back once.
+func (p *play) admit(coming []*job) []*job {
+	var kept []*job
+	for _, j := range p.waiting {
+		if e := p.policy.Place(p, j); e != nil {
+			e.queue = append(e.queue, j)
+			continue
+		}
+		if p.now-j.arrived < p.policy.Patience(p, j) {
+			kept = append(kept, j)
+			continue
+		}
+		if j.attempt > 0 {
+			continue
+		}
+		again := *j
+		again.attempt++
+		again.arrived = p.now + returnLeast + Seconds(p.random.Float64())*(returnMost-returnLeast)
+		at, _ := slices.BinarySearchFunc(coming, again.arrived, func(j *job, t Seconds) int { return cmp.Compare(j.arrived, t) })
+		coming = slices.Insert(coming, at, &again)
+	}
+	p.waiting = kept
+	return coming
+}
+
+// begin has the prompt read at the prefill engine that is free first, or at the
+// decode engine if none is soon.
+func (p *play) begin(e *engine, j *job) {
+	e.runs = append(e.runs, j)
+	first := 0
+	for i := range p.free {
+		if p.free[i] < p.free[first] {
+			first = i
+		}
+	}
+	if p.free[first] > p.now+turnWait {
+		e.reads = max(e.reads, p.now) + selfReading*reading(j.Prompt)
+		j.read = e.reads
+		return
+	}
+	p.free[first] = max(p.free[first], p.now) + reading(j.Prompt)
+	j.read = p.free[first] + moving
+}
+
+// advance makes tokens of every run for one tick.
+func (p *play) advance(e *engine) {
+	for len(e.queue) > 0 && len(e.runs) < p.Engine.Slots && e.held()+e.queue[0].held() <= float64(p.Engine.Memory) {
+		p.begin(e, e.queue[0])
+		e.queue = e.queue[1:]
+	}
+	for e.held() > float64(p.Engine.Memory) && len(e.runs) > 1 {
+		// The newest run gives up its memory, and is read again.
+		newest := e.runs[len(e.runs)-1]
+		newest.stalled = newest.made > 0
+		e.runs = e.runs[:len(e.runs)-1]
+		e.queue = append([]*job{newest}, e.queue...)
+	}
+	if p.now < e.reads {
+		return
+	}
+	running, held := 0, 0.0
+	for _, j := range e.runs {
+		if j.read <= p.now {
+			running++
+			held += j.held()
+		}
+	}
+	tokens := float64(tick / p.Engine.step(running, held))
+	kept := e.runs[:0]
+	for _, j := range e.runs {
+		if j.read <= p.now {
+			if j.made == 0 {
+				j.first = p.now
+			}
+			j.made += tokens
+		}
+		if j.made < float64(j.Made) {
+			kept = append(kept, j)
+			continue
+		}
+		p.outcome[j.number] = Seen{
+			Answered: p.now-j.At <= seconds(p.Engine.Patience),
+			InTime:   j.first-j.At <= seconds(p.Engine.Objective) && !j.stalled,
+			First:    j.first - j.arrived, Whole: p.now - j.arrived,
+		}
+	}
+	e.runs = kept
+}
+
+// RoundRobin deals requests to the decode engines in turn, whatever they hold.
+type RoundRobin struct{ next int }
+
+// Name returns the policy's name.
+func (*RoundRobin) Name() string { return "round robin" }
+
+// Place returns the next engine.
+func (r *RoundRobin) Place(p *play, _ *job) *engine {
+	r.next++
+	return p.decodes[r.next%len(p.decodes)]
+}
+
+// Patience is zero: who waits does so in an engine.
+func (*RoundRobin) Patience(*play, *job) Seconds { return 0 }
+
+// Ahead places requests by the memory that runs will hold at the highest point
+// ahead, as keepers do.
+type Ahead struct {
+	// Risk is the margin in standard deviations.
+	Risk float64
+	// Known is set if the lengths of answers are known beforehand.
+	Known bool
+}
+
+// Name returns the policy's name.
+func (a Ahead) Name() string {
+	if a.Known {
+		return "memory ahead, lengths known"
+	}
+	return "memory ahead"
+}
+
+// Place returns the engine with the most memory left, if the request fits there.
+func (a Ahead) Place(p *play, j *job) *engine {
+	policy := room.Policy{Capacity: p.Engine.Memory, Slots: p.Engine.Slots, Risk: a.Risk}
+	var best *engine
+	most := ident.TokenCount(-1)
+	for _, e := range p.decodes {
+		runs := make([]room.Run, len(e.runs))
+		for i, r := range e.runs {
+			runs[i] = a.expected(r)
+		}
+		if free := policy.Free(runs, a.expected(j)); free > most {
+			best, most = e, free
+		}
+	}
+	return best
+}
+
+func (a Ahead) expected(j *job) room.Run {
+	made := ident.TokenCount(j.made)
+	if a.Known {
+		return room.Run{Now: j.Prompt + made, Left: j.Made - made}
+	}
+	return room.Length{Median: j.Expected, Spread: j.Spread}.Run(j.Prompt+made, made)
+}
+
+// Patience is as long as the objective can be met, and that of a late request
+// then.
+func (Ahead) Patience(p *play, j *job) Seconds {
+	if left := j.At + seconds(p.Engine.Objective) - reading(j.Prompt) - moving - j.arrived; left > 0 {
+		return left
+	}
+	return lateWait
+}
--- a/place/keeper.go
+++ b/place/keeper.go
@@ -48,6 +48,8 @@
 	waiting []*waiter
 	// step is the learned time for one token of each run.
 	step time.Duration
+	// load is the mean of all asks.
+	load Load
 	// readUntil is when all prompts will be read whose turns were granted.
 	readUntil time.Time
 	// turned is when the newest turn was granted.
@@ -118,6 +120,7 @@
 		k.mutex.Unlock()
 		return Answer{Down: true}
 	}
+	k.load.add(ask)
 	if len(k.waiting) == 0 && k.fits(ask) {
 		k.grant(ask)
 		answer := k.answer(ask, true)
@@ -233,5 +236,6 @@
 		Memory:  k.report.Total,
 		Used:    k.used(),
 		Step:    k.step,
+		Load:    k.load,
 	}
 }
--- a/place/messages.go
+++ b/place/messages.go
@@ -54,6 +54,27 @@
 	Used   ident.TokenCount `json:"used"`
 	// Step is the learned time for one token of every run.
 	Step time.Duration `json:"step-ns"`
+	// Load is the mean of the asks at this engine.
+	Load Load `json:"load"`
+}
+
+// Load is the mean request that a keeper was asked for, the newest counting most.
+type Load struct {
+	// Asks is how many there were since the keeper's start.
+	Asks int `json:"asks"`
+	// Prompt and Answer are in tokens.
+	Prompt float64 `json:"prompt"`
+	Answer float64 `json:"answer"`
+}
+
+// loadShare is the weight of the newest ask in the mean, so that some 50 make it up.
+const loadShare = 0.02
+
+func (l *Load) add(ask Ask) {
+	l.Asks++
+	share := max(loadShare, 1/float64(l.Asks))
+	l.Prompt += share * (float64(ask.Prompt) - l.Prompt)
+	l.Answer += share * (float64(expected(ask).Left) - l.Answer)
 }
 
 // Turn asks to have a prompt read next.
--- a/relay/balance.go
+++ b/relay/balance.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"crocusstep/common"
@@ -14,11 +16,13 @@
 const (
 	// balanceInterval is the time between two looks at the balance.
 	balanceInterval = time.Second
-	// samplesLeast is the requests seen before the balance is judged.
-	samplesLeast = 8
-	// loadShare is the weight of the newest request in the mean, so that some 50
-	// requests make it up.
-	loadShare = 0.02
+	// asksLeast is the requests that keepers were asked for before the balance is
+	// judged: the mean of so many is off by a tenth.
+	asksLeast = 20
+	// asksCounted is the asks that a keeper's mean is made of at most.
+	asksCounted = 50
+	// loadLife is how long a keeper's word counts, which comes with its answers.
+	loadLife = 10 * time.Second
 	// settleTime is how long the engines must have had the same stages.
 	settleTime = 2 * time.Second
 	// orderTime is how long engines are left to change their stage, which takes
@@ -26,15 +30,11 @@
 	orderTime = 12 * time.Second
 )
 
-// meanLoad is the mean request of one service, the newest counting most.
-type meanLoad struct {
-	samples int
-	prompt  float64
-	output  float64
-	// memory is as an engine's keeper said last, step the mean of all in seconds.
-	memory ident.TokenCount
-	step   float64
-	slots  int
+// engineLoad is what the keepers of one service's engines last said of the requests
+// that they were asked for, by all relays.
+type engineLoad struct {
+	keepers map[ident.EndpointName]heard
+	slots   int
 	// stages is how many engines read prompts, of how many, since changed.
 	stages  [2]int
 	changed time.Time
@@ -42,25 +42,54 @@
 	ordered time.Time
 }
 
-// observe adds a request and what a keeper said of its engine.
-func (r *Relay) observe(service ident.ServiceName, p *Prompt, slots int, answer place.Answer) {
+// heard is one keeper's answer.
+type heard struct {
+	at     time.Time
+	load   place.Load
+	memory ident.TokenCount
+	step   time.Duration
+}
+
+// observe takes over what a keeper said.
+func (r *Relay) observe(m pool.Member, answer place.Answer) {
 	if answer.Memory <= 0 {
 		return
 	}
-	output := float64(r.lengths(service).Expect(p.Output, p.Most).Run(0, 0).Left)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	l, ok := r.loads[service]
+	l, ok := r.loads[m.Service]
 	if !ok {
-		l = &meanLoad{}
-		r.loads[service] = l
+		l = &engineLoad{keepers: map[ident.EndpointName]heard{}}
+		r.loads[m.Service] = l
 	}
-	l.samples++
-	share := max(loadShare, 1/float64(l.samples))
-	l.prompt += share * (float64(p.Tokens) - l.prompt)
-	l.output += share * (output - l.output)
-	l.step += share * (answer.Step.Seconds() - l.step)
-	l.memory, l.slots = answer.Memory, slots
+	l.slots = m.Slots
+	l.keepers[m.Name] = heard{at: time.Now(), load: answer.Load, memory: answer.Memory, step: answer.Step}
+}
+
+// mean is the mean of what the keepers said lately, by their asks, and how many
+// asks that were.
+func (l *engineLoad) mean(now time.Time) (mean split.Load, asks int) {
+	maps.DeleteFunc(l.keepers, func(_ ident.EndpointName, h heard) bool { return now.Sub(h.at) > loadLife })
+	var prompt, answer, weights float64
+	steps := make([]time.Duration, 0, len(l.keepers))
+	for _, h := range l.keepers {
+		weight := float64(min(h.load.Asks, asksCounted))
+		weights += weight
+		prompt += weight * h.load.Prompt
+		answer += weight * h.load.Answer
+		asks += h.load.Asks
+		steps = append(steps, h.step)
+		mean.Memory = h.memory
+	}
+	if weights == 0 {
+		return split.Load{}, 0
+	}
+	slices.Sort(steps)
+	mean.Prompt, mean.Output = ident.TokenCount(prompt/weights), ident.TokenCount(answer/weights)
+	// The median, as one keeper may be far off.
+	mean.Step, mean.Slots = steps[len(steps)/2], l.slots
+	mean.Reading, mean.Setup = pool.PrefillPerToken, pool.PrefillSetup
+	return mean, asks
 }
 
 // Balance has engines change their stage where too many read prompts or too
@@ -88,14 +117,11 @@
 		if stages != l.stages {
 			l.stages, l.changed = stages, now
 		}
-		if l.samples < samplesLeast || now.Sub(l.changed) < settleTime || now.Sub(l.ordered) < orderTime {
+		mean, asks := l.mean(now)
+		if asks < asksLeast || now.Sub(l.changed) < settleTime || now.Sub(l.ordered) < orderTime {
 			continue
 		}
-		loads[service] = split.Load{
-			Prompt: ident.TokenCount(l.prompt), Output: ident.TokenCount(l.output),
-			Memory: l.memory, Slots: l.slots, Step: time.Duration(l.step * float64(time.Second)),
-			Reading: pool.PrefillPerToken, Setup: pool.PrefillSetup,
-		}
+		loads[service] = mean
 	}
 	return loads
 }
--- a/relay/balance_test.go
+++ b/relay/balance_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"crocusstep/ident"
 	"crocusstep/place"
 	"crocusstep/pool"
 )
@@ -16,20 +17,26 @@
 func TestOneChangeOfStagesAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newTestRelay(t, &standIn{})
-		prompt := &Prompt{Tokens: 5200, Output: 4300}
-		for range samplesLeast {
-			assert.Equal(t, len(r.settled(time.Now())), 0)
-			r.observe("model", prompt, 64, place.Answer{Memory: 100000, Step: 800 * time.Microsecond})
+		hear := func(name ident.EndpointName, asks int, prompt float64, step time.Duration) {
+			r.observe(pool.Member{Endpoint: pool.Endpoint{Name: name, Service: "model", Slots: 64}}, place.Answer{
+				Memory: 100000, Step: step, Load: place.Load{Asks: asks, Prompt: prompt, Answer: 4300},
+			})
 		}
-		r.observe("model", prompt, 64, place.Answer{Memory: 100000, Step: 8 * time.Millisecond})
+		hear("d1", asksLeast-1, 5000, 800*time.Microsecond)
+		assert.Equal(t, len(r.settled(time.Now())), 0)
+		hear("d2", 1, 9000, 800*time.Microsecond)
+		hear("d3", 0, 0, 8*time.Millisecond)
 		assert.Equal(t, len(r.settled(time.Now())), 0, "the stages were seen just now")
 		time.Sleep(settleTime)
 		load := r.settled(time.Now())["model"]
 		assert.Assert(t, load.Step < 2*time.Millisecond, "one keeper that is off by ten times moved the mean to %s", load.Step)
+		assert.Equal(t, load.Prompt, ident.TokenCount(5200), "all relays' requests count, by their number")
 		r.noteOrder("model")
 		time.Sleep(orderTime - time.Second)
 		assert.Equal(t, len(r.settled(time.Now())), 0, "engines are changing")
 		time.Sleep(time.Second)
+		assert.Equal(t, len(r.settled(time.Now())), 0, "no keeper has said anything lately")
+		hear("d1", asksLeast, 5000, 800*time.Microsecond)
 		assert.Equal(t, len(r.settled(time.Now())), 1)
 		r.config.Pool.Apply([]pool.Change{{Endpoint: pool.Endpoint{Name: "r1"}, Gone: true}}, 2, false)
 		assert.Equal(t, len(r.settled(time.Now())), 0, "the stages have just changed")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,8 +65,8 @@
 	windows map[ident.ServiceName]*retry.Window
 	// keeperless holds until when an endpoint's keeper is not asked.
 	keeperless map[ident.EndpointName]time.Time
-	// loads is the mean request of each service with engines.
-	loads map[ident.ServiceName]*meanLoad
+	// loads is what keepers said of the requests to each service with engines.
+	loads map[ident.ServiceName]*engineLoad
 	// answers is how long the answers of each service are.
 	answers map[ident.ServiceName]*room.Lengths
 }
@@ -80,7 +80,7 @@
 		windows:    map[ident.ServiceName]*retry.Window{},
 		patience:   retry.NewPatience(),
 		keeperless: map[ident.EndpointName]time.Time{},
-		loads:      map[ident.ServiceName]*meanLoad{},
+		loads:      map[ident.ServiceName]*engineLoad{},
 		answers:    map[ident.ServiceName]*room.Lengths{},
 	}
 }
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -130,10 +130,7 @@
 		return answer, nil
 	}
 	s.config.Pool.Observe(m.Name, pool.Load{Free: answer.Free, At: time.Now()})
-	if !s.observed {
-		s.observed = true
-		s.observe(s.service.Name, p, m.Slots, answer)
-	}
+	s.observe(m, answer)
 	if !answer.Granted {
 		return answer, nil
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -25,8 +25,6 @@
 	resumed bool
 	// read counts the times that the prompt was read.
 	read int
-	// observed is true once the request counts in the mean load.
-	observed bool
 	// last is when the newest events came.
 	last time.Time
 }
--- /dev/null
+++ b/start/bound_command.go
@@ -0,0 +1,42 @@
+package start
+
+import (
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"crocusstep/bound"
+)
+
+// playSeed is the seed of a report's plays, so that reports of one day agree.
+const playSeed = 1
+
+func (c *cli) addBound(report *kingpin.CmdClause) {
+	command := report.Command("bound", "Show how much of a logged load the engines could have served at most.")
+	engine := command.Flag("engine", "YAML file with the engines' formula.").Required().String()
+	format := command.Flag("format", "text or html").Default("text").Enum("text", "html")
+	logs := command.Arg("log", "Logs of all relays and keepers.").Required().Strings()
+	c.add(command, func() error { return c.reportBound(*engine, *logs, *format) })
+}
+
+func (c *cli) reportBound(engineFile string, logs []string, format string) (err error) {
+	engine, err := parseFile(engineFile, bound.ParseEngine)
+	if err != nil {
+		return err
+	}
+	readers := make([]io.Reader, len(logs))
+	for i, name := range logs {
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		readers[i] = file
+	}
+	day, err := bound.Load(engine, readers...)
+	if err != nil {
+		return err
+	}
+	return bound.NewReport(day, playSeed).Write(c.stdout, format)
+}
