--- a/pool/rank.go
+++ b/pool/rank.go
@@ -56,17 +56,30 @@
 	})
 }
 
-// Prefills orders members for reading a prompt: by when it would be read.
-func (h Home) Prefills(list []Member, now time.Time) []Member {
+// Prefills orders members for reading a prompt that is answered in another zone:
+// by when it would be read, and by how far its memory then has to be moved.
+func (h Home) Prefills(list []Member, answered ident.ZoneName, now time.Time) []Member {
 	return ranked(list, func(m Member) float64 {
 		ahead := max(0, m.Load.Ahead-now.Sub(m.Load.At))
 		if m.Load.At.IsZero() {
 			ahead = ReadingTime(m.Tokens)
 		}
-		return float64(ahead+h.roundTrip(m.Zone)) * (1 + failureWeight*m.FailureRate)
+		return float64(ahead+h.roundTrip(m.Zone)+h.move(m.Zone, answered)) * (1 + failureWeight*m.FailureRate)
 	})
 }
 
+// move is the longer wait for a reading that is worth while to keep its memory off
+// the links between zones and regions.
+func (h Home) move(from, to ident.ZoneName) time.Duration {
+	switch {
+	case from == to:
+		return 0
+	case h.Regions[from] == h.Regions[to]:
+		return moveZones
+	}
+	return moveRegions
+}
+
 // Decodes orders members for a run: by the memory that is free, as reported or
 // else by this process's own runs there.
 func (h Home) Decodes(list []Member, now time.Time) []Member {
@@ -82,6 +95,10 @@
 const (
 	// loadLife is how long a keeper's report of its load is used.
 	loadLife = 1500 * time.Millisecond
+	// moveZones and moveRegions are a third and two thirds of the time in which the
+	// mean prompt is read: links between regions are ten times as slow and dear.
+	moveZones   = 30 * time.Millisecond
+	moveRegions = 60 * time.Millisecond
 	// unknownFree is the free tokens taken for an endpoint without a report.
 	unknownFree = 40000.0
 )
--- a/pool/rank_test.go
+++ b/pool/rank_test.go
@@ -46,7 +46,31 @@
 	ahead, read := memberIn("ahead", "z1"), memberIn("read", "z2")
 	ahead.Load = Load{Ahead: 200 * time.Millisecond, At: now}
 	read.Load = Load{Ahead: 300 * time.Millisecond, At: now.Add(-280 * time.Millisecond)}
-	assert.Equal(t, string(home.Prefills([]Member{ahead, read}, now)[0].Name), "read", "a backlog shrinks as time passes")
+	assert.Equal(t, string(home.Prefills([]Member{ahead, read}, "z2", now)[0].Name), "read", "a backlog shrinks as time passes")
+}
+
+// TestPrefillsNearTheAnswer keeps the memory of prompts off the links between
+// zones and regions, as long as a burst does not fill the engine that is near.
+func TestPrefillsNearTheAnswer(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	scenarios := []struct {
+		testName string
+		backlog  time.Duration
+		answered ident.ZoneName
+		first    string
+	}{
+		{testName: "the zone of the answer goes before the caller's own", answered: "z3", first: "far"},
+		{testName: "its region goes before another", answered: "z2", first: "near"},
+		{testName: "a short backlog there is waited for", answered: "z3", backlog: 30 * time.Millisecond, first: "far"},
+		{testName: "one of a whole prompt is not", answered: "z3", backlog: 100 * time.Millisecond, first: "near"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			near, far := memberIn("near", "z1"), memberIn("far", "z3")
+			near.Load, far.Load = Load{At: now}, Load{Ahead: s.backlog, At: now}
+			assert.Equal(t, string(home.Prefills([]Member{near, far}, s.answered, now)[0].Name), s.first)
+		})
+	}
 }
 
 func TestDecodesByMemory(t *testing.T) {
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"crocusstep/ident"
 	"crocusstep/link"
 	"crocusstep/place"
 	"crocusstep/pool"
@@ -26,11 +27,11 @@
 // prefill has the prompt read at the endpoint that will be done first. It
 // returns no reading if the decode endpoint is to read the prompt itself, which
 // takes it twice the time: where no endpoint reads prompts, or all are late.
-func (s *stream) prefill(ctx context.Context) (*Reading, error) {
+func (s *stream) prefill(ctx context.Context, answered ident.ZoneName) (*Reading, error) {
 	for asked := 0; asked < triedPrefills; asked++ {
 		members := s.config.Pool.Members(s.service.Name, pool.Prefill)
 		members = slices.DeleteFunc(members, func(m pool.Member) bool { return s.tried[m.Name] })
-		members = s.config.Home.Prefills(members, time.Now())
+		members = s.config.Home.Prefills(members, answered, time.Now())
 		m, ahead, found := s.takeTurn(ctx, members)
 		if !found || ctx.Err() != nil {
 			return nil, ctx.Err()
--- a/relay/read.go
+++ b/relay/read.go
@@ -88,7 +88,7 @@
 	placed := time.Now()
 	var from *Reading
 	if g.member.Stage == pool.Decode {
-		if from, err = s.prefill(ctx); err != nil {
+		if from, err = s.prefill(ctx, g.member.Zone); err != nil {
 			return err
 		}
 	}
