No change of stages in a burst; measure steps of engines that do not read

Change: the lower quartile of the keepers' steps; a step is not measured while the prompt is read; no change for 12 s after most engines became full. Test: TestNoChangeOfStagesInABurst.

--- a/place/engine_state.go
+++ b/place/engine_state.go
@@ -87,6 +87,10 @@
 // learnStep measures the time for one token of a run. Tokens show in the report by
 // whole events, so that a short span would say little.
 func (k *Keeper) learnStep(g *grant, held ident.TokenCount, now time.Time) {
+	if held <= g.ask.Prompt {
+		// It is still being read.
+		return
+	}
 	span := now.Sub(g.marked)
 	switch {
 	case g.marked.IsZero() || held < g.mark || span > stepSpanMost:
--- a/relay/balance.go
+++ b/relay/balance.go
@@ -25,6 +25,9 @@
 	loadLife = 10 * time.Second
 	// settleTime is how long the engines must have had the same stages.
 	settleTime = 2 * time.Second
+	// burstMost is how long engines that are all full are taken for a burst, which
+	// no change of stages would help: twice what a change takes.
+	burstMost = 12 * time.Second
 	// orderTime is how long engines are left to change their stage, which takes
 	// them 6 s and what they have under way before.
 	orderTime = 12 * time.Second
@@ -40,6 +43,8 @@
 	changed time.Time
 	// ordered is when engines were last asked to change their stage.
 	ordered time.Time
+	// calm is when most engines last had room.
+	calm time.Time
 }
 
 // heard is one keeper's answer.
@@ -48,6 +53,8 @@
 	load   place.Load
 	memory ident.TokenCount
 	step   time.Duration
+	// full is set if one more run would have to wait.
+	full bool
 }
 
 // observe takes over what a keeper said.
@@ -63,7 +70,7 @@
 		r.loads[m.Service] = l
 	}
 	l.slots = m.Slots
-	l.keepers[m.Name] = heard{at: time.Now(), load: answer.Load, memory: answer.Memory, step: answer.Step}
+	l.keepers[m.Name] = heard{at: time.Now(), load: answer.Load, memory: answer.Memory, step: answer.Step, full: answer.Wait > 0}
 }
 
 // mean is the mean of what the keepers said lately, by their asks, and how many
@@ -86,12 +93,28 @@
 	}
 	slices.Sort(steps)
 	mean.Prompt, mean.Output = ident.TokenCount(prompt/weights), ident.TokenCount(answer/weights)
-	// The median, as one keeper may be far off.
-	mean.Step, mean.Slots = steps[len(steps)/2], l.slots
+	// Engines that read prompts themselves make tokens slowly, which is no reason
+	// to have fewer read; one keeper may be far off.
+	mean.Step, mean.Slots = steps[len(steps)/4], l.slots
 	mean.Reading, mean.Setup = pool.PrefillPerToken, pool.PrefillSetup
 	return mean, asks
 }
 
+// burst reports whether most engines are full, but were not a while ago: an engine
+// that changes its stage is missing for about as long as a burst lasts.
+func (l *engineLoad) burst(now time.Time) bool {
+	full := 0
+	for _, h := range l.keepers {
+		if h.full {
+			full++
+		}
+	}
+	if 2*full < len(l.keepers) || l.calm.IsZero() {
+		l.calm = now
+	}
+	return 2*full >= len(l.keepers) && now.Sub(l.calm) < burstMost
+}
+
 // Balance has engines change their stage where too many read prompts or too
 // many make answers, as long as this relay leads.
 func (r *Relay) Balance(ctx context.Context, leads func() bool) {
@@ -118,7 +141,7 @@
 			l.stages, l.changed = stages, now
 		}
 		mean, asks := l.mean(now)
-		if asks < asksLeast || now.Sub(l.changed) < settleTime || now.Sub(l.ordered) < orderTime {
+		if l.burst(now) || asks < asksLeast || now.Sub(l.changed) < settleTime || now.Sub(l.ordered) < orderTime {
 			continue
 		}
 		loads[service] = mean
--- a/relay/balance_test.go
+++ b/relay/balance_test.go
@@ -42,3 +42,30 @@
 		assert.Equal(t, len(r.settled(time.Now())), 0, "the stages have just changed")
 	})
 }
+
+// TestNoChangeOfStagesInABurst is a burst that fills all engines: an engine that
+// changes its stage is away until it is over. A load that stays is another matter.
+func TestNoChangeOfStagesInABurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRelay(t, &standIn{})
+		hear := func(wait time.Duration) {
+			for _, name := range []ident.EndpointName{"d1", "d2"} {
+				r.observe(pool.Member{Endpoint: pool.Endpoint{Name: name, Service: "model", Slots: 64}}, place.Answer{
+					Memory: 100000, Step: 800 * time.Microsecond, Wait: wait, Load: place.Load{Asks: asksLeast, Prompt: 5000, Answer: 4300},
+				})
+			}
+		}
+		hear(0)
+		r.settled(time.Now())
+		time.Sleep(settleTime)
+		hear(0)
+		assert.Equal(t, len(r.settled(time.Now())), 1)
+		for waited := time.Duration(0); waited < burstMost; waited += time.Second {
+			hear(time.Second)
+			assert.Equal(t, len(r.settled(time.Now())), 0, "%s into the burst", waited)
+			time.Sleep(time.Second)
+		}
+		hear(time.Second)
+		assert.Equal(t, len(r.settled(time.Now())), 1, "the load has come to stay")
+	})
+}
--- a/start/report_command.go
+++ b/start/report_command.go
@@ -17,6 +17,7 @@
 	token := command.Flag("token-file", "File with the administration token.").Required().String()
 	format := command.Flag("format", "text, json or html").Default("text").Enum("text", "json", "html")
 	c.add(command, func() error { return c.reportBurn(*entries, *token, *format) })
+	c.addBound(report)
 }
 
 func (c *cli) reportBurn(entries []string, tokenFile, format string) error {
