Changes of stages pass over engines that are down, and a large misfit is mended in a burst too

Change: in a burst a misfit of one engine or more is mended still; an order that a keeper did not send goes to the next engine. Tests: TestChanges, TestChangeOfStagesPassesOverEnginesThatAreDown.

--- a/place/messages.go
+++ b/place/messages.go
@@ -106,8 +106,12 @@
 
 // StageAnswer says whether the engine takes the order.
 type StageAnswer struct {
-	Taken bool   `json:"taken"`
-	Why   string `json:"why,omitempty"`
+	// Sent is set once the order has gone to the engine, which may carry it out
+	// later even if it did not answer.
+	Sent  bool `json:"sent"`
+	Taken bool `json:"taken"`
+	// Why is the reason if it was not taken.
+	Why string `json:"why,omitempty"`
 }
 
 // Release gives a place back that will not be used.
--- a/place/turn.go
+++ b/place/turn.go
@@ -69,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
 	defer cancel()
 	if err := k.engine.ChangeStage(ctx, order, report); err != nil {
-		return StageAnswer{Why: err.Error()}
+		return StageAnswer{Sent: true, Why: err.Error()}
 	}
-	return StageAnswer{Taken: true}
+	return StageAnswer{Sent: true, Taken: true}
 }
--- a/relay/balance.go
+++ b/relay/balance.go
@@ -25,8 +25,8 @@
 	loadLife = 10 * time.Second
 	// settleTime is how long the engines must have had the same stages.
 	settleTime = 2 * time.Second
-	// burstMost is how long engines that are all full are taken for a burst, which
-	// no change of stages would help: twice what a change takes.
+	// burstMost is how long engines that are all full are taken for a burst: twice
+	// what a change of stages takes, which would come too late for a shorter one.
 	burstMost = 12 * time.Second
 	// orderTime is how long engines are left to change their stage, which takes
 	// them 6 s and what they have under way before.
@@ -100,8 +100,7 @@
 	return mean, asks
 }
 
-// burst reports whether most engines are full, but were not a while ago: an engine
-// that changes its stage is missing for about as long as a burst lasts.
+// burst reports whether most engines are full, but were not a while ago.
 func (l *engineLoad) burst(now time.Time) bool {
 	full := 0
 	for _, h := range l.keepers {
@@ -141,9 +140,10 @@
 			l.stages, l.changed = stages, now
 		}
 		mean, asks := l.mean(now)
-		if l.burst(now) || asks < asksLeast || now.Sub(l.changed) < settleTime || now.Sub(l.ordered) < orderTime {
+		if asks < asksLeast || now.Sub(l.changed) < settleTime || now.Sub(l.ordered) < orderTime {
 			continue
 		}
+		mean.Burst = l.burst(now)
 		loads[service] = mean
 	}
 	return loads
@@ -159,16 +159,22 @@
 		}
 	}
 	want := split.Prefills(len(engines), load)
-	changes := split.Changes(engines, want)
-	if len(changes) > 0 {
-		r.noteOrder(service)
-	}
-	for _, change := range changes {
-		order := place.StageOrder{Endpoint: change.Endpoint.Name, Born: change.Endpoint.Born, Stage: change.To, Want: want}
-		answer, err := r.config.Places.ChangeStage(ctx, change.Endpoint.Address, order)
+	change := split.Changes(engines, want, load.Burst)
+	for _, e := range change.Candidates {
+		if change.Count == 0 {
+			return
+		}
+		order := place.StageOrder{Endpoint: e.Name, Born: e.Born, Stage: change.To, Want: want}
+		answer, err := r.config.Places.ChangeStage(ctx, e.Address, order)
 		r.Log.Info("an engine should change its stage", "service", service, "endpoint", order.Endpoint, "stage", order.Stage,
 			"want", want, "engines", len(engines), "prompt", load.Prompt, "output", load.Output, "memory", load.Memory,
-			"step", load.Step, "taken", answer.Taken, "why", answer.Why, "error", err)
+			"step", load.Step, "burst", load.Burst, "taken", answer.Taken, "why", answer.Why, "error", err)
+		if err == nil && !answer.Sent {
+			// The engine is down, or has changed lately.
+			continue
+		}
+		r.noteOrder(service)
+		change.Count--
 	}
 }
 
--- a/relay/balance_test.go
+++ b/relay/balance_test.go
@@ -10,6 +10,7 @@
 	"crocusstep/ident"
 	"crocusstep/place"
 	"crocusstep/pool"
+	"crocusstep/split"
 )
 
 // TestOneChangeOfStagesAtATime keeps the balance from being judged while engines
@@ -43,9 +44,9 @@
 	})
 }
 
-// TestNoChangeOfStagesInABurst is a burst that fills all engines: an engine that
-// changes its stage is away until it is over. A load that stays is another matter.
-func TestNoChangeOfStagesInABurst(t *testing.T) {
+// TestBurstIsToldFromALoadThatStays is a burst that fills all engines: an engine
+// that changes its stage is away until it is over.
+func TestBurstIsToldFromALoadThatStays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newTestRelay(t, &standIn{})
 		hear := func(wait time.Duration) {
@@ -59,13 +60,41 @@
 		r.settled(time.Now())
 		time.Sleep(settleTime)
 		hear(0)
-		assert.Equal(t, len(r.settled(time.Now())), 1)
+		assert.Assert(t, !r.settled(time.Now())["model"].Burst)
 		for waited := time.Duration(0); waited < burstMost; waited += time.Second {
 			hear(time.Second)
-			assert.Equal(t, len(r.settled(time.Now())), 0, "%s into the burst", waited)
+			assert.Assert(t, r.settled(time.Now())["model"].Burst, "%s into the burst", waited)
 			time.Sleep(time.Second)
 		}
 		hear(time.Second)
-		assert.Equal(t, len(r.settled(time.Now())), 1, "the load has come to stay")
+		assert.Assert(t, !r.settled(time.Now())["model"].Burst, "the load has come to stay")
 	})
 }
+
+// TestChangeOfStagesPassesOverEnginesThatAreDown loses engines while too many read:
+// the order goes to one that can carry it out, and to one alone.
+func TestChangeOfStagesPassesOverEnginesThatAreDown(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		stand    *standIn
+		ordered  int
+	}{
+		{testName: "an engine that takes the order", stand: &standIn{}, ordered: 1},
+		{testName: "one that is down is passed over", stand: &standIn{down: map[ident.EndpointName]bool{"r1": true, "r2": true}}, ordered: 3},
+		{testName: "one that does not answer may carry it out later", stand: &standIn{mute: true}, ordered: 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			r := newTestRelay(t, s.stand)
+			more := pool.Endpoint{Name: "r3", Service: "model", Stage: pool.Prefill, Address: "r3:1", Slots: 64}
+			r.config.Pool.Apply([]pool.Change{{Endpoint: more}}, 2, false)
+			r.loads["model"] = &engineLoad{}
+			// A load whose answers take far longer than its prompts.
+			r.balance(t.Context(), "model", split.Load{
+				Prompt: 100, Output: 8000, Memory: 100000, Step: time.Millisecond, Reading: pool.PrefillPerToken,
+			})
+			assert.Equal(t, len(s.stand.ordered), s.ordered)
+			assert.Equal(t, len(s.stand.ordered) > 0 && !r.loads["model"].ordered.IsZero(), true)
+		})
+	}
+}
--- a/relay/stand_in_test.go
+++ b/relay/stand_in_test.go
@@ -72,6 +72,11 @@
 	once behaviour
 	// asked is the endpoint whose keeper was asked for a place last.
 	asked ident.EndpointName
+	// ordered lists the engines told to change their stage, of which some are down,
+	// or all are mute.
+	ordered []ident.EndpointName
+	down    map[ident.EndpointName]bool
+	mute    bool
 	// onRead is called when a prompt was read.
 	onRead func()
 }
@@ -243,8 +248,12 @@
 	return place.TurnAnswer{Granted: true}, s.keeper(ctx)
 }
 
-func (s *standIn) ChangeStage(context.Context, ident.Address, place.StageOrder) (place.StageAnswer, error) {
-	return place.StageAnswer{}, nil
+func (s *standIn) ChangeStage(_ context.Context, _ ident.Address, order place.StageOrder) (place.StageAnswer, error) {
+	s.ordered = append(s.ordered, order.Endpoint)
+	if s.down[order.Endpoint] {
+		return place.StageAnswer{Why: "the engine does not report"}, nil
+	}
+	return place.StageAnswer{Sent: true, Taken: !s.mute, Why: "no answer"}, nil
 }
 
 // newTestRelay returns a relay before the stand-in: a plain service with three
--- a/split/split.go
+++ b/split/split.go
@@ -17,6 +17,9 @@
 	// stage, in engines. Half an engine is what rounding leaves; the rest keeps a
 	// load that varies from moving engines to and fro.
 	slack = 0.6
+	// slackInBurst is the same while a burst may be on: an engine that changes its
+	// stage is missing for as long as that lasts, unless it is not needed at all.
+	slackInBurst = 1.0
 	// slackShare is how much more for each engine that should read prompts, as the
 	// mean of some 50 requests is off by a tenth.
 	slackShare = 0.12
@@ -43,6 +46,8 @@
 	Setup time.Duration
 	// Step is the time to make one token of every run.
 	Step time.Duration
+	// Burst is set if the engines have become full a short time ago.
+	Burst bool
 }
 
 // Prefills returns how many of the engines should read prompts, as a fraction
@@ -62,16 +67,18 @@
 	return float64(engines) * read / (read + write)
 }
 
-// Change is an engine that should work on another stage.
+// Change is how many engines should work on another stage.
 type Change struct {
-	Endpoint pool.Endpoint
-	To       pool.Stage
+	To    pool.Stage
+	Count int
+	// Candidates is all engines that can, those first in the zones that have the most
+	// of the stage that has too many.
+	Candidates []pool.Endpoint
 }
 
-// Changes returns which engines should change their stage, if any: those in the
-// zones that have the most of the stage that has too many. At least one engine
-// stays in each stage.
-func Changes(engines []pool.Endpoint, want float64) []Change {
+// Changes returns the change of stages that the engines need; its count may be
+// zero. At least one engine stays in each stage.
+func Changes(engines []pool.Endpoint, want float64, burst bool) Change {
 	byStage := map[pool.Stage][]pool.Endpoint{}
 	for _, e := range engines {
 		byStage[e.Stage] = append(byStage[e.Stage], e)
@@ -82,15 +89,15 @@
 		from, to = pool.Decode, pool.Prefill
 	}
 	off := math.Abs(have - want)
-	if off <= slack+slackShare*max(0, want-exactUpTo) {
-		return nil
+	least := slack
+	if burst {
+		least = slackInBurst
 	}
-	count := min(int(math.Round(off)), len(byStage[from])-1, max(1, len(engines)/atOnce))
-	var changes []Change
-	for _, e := range crowdedFirst(byStage[from])[:max(0, count)] {
-		changes = append(changes, Change{Endpoint: e, To: to})
+	if off <= least+slackShare*max(0, want-exactUpTo) {
+		return Change{}
 	}
-	return changes
+	count := min(int(math.Round(off)), len(byStage[from])-1, max(1, len(engines)/atOnce))
+	return Change{To: to, Count: max(0, count), Candidates: crowdedFirst(byStage[from])}
 }
 
 // crowdedFirst orders engines so that taking them from the front leaves the zones
--- a/split/split_test.go
+++ b/split/split_test.go
@@ -59,6 +59,7 @@
 		testName          string
 		prefills, decodes int
 		want              float64
+		burst             bool
 		changes           int
 		to                pool.Stage
 	}{
@@ -66,22 +67,24 @@
 		{testName: "half an engine off stays", prefills: 3, decodes: 6, want: 2.45},
 		{testName: "of two too many one changes, lest a crash meanwhile leaves too few", prefills: 4, decodes: 5, want: 2.2, changes: 1, to: pool.Decode},
 		{testName: "a large fleet changes an eighth at once", prefills: 20, decodes: 20, want: 8, changes: 5, to: pool.Decode},
+		{testName: "in a burst a small misfit stays", prefills: 3, decodes: 6, want: 2.2, burst: true},
+		{testName: "after a loss of engines a whole one too many changes at once, burst or not", prefills: 3, decodes: 3, want: 1.7, burst: true, changes: 1, to: pool.Decode},
 		{testName: "too few are added to", prefills: 1, decodes: 8, want: 2.4, changes: 1, to: pool.Prefill},
 		{testName: "the last one stays", prefills: 1, decodes: 8, want: 0.1},
 		{testName: "after the loss of all that read, one is made of the others", prefills: 0, decodes: 5, want: 1.2, changes: 1, to: pool.Prefill},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			changes := Changes(engines(s.prefills, s.decodes), s.want)
-			assert.Equal(t, len(changes), s.changes)
-			for _, c := range changes {
-				assert.Equal(t, c.To, s.to)
+			change := Changes(engines(s.prefills, s.decodes), s.want, s.burst)
+			assert.Equal(t, change.Count, s.changes)
+			if s.changes > 0 {
+				assert.Equal(t, change.To, s.to)
 			}
 		})
 	}
 }
 
 func TestCrowdedZonesGiveFirst(t *testing.T) {
-	changes := Changes(engines(4, 5), 2.2)
-	assert.Equal(t, changes[0].Endpoint.Zone, ident.ZoneName("zone-0"), "two of the four are in that zone")
+	change := Changes(engines(4, 5), 2.2, false)
+	assert.Equal(t, change.Candidates[0].Zone, ident.ZoneName("zone-0"), "two of the four are in that zone")
 }
