A decode endpoint reads itself only what its other answers do not stand still for

Cause: while a decode endpoint reads a prompt, its runs make one token per 1,024 read; a second reading behind the first, or one prompt of 5,000 tokens and more, makes all of them stand still for over 300 ms and so late. Change: a turn at a prefill endpoint is waited for as long as the objective allows, 0.7 s at most; a decode endpoint reads a prompt itself if its keeper grants that: no longer than the route's longest pause less 100 ms, 300 ms after the last, or if no other engine reads. Otherwise the request is refused, unread. Streams that go on take the same turns. Tests: TestOwnTurns, TestLatePrefillEndpoints, TestStreamsThatGoOnTakeTurns.

--- a/place/keeper_test.go
+++ b/place/keeper_test.go
@@ -281,6 +281,61 @@
 	})
 }
 
+// TestOwnTurns is a burst in which the prefill endpoints cannot keep up: an engine
+// that makes answers reads as much itself as its other callers do not notice.
+func TestOwnTurns(t *testing.T) {
+	const stall = 200 * time.Millisecond
+	scenarios := []struct {
+		testName string
+		run      func(t *testing.T, k *Keeper, e *engine)
+	}{
+		{
+			testName: "an engine without runs reads anything",
+			run: func(t *testing.T, k *Keeper, _ *engine) {
+				assert.Assert(t, k.Turn(t.Context(), Turn{Own: true, Tokens: 11000, Stall: stall}).Granted)
+			},
+		},
+		{
+			testName: "beside others no prompt that makes them stand still for too long",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				fill(t, k, e)
+				assert.Assert(t, !k.Turn(t.Context(), Turn{Own: true, Tokens: 6000, Stall: stall}).Granted)
+				assert.Assert(t, k.Turn(t.Context(), Turn{Own: true, Tokens: 4000, Stall: stall}).Granted)
+			},
+		},
+		{
+			testName: "one after another with pauses between",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				fill(t, k, e)
+				turn := Turn{Own: true, Tokens: 4000, Stall: stall}
+				granted := 0
+				for range 100 {
+					if k.Turn(t.Context(), turn).Granted {
+						granted++
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				assert.Equal(t, granted, 3, "each takes 166 ms, and 300 ms go by between two")
+			},
+		},
+		{
+			testName: "an engine that reads for others reads nothing for itself",
+			run: func(t *testing.T, k *Keeper, e *engine) {
+				e.set(func(r *Report) { r.Stage = pool.Prefill })
+				assert.Assert(t, k.Turn(t.Context(), Turn{Own: true, Tokens: 100, Stall: stall}).Down)
+			},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &engine{report: Report{Total: 20000, Stage: pool.Decode, Born: 1}}
+				s.run(t, newTestKeeper(t, e), e)
+			})
+		})
+	}
+}
+
 func TestChangeStage(t *testing.T) {
 	order := StageOrder{Endpoint: "e", Born: 1, Stage: pool.Decode}
 	scenarios := []struct {
--- a/place/messages.go
+++ b/place/messages.go
@@ -83,6 +83,11 @@
 	Tokens  ident.TokenCount `json:"tokens"`
 	// Wait is the longest wait that still helps.
 	Wait time.Duration `json:"wait-ns"`
+	// Own asks that the engine read the prompt itself before it answers it. Its other
+	// runs make no tokens meanwhile.
+	Own bool `json:"own,omitempty"`
+	// Stall is how long answers may stand still for that.
+	Stall time.Duration `json:"stall-ns,omitempty"`
 }
 
 // TurnAnswer grants a turn or says what stands against it.
--- a/place/turn.go
+++ b/place/turn.go
@@ -14,6 +14,12 @@
 	// turnSettles is how long after a turn the engine's report may not show the
 	// prompt yet, as it is still on its way through two regions.
 	turnSettles = 60 * time.Millisecond
+	// ownReadingTimes is how much longer an engine that makes answers takes for a
+	// reading: it reads at half the speed.
+	ownReadingTimes = 2
+	// ownPause is the time between two readings of an engine that makes answers, in
+	// which its runs make a few events at their usual pace.
+	ownPause = 300 * time.Millisecond
 	// orderTimeout bounds an order to the engine on the same instance.
 	orderTimeout = time.Second
 )
@@ -25,6 +31,9 @@
 	k.refresh(ctx)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	if turn.Own {
+		return k.ownTurn(turn)
+	}
 	if k.down || !k.works(pool.Prefill) {
 		return TurnAnswer{Down: true}
 	}
@@ -41,6 +50,21 @@
 	return TurnAnswer{Granted: true, Ahead: ahead}
 }
 
+// ownTurn grants a reading to an engine that makes answers if its runs stand still
+// for no longer than they may, and not again and again.
+func (k *Keeper) ownTurn(turn Turn) TurnAnswer {
+	if k.down || !k.works(pool.Decode) {
+		return TurnAnswer{Down: true}
+	}
+	now := time.Now()
+	stall := ownReadingTimes * pool.ReadingTime(turn.Tokens)
+	if len(k.report.Runs) > 0 && (stall > turn.Stall || now.Before(k.readUntil.Add(ownPause))) {
+		return TurnAnswer{Ahead: max(0, k.readUntil.Add(ownPause).Sub(now))}
+	}
+	k.readUntil = now.Add(stall)
+	return TurnAnswer{Granted: true}
+}
+
 // ChangeStage has the engine work on another stage, unless it has changed
 // lately. This process is the only one that gives its engine orders.
 func (k *Keeper) ChangeStage(ctx context.Context, order StageOrder) StageAnswer {
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"crocusstep/common"
 	"crocusstep/ident"
 	"crocusstep/link"
 	"crocusstep/place"
@@ -15,27 +16,52 @@
 const (
 	// triedPrefills bounds the prefill endpoints asked for one reading.
 	triedPrefills = 3
-	// turnWait is the longest wait for a turn: a decode endpoint that reads the
-	// mean prompt itself is done after twice the reading, some 200 ms.
+	// turnWait is the least wait for a turn that is asked for, and what is taken where
+	// it is not known: a decode endpoint that reads the mean prompt itself is done
+	// after twice the reading, some 200 ms.
 	turnWait = 250 * time.Millisecond
+	// turnMost is the longest wait for a turn: the memory at the decode endpoint is
+	// held meanwhile, and a place whose run does not begin is taken back after 1.5 s.
+	turnMost = 700 * time.Millisecond
+	// turnPause is the time between two rounds of asking for a turn: half of what the
+	// mean prompt takes.
+	turnPause = 50 * time.Millisecond
+	// eventAllowance is the part of the longest pause that goes by between two events
+	// at an engine's usual pace, with their way to the caller.
+	eventAllowance = 100 * time.Millisecond
 	// readTimes and readSlack bound a reading: engines that are half as fast as
 	// others, and a lost packet that is sent again, are within it.
 	readTimes = 3
 	readSlack = 400 * time.Millisecond
 )
 
+// errNoTurn means that nobody can read the prompt in time.
+var errNoTurn = errors.New("no engine can read the prompt in time")
+
 // prefill has the prompt read at the endpoint that will be done first. It
-// returns no reading if the decode endpoint is to read the prompt itself, which
-// takes it twice the time: where no endpoint reads prompts, or all are late.
-func (s *stream) prefill(ctx context.Context, answered ident.ZoneName) (*Reading, error) {
-	for asked := 0; asked < triedPrefills; asked++ {
+// returns no reading if the decode endpoint is to read the prompt itself: where no
+// endpoint reads prompts in time, and the answers that it makes do not stand still
+// for too long.
+func (s *stream) prefill(ctx context.Context, g *grant) (*Reading, error) {
+	window, _ := s.waitWindow()
+	deadline := time.Now().Add(min(window, turnMost))
+	for asked := 0; asked < triedPrefills; {
 		members := s.config.Pool.Members(s.service.Name, pool.Prefill)
 		members = slices.DeleteFunc(members, func(m pool.Member) bool { return s.tried[m.Name] })
-		members = s.config.Home.Prefills(members, answered, time.Now())
-		m, ahead, found := s.takeTurn(ctx, members)
-		if !found || ctx.Err() != nil {
+		members = s.config.Home.Prefills(members, g.member.Zone, time.Now())
+		m, ahead, found, late := s.takeTurn(ctx, members, max(turnWait, time.Until(deadline)))
+		switch {
+		case ctx.Err() != nil:
 			return nil, ctx.Err()
+		case !found && s.takeOwnTurn(ctx, g, late):
+			return nil, nil
+		case !found && time.Now().After(deadline):
+			return nil, errNoTurn
+		case !found:
+			common.Pause(ctx, turnPause)
+			continue
 		}
+		asked++
 		if s.read > 0 && s.sends == 0 {
 			// The first reading was free; another one is an arrival.
 			s.sends++
@@ -51,38 +77,84 @@
 	return nil, nil
 }
 
+// takeOwnTurn asks the keeper beside the decode endpoint whether that may read the
+// prompt. Where others read prompts, if late, the answers that it makes must not
+// stand still for longer than they may.
+func (s *stream) takeOwnTurn(ctx context.Context, g *grant, othersRead bool) bool {
+	stall := s.left()
+	if othersRead {
+		stall = s.stallMost()
+	}
+	return s.askOwnTurn(ctx, g, s.request.Prompt.Tokens+s.made, stall)
+}
+
+// awaitOwnTurn waits until the decode endpoint may read what was made of the answer
+// elsewhere, which no prefill endpoint reads. It does not wait for so long that the
+// caller would leave.
+func (s *stream) awaitOwnTurn(ctx context.Context, g *grant) {
+	deadline := time.Now().Add(turnMost)
+	for s.made > 0 && ctx.Err() == nil && time.Now().Before(deadline) && !s.askOwnTurn(ctx, g, s.made, s.stallMost()) {
+		common.Pause(ctx, turnPause)
+	}
+}
+
+// stallMost is how long answers may stand still between two events.
+func (s *stream) stallMost() time.Duration {
+	if s.route.MaxGap <= 0 {
+		return s.left()
+	}
+	return s.route.MaxGap - eventAllowance
+}
+
+// askOwnTurn asks for a reading by the decode endpoint itself. One that has no
+// keeper is not asked.
+func (s *stream) askOwnTurn(ctx context.Context, g *grant, tokens ident.TokenCount, stall time.Duration) bool {
+	if !g.held {
+		return true
+	}
+	answer, err := s.config.Places.Turn(ctx, g.member.Address, place.Turn{
+		Attempt: s.request.Attempt, Tokens: tokens, Own: true, Stall: stall,
+	})
+	if err != nil {
+		return s.keeperFailed(ctx, g.member, err)
+	}
+	return answer.Granted
+}
+
 // takeTurn asks the keepers beside prefill endpoints for a turn, and returns how
-// long the reading has to wait for those before.
-func (s *stream) takeTurn(ctx context.Context, members []pool.Member) (m pool.Member, ahead time.Duration, found bool) {
+// long the reading has to wait for those before. If none is found, late says that
+// some endpoint would read the prompt, but not in time.
+func (s *stream) takeTurn(ctx context.Context, members []pool.Member, wait time.Duration) (m pool.Member, ahead time.Duration, found, late bool) {
 	for _, m := range members[:min(triedPrefills, len(members))] {
 		if m.Suspended {
 			break
 		}
 		if s.keeperGone(m.Name) {
-			return m, turnWait, true
+			return m, turnWait, true, false
 		}
 		answer, err := s.config.Places.Turn(ctx, m.Address, place.Turn{
-			Attempt: s.request.Attempt, Tokens: s.request.Prompt.Tokens, Wait: turnWait,
+			Attempt: s.request.Attempt, Tokens: s.request.Prompt.Tokens, Wait: wait,
 		})
 		if err != nil {
 			if !s.keeperFailed(ctx, m, err) {
 				continue
 			}
-			return m, turnWait, true
+			return m, turnWait, true, false
 		}
 		if answer.Down {
 			continue
 		}
+		late = true
 		load := pool.Load{Ahead: answer.Ahead, At: time.Now()}
 		if answer.Granted {
 			load.Ahead += pool.ReadingTime(s.request.Prompt.Tokens)
 		}
 		s.config.Pool.Observe(m.Name, load)
 		if answer.Granted {
-			return m, answer.Ahead, true
+			return m, answer.Ahead, true, false
 		}
 	}
-	return pool.Member{}, 0, false
+	return pool.Member{}, 0, false, late
 }
 
 // readAt has the prompt read at one endpoint. One that takes far longer than it
--- a/relay/read.go
+++ b/relay/read.go
@@ -88,7 +88,12 @@
 	placed := time.Now()
 	var from *Reading
 	if g.member.Stage == pool.Decode {
-		if from, err = s.prefill(ctx, g.member.Zone); err != nil {
+		s.awaitOwnTurn(ctx, g)
+		from, err = s.prefill(ctx, g)
+		if errors.Is(err, errNoTurn) {
+			return s.refuseUnread()
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -110,6 +115,12 @@
 	return s.finish(ctx, g, answer)
 }
 
+// refuseUnread refuses a request whose prompt nobody can read in time.
+func (s *stream) refuseUnread() error {
+	s.Log.Info("no turn in time", "request", s.request.Attempt, "tokens", s.request.Prompt.Tokens, "spent", s.spent)
+	return fault.New(fault.TargetUnreachable, "%s", errNoTurn).After(s.returnAfter(turnMost))
+}
+
 // attemptWhole runs the request once at an endpoint of a plain service.
 func (s *stream) attemptWhole(ctx context.Context) error {
 	m, found := s.choose()
--- a/relay/read_test.go
+++ b/relay/read_test.go
@@ -152,6 +152,67 @@
 
 // TestStreamsWithoutSplitEngines has engines that read and answer themselves, and a
 // plain service that streams: nothing is read apart, and the promises hold.
+// TestLatePrefillEndpoints is a burst in which prompts wait to be read: a decode
+// endpoint reads them itself only if its other callers do not notice.
+func TestLatePrefillEndpoints(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		stand    *standIn
+		sent     []string
+		refused  bool
+	}{
+		{testName: "a reading that nobody notices", stand: &standIn{backlog: true, ownStall: 150 * time.Millisecond}, sent: []string{"write at d1"}},
+		{testName: "one that makes answers stand still is refused, unread", stand: &standIn{backlog: true, ownStall: 250 * time.Millisecond}, refused: true},
+		{testName: "if nobody reads prompts it is the only way", stand: &standIn{unread: true, ownStall: 250 * time.Millisecond}, sent: []string{"write at d1"}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				w, refusal := send(t.Context(), newTestRelay(t, s.stand), "/read/x")
+				assert.DeepEqual(t, s.stand.sent, s.sent)
+				if !s.refused {
+					assert.Assert(t, refusal == nil)
+					assert.Equal(t, w.Body.String(), wholeStream)
+					return
+				}
+				assert.Equal(t, refusal.Code, fault.TargetUnreachable)
+				assert.Equal(t, refusal.Outcome, fault.NotRun)
+				assert.Assert(t, refusal.RetryAfter > 0)
+				assert.Equal(t, s.stand.released, 1)
+				assert.Assert(t, time.Since(began) <= turnMost+turnPause, "it waited longer than helps")
+			})
+		})
+	}
+}
+
+// TestStreamsThatGoOnTakeTurns has streams go on after the loss of their engine: the
+// next one reads what was made of each, and must not do so for one after another.
+func TestStreamsThatGoOnTakeTurns(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		ownStall time.Duration
+		waits    bool
+	}{
+		{testName: "a reading that nobody notices", ownStall: 150 * time.Millisecond},
+		{testName: "one that others notice waits, but not until the caller leaves", ownStall: time.Second, waits: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stand := &standIn{once: cutsStream, ownStall: s.ownStall}
+				began := time.Now()
+				w, refusal := send(t.Context(), newTestRelay(t, stand), "/resume/x")
+				assert.Assert(t, refusal == nil)
+				assert.Equal(t, w.Body.String(), wholeStream)
+				assert.Assert(t, len(stand.stalls) > 0, "no turn was asked for")
+				assert.Equal(t, time.Since(began) >= turnMost, s.waits)
+				assert.Assert(t, time.Since(began) <= turnMost+turnPause)
+			})
+		})
+	}
+}
+
 // TestCallerLeavesInMidStream tells a caller that left from an endpoint that broke
 // off: nothing else in the log does.
 func TestCallerLeavesInMidStream(t *testing.T) {
--- a/relay/stand_in_test.go
+++ b/relay/stand_in_test.go
@@ -72,6 +72,11 @@
 	once behaviour
 	// asked is the endpoint whose keeper was asked for a place last.
 	asked ident.EndpointName
+	// backlog has all prefill endpoints be late, and unread be down.
+	backlog, unread bool
+	// ownStall is for how long answers stand still if a decode endpoint reads.
+	ownStall time.Duration
+	stalls   []time.Duration
 	// ordered lists the engines told to change their stage, of which some are down,
 	// or all are mute.
 	ordered []ident.EndpointName
@@ -244,8 +249,18 @@
 	return nil
 }
 
-func (s *standIn) Turn(ctx context.Context, _ ident.Address, _ place.Turn) (place.TurnAnswer, error) {
-	return place.TurnAnswer{Granted: true}, s.keeper(ctx)
+func (s *standIn) Turn(ctx context.Context, _ ident.Address, turn place.Turn) (place.TurnAnswer, error) {
+	if err := s.keeper(ctx); err != nil {
+		return place.TurnAnswer{}, err
+	}
+	if turn.Own {
+		s.stalls = append(s.stalls, turn.Stall)
+		return place.TurnAnswer{Granted: turn.Stall >= s.ownStall}, nil
+	}
+	if s.backlog || s.unread {
+		return place.TurnAnswer{Down: s.unread, Ahead: time.Second}, nil
+	}
+	return place.TurnAnswer{Granted: true}, nil
 }
 
 func (s *standIn) ChangeStage(_ context.Context, _ ident.Address, order place.StageOrder) (place.StageAnswer, error) {
@@ -281,7 +296,7 @@
 	})
 	route := func(prefix string, kind table.Kind, service ident.ServiceName, most int, resumable bool) table.Route {
 		return table.Route{
-			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: 14 * time.Second, Objective: 900 * time.Millisecond,
+			Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: 14 * time.Second, Objective: 900 * time.Millisecond, MaxGap: 300 * time.Millisecond,
 			Shares: []table.Share{{Service: service, Weight: 1}}, MaxEndpoints: most, Resumable: resumable, Prompted: kind == table.Reading,
 		}
 	}
@@ -294,7 +309,7 @@
 			route("/read/", table.Reading, "model", 2, false),
 			route("/resume/", table.Reading, "model", 2, true),
 		},
-		Services: []table.Service{{Name: "plain"}, {Name: "model", Engine: &table.Engine{Slots: 64, HandleLife: 500 * time.Millisecond}}},
+		Services: []table.Service{{Name: "plain"}, {Name: "model", Engine: &table.Engine{Slots: 64, HandleLife: 500 * time.Millisecond, EventTokens: 61}}},
 	})
 	return r
 }
