Streams that callers resume take turns in having their events read; log prompt and estimate

Cause: a caller that resumes after event 52 has 3,172 tokens that the decode endpoint must read itself and hold; both were reckoned as none. Change: the event's number, where it is one, tells the tokens, up to the answer's limit; asks say what was made, so that memory and length are reckoned right. Test: TestWhatAResumedStreamReads.

--- a/place/engine_state.go
+++ b/place/engine_state.go
@@ -87,7 +87,7 @@
 // learnStep measures the time for one token of a run. Tokens show in the report by
 // whole events, so that a short span would say little.
 func (k *Keeper) learnStep(g *grant, held ident.TokenCount, now time.Time) {
-	if held <= g.ask.Prompt || 2*k.used() < k.report.Total {
+	if held <= g.ask.reads() || 2*k.used() < k.report.Total {
 		// It is still being read, or the engine is not as full as it is when the
 		// time for a token matters.
 		g.marked = time.Time{}
@@ -119,7 +119,7 @@
 	}
 	for _, g := range k.held {
 		if !g.seen {
-			runs = append(runs, expected(g.ask))
+			runs = append(runs, g.ask.expected())
 		}
 	}
 	return runs
--- a/place/keeper.go
+++ b/place/keeper.go
@@ -204,18 +204,14 @@
 	return room.Policy{Capacity: k.report.Total, Slots: ask.Slots, Risk: risk}
 }
 
-func (k *Keeper) fits(ask Ask) bool { return k.policy(ask).Fits(k.runs(), expected(ask)) }
-
-func expected(ask Ask) room.Run {
-	return ask.Answer.Run(ask.Prompt, 0)
-}
+func (k *Keeper) fits(ask Ask) bool { return k.policy(ask).Fits(k.runs(), ask.expected()) }
 
 // expectedWait is how long one more ask would wait behind those that do.
 func (k *Keeper) expectedWait(ask Ask) time.Duration {
-	next := expected(ask)
+	next := ask.expected()
 	for _, w := range k.waiting {
 		if before(w.ask, ask) <= 0 {
-			next.Now += w.ask.Prompt + expected(w.ask).Left/2
+			next.Now += w.ask.reads() + w.ask.expected().Left/2
 		}
 	}
 	return time.Duration(k.policy(ask).Steps(k.runs(), next)) * k.step
@@ -224,7 +220,7 @@
 func (k *Keeper) answer(ask Ask, granted bool) Answer {
 	free := k.policy(ask).Free(k.runs(), room.Run{})
 	for _, w := range k.waiting {
-		free -= w.ask.Prompt
+		free -= w.ask.reads()
 	}
 	return Answer{
 		Granted: granted,
--- a/place/messages.go
+++ b/place/messages.go
@@ -25,6 +25,9 @@
 	Attempt ident.AttemptID `json:"attempt"`
 	// Prompt is the tokens that are read before the first is made.
 	Prompt ident.TokenCount `json:"prompt"`
+	// Made is the tokens of the answer that were made elsewhere before; they are
+	// read like the prompt.
+	Made ident.TokenCount `json:"made,omitempty"`
 	// Answer is what is known of the answer's length.
 	Answer room.Length `json:"answer"`
 	// Slots is how many runs the engine works on at once.
@@ -35,6 +38,12 @@
 	Urgency int `json:"urgency"`
 }
 
+// reads is the tokens that the run holds when it begins.
+func (a Ask) reads() ident.TokenCount { return a.Prompt + a.Made }
+
+// expected is the run that the ask leads to.
+func (a Ask) expected() room.Run { return a.Answer.Run(a.reads(), a.Made) }
+
 // Answer grants a place or says what stands against it.
 type Answer struct {
 	Granted bool `json:"granted"`
@@ -74,7 +83,7 @@
 	l.Asks++
 	share := max(loadShare, 1/float64(l.Asks))
 	l.Prompt += share * (float64(ask.Prompt) - l.Prompt)
-	l.Answer += share * (float64(expected(ask).Left) - l.Answer)
+	l.Answer += share * (float64(ask.expected().Left) - l.Answer)
 }
 
 // Turn asks to have a prompt read next.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -166,8 +166,12 @@
 	whole := time.Since(e.request.Arrived)
 	e.Meter.Request(e.service.Name, outcome, refusal == nil && e.spent+first <= e.route.Objective)
 	e.Meter.WholeAnswer(e.service.Name, whole)
+	prompt := Prompt{}
+	if e.request.Prompt != nil {
+		prompt = *e.request.Prompt
+	}
 	e.Log.Info("request ended", "request", e.request.Attempt, "route", e.route.Name, "service", e.service.Name,
 		"table", e.version, "endpoints", e.config.Pool.Revision(), "endpoint", e.endpoint, "outcome", outcome,
 		"status", e.status, "sends", e.sends, "ran", e.ran, "first", first, "whole", whole, "spent", e.spent,
-		"longest-pause", e.pause, "tokens-made", e.made, "retry-after", wait, "note", note)
+		"prompt", prompt.Tokens, "estimate", prompt.Output, "longest-pause", e.pause, "tokens-made", e.made, "retry-after", wait, "note", note)
 }
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -85,7 +85,7 @@
 	if othersRead {
 		stall = s.stallMost()
 	}
-	return s.askOwnTurn(ctx, g, s.request.Prompt.Tokens+s.made, stall)
+	return s.askOwnTurn(ctx, g, s.request.Prompt.Tokens+s.before(), stall)
 }
 
 // awaitOwnTurn waits until the decode endpoint may read what was made of the answer
@@ -93,7 +93,7 @@
 // caller would leave.
 func (s *stream) awaitOwnTurn(ctx context.Context, g *grant) {
 	deadline := time.Now().Add(turnMost)
-	for s.made > 0 && ctx.Err() == nil && time.Now().Before(deadline) && !s.askOwnTurn(ctx, g, s.made, s.stallMost()) {
+	for s.before() > 0 && ctx.Err() == nil && time.Now().Before(deadline) && !s.askOwnTurn(ctx, g, s.before(), s.stallMost()) {
 		common.Pause(ctx, turnPause)
 	}
 }
--- a/relay/read.go
+++ b/relay/read.go
@@ -22,7 +22,7 @@
 // read in vain, then the reading, then the answer.
 func (e *exchange) read(ctx context.Context) *fault.Refusal {
 	refusal := fault.New(fault.NoEndpoint, "no endpoint of %s", e.service.Name).After(e.comeBack(returnLeast))
-	s := &stream{exchange: e, resumed: e.request.After != ""}
+	s := newStream(e)
 	for tries := 0; tries < sendsMost && e.mayTryAgain(ctx); tries++ {
 		err := s.attempt(ctx)
 		if err == nil {
--- a/relay/read_test.go
+++ b/relay/read_test.go
@@ -158,19 +158,20 @@
 	scenarios := []struct {
 		testName string
 		stand    *standIn
-		sent     []string
+		writes   int
 		refused  bool
 	}{
-		{testName: "a reading that nobody notices", stand: &standIn{backlog: true, ownStall: 150 * time.Millisecond}, sent: []string{"write at d1"}},
+		{testName: "a reading that nobody notices", stand: &standIn{backlog: true, ownStall: 150 * time.Millisecond}, writes: 1},
 		{testName: "one that makes answers stand still is refused, unread", stand: &standIn{backlog: true, ownStall: 250 * time.Millisecond}, refused: true},
-		{testName: "if nobody reads prompts it is the only way", stand: &standIn{unread: true, ownStall: 250 * time.Millisecond}, sent: []string{"write at d1"}},
+		{testName: "if nobody reads prompts it is the only way", stand: &standIn{unread: true, ownStall: 250 * time.Millisecond}, writes: 1},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				began := time.Now()
 				w, refusal := send(t.Context(), newTestRelay(t, s.stand), "/read/x")
-				assert.DeepEqual(t, s.stand.sent, s.sent)
+				assert.Equal(t, len(s.stand.after), s.writes)
+				assert.Equal(t, len(s.stand.sent), s.writes, "%s", s.stand.sent)
 				if !s.refused {
 					assert.Assert(t, refusal == nil)
 					assert.Equal(t, w.Body.String(), wholeStream)
@@ -213,6 +214,30 @@
 	}
 }
 
+// TestWhatAResumedStreamReads has callers resume after a loss of power: the tokens
+// that they have are read once more, and take memory.
+func TestWhatAResumedStreamReads(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		after    string
+		tokens   ident.TokenCount
+	}{
+		{testName: "a new stream"},
+		{testName: "an event's number tells the tokens", after: "52", tokens: 52 * 61},
+		{testName: "never more than the answer's limit", after: "1780000000000", tokens: 8000},
+		{testName: "other ids tell nothing", after: "a-52"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			r := newTestRelay(t, &standIn{})
+			route, _ := r.Table().Match("h", "/resume/x")
+			request := &Request{After: s.after, Prompt: &Prompt{Tokens: 5200, Most: 8000}}
+			e := &exchange{Relay: r, route: route, service: r.Table().Services["model"], request: request}
+			assert.Equal(t, newStream(e).before(), s.tokens)
+		})
+	}
+}
+
 // TestCallerLeavesInMidStream tells a caller that left from an endpoint that broke
 // off: nothing else in the log does.
 func TestCallerLeavesInMidStream(t *testing.T) {
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -114,7 +114,8 @@
 	p := s.request.Prompt
 	answer, err := s.config.Places.Ask(ctx, m.Address, place.Ask{
 		Attempt: s.request.Attempt,
-		Prompt:  p.Tokens + s.made,
+		Prompt:  p.Tokens,
+		Made:    s.before(),
 		Answer:  s.lengths(s.service.Name).Expect(p.Output, p.Most),
 		Slots:   m.Slots,
 		Wait:    wait,
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -6,8 +6,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"crocusstep/ident"
 	"crocusstep/link"
 )
 
@@ -21,8 +23,10 @@
 // stream is an exchange whose answer is a series of events.
 type stream struct {
 	*exchange
-	// resumed is set if the caller had events from an attempt before.
+	// resumed is set if the caller had events from an attempt before, about had
+	// tokens of them.
 	resumed bool
+	had     ident.TokenCount
 	// read counts the times that the prompt was read.
 	read int
 	// last is when the newest events came.
@@ -107,16 +111,30 @@
 	}
 }
 
-// count counts one event's tokens, unless the caller had some of the answer before.
+// newStream returns a stream without an event of its own.
+func newStream(e *exchange) *stream {
+	s := &stream{exchange: e, resumed: e.request.After != ""}
+	if events, err := strconv.Atoi(e.request.After); err == nil && s.split() && events > 0 {
+		// Most endpoints count their events, in which case this is what they made.
+		most := e.request.Prompt.Most
+		s.had = min(ident.TokenCount(min(events, int(most)))*e.service.Engine.EventTokens, most)
+	}
+	return s
+}
+
+// before is the tokens of the answer that an endpoint which goes on has to read.
+func (s *stream) before() ident.TokenCount { return s.had + s.made }
+
+// count counts one event's tokens.
 func (s *stream) count() {
-	if s.split() && !s.resumed {
+	if s.split() {
 		s.made += s.service.Engine.EventTokens
 	}
 }
 
 // learn takes the length of a whole answer over.
 func (s *stream) learn() {
-	if s.split() {
+	if s.split() && !s.resumed {
 		s.lengths(s.service.Name).Observe(s.request.Prompt.Output, s.made)
 	}
 }
