--- a/place/keeper.go
+++ b/place/keeper.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// startLimit is how long a place is kept whose run has not begun: a prompt of
-	// 11,000 tokens takes 0.3 s to be read behind another, and is then kept 0.5 s.
-	startLimit = 1500 * time.Millisecond
+	// startLimit is how long a place is kept whose run has not begun: relays wait for
+	// turns for 1.5 s at most, a prompt of 11,000 tokens takes 0.3 s to be read behind
+	// another, and is then kept 0.5 s.
+	startLimit = 2500 * time.Millisecond
 	// pollInterval is the time between two looks at the engine while asks wait.
 	pollInterval = 25 * time.Millisecond
 	// risk is the margin in standard deviations; one run in six exceeds one.
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -21,14 +21,18 @@
 	// after twice the reading, some 200 ms.
 	turnWait = 250 * time.Millisecond
 	// turnMost is the longest wait for a turn: the memory at the decode endpoint is
-	// held meanwhile, and a place whose run does not begin is taken back after 1.5 s.
+	// held meanwhile, and a place whose run does not begin is taken back after 2.5 s.
 	turnMost = 700 * time.Millisecond
 	// turnPause is the time between two rounds of asking for a turn: half of what the
 	// mean prompt takes.
 	turnPause = 50 * time.Millisecond
+	// goesOnTurnMost is the same for a stream that goes on: its caller has seen a pause
+	// already, and leaves after one of 3.6 s, of which the place and the reading take
+	// up to two.
+	goesOnTurnMost = 1500 * time.Millisecond
 	// eventAllowance is the part of the longest pause that goes by between two events
 	// at an engine's usual pace, with their way to the caller.
-	eventAllowance = 100 * time.Millisecond
+	eventAllowance = 130 * time.Millisecond
 	// readTimes and readSlack bound a reading: engines that are half as fast as
 	// others, and a lost packet that is sent again, are within it.
 	readTimes = 3
@@ -92,7 +96,7 @@
 // elsewhere, which no prefill endpoint reads. It does not wait for so long that the
 // caller would leave.
 func (s *stream) awaitOwnTurn(ctx context.Context, g *grant) {
-	deadline := time.Now().Add(turnMost)
+	deadline := time.Now().Add(goesOnTurnMost)
 	for s.before() > 0 && ctx.Err() == nil && time.Now().Before(deadline) && !s.askOwnTurn(ctx, g, s.before(), s.stallMost()) {
 		common.Pause(ctx, turnPause)
 	}
