Keepers learn the pace at which their engine reads

Change: a relay tells the keeper with its next turn how long its last reading took; turns go by the learned pace, and faster engines go first. Tests: TestTurnsOfASlowEngine, TestSlowPrefillsWaitForWork.

--- a/bound/load.go
+++ b/bound/load.go
@@ -17,6 +17,9 @@
 // lineMost is the longest log line that is read, in bytes.
 const lineMost = 1 << 20
 
+// spreadUnknown is the spread of an estimate that no keeper has judged.
+const spreadUnknown = 0.5
+
 // duration is a time as the logs print it.
 type duration Seconds
 
@@ -39,6 +42,7 @@
 	Endpoint ident.EndpointName `json:"endpoint"`
 	Stage    string             `json:"stage"`
 	Prompt   ident.TokenCount   `json:"prompt"`
+	Estimate ident.TokenCount   `json:"estimate"`
 	Output   ident.TokenCount   `json:"output"`
 	Spread   float64            `json:"spread"`
 	Outcome  string             `json:"outcome"`
@@ -116,28 +120,32 @@
 func (l *loader) since(t time.Time) Seconds { return Seconds(t.Sub(l.started).Seconds()) }
 
 // requests joins the attempts of each request: a caller who comes back sends the
-// same prompt with the same expected answer.
+// same prompt with the same estimate of the answer's length.
 func (l *loader) requests(e Engine) []Request {
-	type key struct{ prompt, output ident.TokenCount }
+	type key struct{ prompt, estimate ident.TokenCount }
 	arrived := func(of line) time.Time { return of.Time.Add(-time.Duration(float64(of.Whole) * float64(time.Second))) }
 	slices.SortFunc(l.ended, func(a, b line) int { return arrived(a).Compare(arrived(b)) })
 	var requests []Request
 	newest := map[key]int{}
 	for _, ended := range l.ended {
-		asked, ok := l.asked[ended.Request]
-		if !ok {
+		if ended.Prompt == 0 {
 			continue
 		}
 		at := arrived(ended)
 		if l.started.IsZero() {
 			l.started = at
 		}
-		k := key{asked.Prompt, asked.Output}
+		k := key{ended.Prompt, ended.Estimate}
 		i, known := newest[k]
 		if !known || l.since(at)-requests[i].At > seconds(e.Patience) {
 			i = len(requests)
 			newest[k] = i
-			requests = append(requests, Request{At: l.since(at), Prompt: asked.Prompt, Made: asked.Output, Expected: asked.Output, Spread: asked.Spread})
+			asked, ok := l.asked[ended.Request]
+			if !ok {
+				// It was refused before a place was asked for.
+				asked.Output, asked.Spread = ended.Estimate, spreadUnknown
+			}
+			requests = append(requests, Request{At: l.since(at), Prompt: ended.Prompt, Made: asked.Output, Expected: asked.Output, Spread: asked.Spread})
 		}
 		r := &requests[i]
 		if ended.Outcome != "answered" || ended.Status != 200 {
--- a/place/keeper.go
+++ b/place/keeper.go
@@ -51,6 +51,8 @@
 	step time.Duration
 	// load is the mean of all asks.
 	load Load
+	// pace is how long readings take here, by the time that they usually take.
+	pace float64
 	// readUntil is when all prompts will be read whose turns were granted.
 	readUntil time.Time
 	// turned is when the newest turn was granted.
@@ -77,7 +79,7 @@
 
 // NewKeeper returns a keeper without places given out.
 func NewKeeper(c *common.Common, e Engine) *Keeper {
-	return &Keeper{Common: c, engine: e, held: map[ident.AttemptID]*grant{}, step: stepDefault, wake: make(chan struct{}, 1)}
+	return &Keeper{Common: c, engine: e, held: map[ident.AttemptID]*grant{}, step: stepDefault, pace: 1, wake: make(chan struct{}, 1)}
 }
 
 // Run looks at the engine while asks wait, until the context ends.
--- a/place/keeper_test.go
+++ b/place/keeper_test.go
@@ -281,6 +281,27 @@
 	})
 }
 
+// TestTurnsOfASlowEngine has readings take twice the usual time: fewer turns are
+// granted, and the relays hear of it.
+func TestTurnsOfASlowEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newTestKeeper(t, &engine{report: Report{Stage: pool.Prefill, Born: 1}})
+		slow := Took{Tokens: 5000, Span: 2 * pool.ReadingTime(5000)}
+		var answer TurnAnswer
+		for range 50 {
+			answer = k.Turn(t.Context(), Turn{Tokens: 100, Wait: time.Second, Last: slow})
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, answer.Pace > 1.9 && answer.Pace < 2.1, "%f", answer.Pace)
+		time.Sleep(time.Second)
+		granted := 0
+		for k.Turn(t.Context(), Turn{Tokens: 5000, Wait: 250 * time.Millisecond}).Granted {
+			granted++
+		}
+		assert.Equal(t, granted, 2, "two readings of 202 ms: the next would wait longer than 250 ms")
+	})
+}
+
 // TestOwnTurns is a burst in which the prefill endpoints cannot keep up: an engine
 // that makes answers reads as much itself as its other callers do not notice.
 func TestOwnTurns(t *testing.T) {
--- a/place/messages.go
+++ b/place/messages.go
@@ -97,6 +97,14 @@
 	Own bool `json:"own,omitempty"`
 	// Stall is how long answers may stand still for that.
 	Stall time.Duration `json:"stall-ns,omitempty"`
+	// Last is the newest reading that the asker saw there.
+	Last Took `json:"last"`
+}
+
+// Took is how long a reading took, without what was ahead of it and the way.
+type Took struct {
+	Tokens ident.TokenCount `json:"tokens"`
+	Span   time.Duration    `json:"span-ns"`
 }
 
 // TurnAnswer grants a turn or says what stands against it.
@@ -104,6 +112,8 @@
 	Granted bool `json:"granted"`
 	// Ahead is the time that what is to be read before takes.
 	Ahead time.Duration `json:"ahead-ns"`
+	// Pace is how long readings take here, by the time that they usually take.
+	Pace float64 `json:"pace"`
 	// Down is set if the engine does not report, or does not read prompts.
 	Down bool `json:"down,omitempty"`
 }
--- a/place/turn.go
+++ b/place/turn.go
@@ -14,6 +14,12 @@
 	// turnSettles is how long after a turn the engine's report may not show the
 	// prompt yet, as it is still on its way through two regions.
 	turnSettles = 60 * time.Millisecond
+	// paceShare is the weight of the newest reading in an engine's pace.
+	paceShare = 0.1
+	// paceLeast and paceMost bound the pace; engines of one service differ by two
+	// times at most, and what is beyond is a queue that was not seen.
+	paceLeast = 0.5
+	paceMost  = 3.0
 	// ownReadingTimes is how much longer an engine that makes answers takes for a
 	// reading: it reads at half the speed.
 	ownReadingTimes = 2
@@ -34,6 +40,8 @@
 	if turn.Own {
 		return k.ownTurn(turn)
 	}
+	k.learnPace(turn.Last)
+	reading := time.Duration(k.pace * float64(pool.ReadingTime(turn.Tokens)))
 	if k.down || !k.works(pool.Prefill) {
 		return TurnAnswer{Down: true}
 	}
@@ -43,11 +51,20 @@
 	}
 	ahead := max(0, k.readUntil.Sub(now))
 	if ahead > turn.Wait {
-		return TurnAnswer{Ahead: ahead}
+		return TurnAnswer{Ahead: ahead, Pace: k.pace}
 	}
 	k.turned = now
-	k.readUntil = now.Add(ahead + pool.ReadingTime(turn.Tokens))
-	return TurnAnswer{Granted: true, Ahead: ahead}
+	k.readUntil = now.Add(ahead + reading)
+	return TurnAnswer{Granted: true, Ahead: ahead, Pace: k.pace}
+}
+
+// learnPace takes over how long a reading took, by the time that it usually takes.
+func (k *Keeper) learnPace(last Took) {
+	if last.Tokens <= 0 {
+		return
+	}
+	pace := float64(last.Span) / float64(pool.ReadingTime(last.Tokens))
+	k.pace += paceShare * (min(paceMost, max(paceLeast, pace)) - k.pace)
 }
 
 // ownTurn grants a reading to an engine that makes answers if its runs stand still
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -72,7 +72,9 @@
 	Free ident.TokenCount
 	// Ahead is the time that the prompts take which are to be read before.
 	Ahead time.Duration
-	At    time.Time
+	// Pace is how long readings take there by the usual time, or zero if not known.
+	Pace float64
+	At   time.Time
 }
 
 // Member is an endpoint with what this process knows of it, as a copy.
--- a/pool/rank.go
+++ b/pool/rank.go
@@ -32,8 +32,8 @@
 	Regions map[ident.ZoneName]ident.RegionName
 }
 
-// roundTrip estimates the time to a zone and back.
-func (h Home) roundTrip(zone ident.ZoneName) time.Duration {
+// RoundTrip estimates the time to a zone and back.
+func (h Home) RoundTrip(zone ident.ZoneName) time.Duration {
 	switch {
 	case zone == h.Zone:
 		return 400 * time.Microsecond
@@ -52,7 +52,7 @@
 			pace = unknownPace
 		}
 		queue := 1 + float64(m.Outstanding)/float64(max(1, m.Slots/2))
-		return (float64(pace)*queue + float64(h.roundTrip(m.Zone))) * (1 + failureWeight*m.FailureRate)
+		return (float64(pace)*queue + float64(h.RoundTrip(m.Zone))) * (1 + failureWeight*m.FailureRate)
 	})
 }
 
@@ -60,11 +60,11 @@
 // by when it would be read, and by how far its memory then has to be moved.
 func (h Home) Prefills(list []Member, answered ident.ZoneName, now time.Time) []Member {
 	return ranked(list, func(m Member) float64 {
-		ahead := max(0, m.Load.Ahead-now.Sub(m.Load.At))
+		ahead := max(0, m.Load.Ahead-now.Sub(m.Load.At)) + time.Duration(m.Load.Pace*float64(ReadingTime(meanPrompt)))
 		if m.Load.At.IsZero() {
 			ahead = ReadingTime(m.Tokens)
 		}
-		return float64(ahead+h.roundTrip(m.Zone)+h.move(m.Zone, answered)) * (1 + failureWeight*m.FailureRate)
+		return float64(ahead+h.RoundTrip(m.Zone)+h.move(m.Zone, answered)) * (1 + failureWeight*m.FailureRate)
 	})
 }
 
@@ -95,6 +95,8 @@
 const (
 	// loadLife is how long a keeper's report of its load is used.
 	loadLife = 1500 * time.Millisecond
+	// meanPrompt is the tokens by which paces of reading are compared.
+	meanPrompt = 5000
 	// moveZones and moveRegions are a third and two thirds of the time in which the
 	// mean prompt is read: links between regions are ten times as slow and dear.
 	moveZones   = 30 * time.Millisecond
--- a/pool/rank_test.go
+++ b/pool/rank_test.go
@@ -49,6 +49,16 @@
 	assert.Equal(t, string(home.Prefills([]Member{ahead, read}, "z2", now)[0].Name), "read", "a backlog shrinks as time passes")
 }
 
+// TestSlowPrefillsWaitForWork has engines that read at different paces.
+func TestSlowPrefillsWaitForWork(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	slow, fast := memberIn("slow", "z1"), memberIn("fast", "z1")
+	slow.Load, fast.Load = Load{Pace: 1.7, At: now}, Load{Pace: 1, Ahead: 50 * time.Millisecond, At: now}
+	assert.Equal(t, string(home.Prefills([]Member{slow, fast}, "z1", now)[0].Name), "fast")
+	fast.Load.Ahead = 100 * time.Millisecond
+	assert.Equal(t, string(home.Prefills([]Member{slow, fast}, "z1", now)[0].Name), "slow", "a burst uses both")
+}
+
 // TestPrefillsNearTheAnswer keeps the memory of prompts off the links between
 // zones and regions, as long as a burst does not fill the engine that is near.
 func TestPrefillsNearTheAnswer(t *testing.T) {
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -137,7 +137,7 @@
 			return m, turnWait, true, false
 		}
 		answer, err := s.config.Places.Turn(ctx, m.Address, place.Turn{
-			Attempt: s.request.Attempt, Tokens: s.request.Prompt.Tokens, Wait: wait,
+			Attempt: s.request.Attempt, Tokens: s.request.Prompt.Tokens, Wait: wait, Last: s.takeReading(m.Name),
 		})
 		if err != nil {
 			if !s.keeperFailed(ctx, m, err) {
@@ -149,9 +149,9 @@
 			continue
 		}
 		late = true
-		load := pool.Load{Ahead: answer.Ahead, At: time.Now()}
+		load := pool.Load{Ahead: answer.Ahead, Pace: answer.Pace, At: time.Now()}
 		if answer.Granted {
-			load.Ahead += pool.ReadingTime(s.request.Prompt.Tokens)
+			load.Ahead += time.Duration(answer.Pace * float64(pool.ReadingTime(s.request.Prompt.Tokens)))
 		}
 		s.config.Pool.Observe(m.Name, load)
 		if answer.Granted {
@@ -190,6 +190,7 @@
 	default:
 		judged = pool.Good
 		s.countRead()
+		s.noteReading(m, place.Took{Tokens: s.request.Prompt.Tokens, Span: time.Since(began) - ahead})
 		delete(s.tried, m.Name)
 		s.Meter.Prefill(s.service.Name, s.request.Prompt.Tokens)
 	}
@@ -200,6 +201,23 @@
 	return from, err
 }
 
+// noteReading keeps how long a reading took until the endpoint's keeper is asked
+// again.
+func (r *Relay) noteReading(m pool.Member, took place.Took) {
+	took.Span -= r.config.Home.RoundTrip(m.Zone)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.readings[m.Name] = took
+}
+
+func (r *Relay) takeReading(name ident.EndpointName) place.Took {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	took := r.readings[name]
+	delete(r.readings, name)
+	return took
+}
+
 // countRead counts an accepted reading; the first is no repeat.
 func (s *stream) countRead() {
 	if s.read > 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,6 +67,8 @@
 	keeperless map[ident.EndpointName]time.Time
 	// loads is what keepers said of the requests to each service with engines.
 	loads map[ident.ServiceName]*engineLoad
+	// readings is the newest reading at each endpoint that its keeper was not told.
+	readings map[ident.EndpointName]place.Took
 	// answers is how long the answers of each service are.
 	answers map[ident.ServiceName]*room.Lengths
 }
@@ -81,6 +83,7 @@
 		patience:   retry.NewPatience(),
 		keeperless: map[ident.EndpointName]time.Time{},
 		loads:      map[ident.ServiceName]*engineLoad{},
+		readings:   map[ident.EndpointName]place.Took{},
 		answers:    map[ident.ServiceName]*room.Lengths{},
 	}
 }
