The balance of stages counts the pace of reading

Change: the reading time is scaled by the mean pace of the engines that read. Test: TestReadingPace.

--- a/relay/balance.go
+++ b/relay/balance.go
@@ -144,11 +144,27 @@
 			continue
 		}
 		mean.Burst = l.burst(now)
+		mean.Reading = time.Duration(readingPace(r.config.Pool.Members(service, pool.Prefill)) * float64(mean.Reading))
 		loads[service] = mean
 	}
 	return loads
 }
 
+// readingPace is how long the engines that read prompts take by the usual time.
+func readingPace(prefills []pool.Member) float64 {
+	sum, known := 0.0, 0
+	for _, m := range prefills {
+		if m.Load.Pace > 0 {
+			sum += m.Load.Pace
+			known++
+		}
+	}
+	if known == 0 {
+		return 1
+	}
+	return sum / float64(known)
+}
+
 func (r *Relay) balance(ctx context.Context, service ident.ServiceName, load split.Load) {
 	var engines []pool.Endpoint
 	for _, stage := range []pool.Stage{pool.Prefill, pool.Decode} {
--- a/relay/balance_test.go
+++ b/relay/balance_test.go
@@ -98,3 +98,10 @@
 		})
 	}
 }
+
+func TestReadingPace(t *testing.T) {
+	paced := func(pace float64) pool.Member { return pool.Member{Load: pool.Load{Pace: pace}} }
+	assert.Equal(t, readingPace(nil), 1.0)
+	assert.Equal(t, readingPace([]pool.Member{paced(0)}), 1.0, "nothing is known yet")
+	assert.Equal(t, readingPace([]pool.Member{paced(1), paced(2), paced(0)}), 1.5)
+}
