--- a/bound/report.go
+++ b/bound/report.go
@@ -11,6 +11,8 @@
 	"text/tabwriter"
 
 	"github.com/rotisserie/eris"
+
+	"crocusstep/place"
 )
 
 //go:embed report.html
@@ -52,9 +54,6 @@
 	PredictedMost, SeenMost Seconds
 }
 
-// Risk is the margin that keepers take, in standard deviations.
-const Risk = 0.5
-
 // NewReport works out what could have been of a day.
 func NewReport(d *Day, seed uint64) *Report {
 	r := &Report{Requests: len(d.Requests), Length: d.Length, Offered: make([]float64, int(d.Length/window)+1)}
@@ -65,9 +64,9 @@
 	r.add(d, "upper bound", func(i int) float64 { return upper[i] }, func(i int) float64 { return 1 - upper[i] })
 	r.addSeen(d, "as it was", func(i int) Seen { return d.Requests[i].Seen })
 	balanced := d.prefills()
-	ahead := d.Play(Ahead{Risk: Risk}, balanced, seed)
+	ahead := d.Play(Ahead{Risk: place.Risk}, balanced, seed)
 	r.First, r.Whole = compare(d, ahead)
-	r.addPlay(d, Ahead{Risk: Risk}, balanced, seed)
+	r.addPlay(d, Ahead{Risk: place.Risk}, balanced, seed)
 	r.addPlay(d, &RoundRobin{}, balanced, seed)
 	for prefills := max(1, balanced-1); prefills <= balanced+2; prefills++ {
 		r.addPlay(d, Ahead{Known: true}, prefills, seed)
@@ -157,7 +156,7 @@
 func (r *Report) Write(w io.Writer, format string) (err error) {
 	defer func() { err = eris.Wrap(err, "write the report") }()
 	if format == "html" {
-		t, err := template.New("page").Funcs(template.FuncMap{"line": r.line, "colour": colour, "percent": percent, "place": place}).Parse(page)
+		t, err := template.New("page").Funcs(template.FuncMap{"line": r.line, "colour": colour, "percent": percent, "legend": legend}).Parse(page)
 		if err != nil {
 			return err
 		}
@@ -208,5 +207,5 @@
 
 func percent(share float64) string { return fmt.Sprintf("%.1f %%", 100*share) }
 
-// place is the height of a row's legend.
-func place(i int) int { return 16 + 16*i }
+// legend is the height of a row's name in the plot.
+func legend(i int) int { return 16 + 16*i }
--- a/place/keeper.go
+++ b/place/keeper.go
@@ -20,8 +20,8 @@
 	startLimit = 2500 * time.Millisecond
 	// pollInterval is the time between two looks at the engine while asks wait.
 	pollInterval = 25 * time.Millisecond
-	// risk is the margin in standard deviations; one run in six exceeds one.
-	risk = 1.0
+	// Risk is the margin in standard deviations; one run in six exceeds one.
+	Risk = 1.0
 )
 
 // Engine is the engine beside this process.
@@ -204,7 +204,7 @@
 }
 
 func (k *Keeper) policy(ask Ask) room.Policy {
-	return room.Policy{Capacity: k.report.Total, Slots: ask.Slots, Risk: risk}
+	return room.Policy{Capacity: k.report.Total, Slots: ask.Slots, Risk: Risk}
 }
 
 func (k *Keeper) fits(ask Ask) bool { return k.policy(ask).Fits(k.runs(), ask.expected()) }
--- a/place/server.go
+++ b/place/server.go
@@ -24,7 +24,7 @@
 	router.HandlerFunc(http.MethodPost, TurnPath, answer(func(ctx context.Context, turn Turn) TurnAnswer {
 		a := k.Turn(ctx, turn)
 		k.Log.Info("turn asked for", "request", turn.Attempt, "granted", a.Granted, "tokens", turn.Tokens,
-			"ahead", a.Ahead, "wait", turn.Wait, "down", a.Down)
+			"ahead", a.Ahead, "wait", turn.Wait, "pace", a.Pace, "own", turn.Own, "stall", turn.Stall, "down", a.Down)
 		return a
 	}))
 	router.HandlerFunc(http.MethodPost, StagePath, answer(func(ctx context.Context, order StageOrder) StageAnswer {
