The time for a token as a line over the runs

Change: keepers learn a line over the number of runs and reckon a full engine from it; spans in which the engine reads a prompt itself are left out.

--- a/place/engine_state.go
+++ b/place/engine_state.go
@@ -15,8 +15,6 @@
 	reportTimeout = 300 * time.Millisecond
 	// stepDefault is the time for one token until it was measured.
 	stepDefault = 900 * time.Microsecond
-	// stepShare is the weight of the newest measurement.
-	stepShare = 0.1
 	// stepSpanLeast and stepSpanMost bound the time over which a token's time is
 	// measured: an event of 61 tokens takes some 50 ms, and a run that pauses for
 	// longer than a second was preempted or not looked at.
@@ -24,6 +22,15 @@
 	stepSpanMost  = 1500 * time.Millisecond
 )
 
+// full is how many runs the engine has when its memory or its slots are taken.
+func (k *Keeper) full(slots int) float64 {
+	runs := float64(k.report.Total) / max(1, k.load.Prompt+k.load.Answer/2)
+	if slots > 0 {
+		runs = min(runs, float64(slots))
+	}
+	return runs
+}
+
 // unknownAnswer is taken for runs that no place was asked for.
 var unknownAnswer = room.Length{Median: 4000, Spread: 0.5}
 
@@ -87,9 +94,8 @@
 // learnStep measures the time for one token of a run. Tokens show in the report by
 // whole events, so that a short span would say little.
 func (k *Keeper) learnStep(g *grant, held ident.TokenCount, now time.Time) {
-	if held <= g.ask.reads() || 2*k.used() < k.report.Total {
-		// It is still being read, or the engine is not as full as it is when the
-		// time for a token matters.
+	if held <= g.ask.reads() || now.Before(k.readUntil) {
+		// It is still being read, or stands still while the engine reads another.
 		g.marked = time.Time{}
 		return
 	}
@@ -99,8 +105,7 @@
 	case span < stepSpanLeast || held == g.mark:
 		return
 	default:
-		step := span / time.Duration(held-g.mark)
-		k.step += time.Duration(stepShare * float64(step-k.step))
+		k.steps.add(len(k.report.Runs), span/time.Duration(held-g.mark))
 	}
 	g.mark, g.marked = held, now
 }
--- a/place/keeper.go
+++ b/place/keeper.go
@@ -47,8 +47,8 @@
 	held map[ident.AttemptID]*grant
 	// waiting is in the order of before.
 	waiting []*waiter
-	// step is the learned time for one token of each run.
-	step time.Duration
+	// steps is the learned time for one token of each run.
+	steps steps
 	// load is the mean of all asks.
 	load Load
 	// pace is how long readings take here, by the time that they usually take.
@@ -79,7 +79,7 @@
 
 // NewKeeper returns a keeper without places given out.
 func NewKeeper(c *common.Common, e Engine) *Keeper {
-	return &Keeper{Common: c, engine: e, held: map[ident.AttemptID]*grant{}, step: stepDefault, pace: 1, wake: make(chan struct{}, 1)}
+	return &Keeper{Common: c, engine: e, held: map[ident.AttemptID]*grant{}, pace: 1, wake: make(chan struct{}, 1)}
 }
 
 // Run looks at the engine while asks wait, until the context ends.
@@ -217,7 +217,7 @@
 			next.Now += w.ask.reads() + w.ask.expected().Left/2
 		}
 	}
-	return time.Duration(k.policy(ask).Steps(k.runs(), next)) * k.step
+	return time.Duration(k.policy(ask).Steps(k.runs(), next)) * k.steps.at(float64(len(k.report.Runs)))
 }
 
 func (k *Keeper) answer(ask Ask, granted bool) Answer {
@@ -234,7 +234,7 @@
 		Age:     time.Since(k.reported),
 		Memory:  k.report.Total,
 		Used:    k.used(),
-		Step:    k.step,
+		Step:    k.steps.at(k.full(ask.Slots)),
 		Load:    k.load,
 	}
 }
--- a/place/messages.go
+++ b/place/messages.go
@@ -61,7 +61,7 @@
 	// Memory is the engine's in tokens, Used the part that runs hold.
 	Memory ident.TokenCount `json:"memory"`
 	Used   ident.TokenCount `json:"used"`
-	// Step is the learned time for one token of every run.
+	// Step is the learned time for one token of every run while the engine is full.
 	Step time.Duration `json:"step-ns"`
 	// Load is the mean of the asks at this engine.
 	Load Load `json:"load"`
