Engines that do nothing go behind all others; ways are no part of a reading's pace

They looked idle, so every request asked them first and found no other in its three tries, and decode endpoints read prompts themselves. Also the pace of reading counted connection and request to another region, up to 1.7 for engines as fast as others. Change: an engine that is down is passed over for a second, at both stages; two ways there and back are taken from a reading. Test: TestEnginesThatChangeTheirStageAreNotAskedAgain, which failed first (21 asks).

--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -30,6 +30,9 @@
 	// already, and leaves after one of 3.6 s, of which the place and the reading take
 	// up to two.
 	goesOnTurnMost = 1500 * time.Millisecond
+	// readingTrips is the ways there and back that are no part of a reading: that of a
+	// new connection and that of the request.
+	readingTrips = 2
 	// eventAllowance is the part of the longest pause that goes by between two events
 	// at an engine's usual pace, with their way to the caller.
 	eventAllowance = 130 * time.Millisecond
@@ -146,6 +149,7 @@
 			return m, turnWait, true, false
 		}
 		if answer.Down {
+			s.config.Pool.Observe(m.Name, pool.Load{Ahead: downPause, Pace: m.Load.Pace, At: time.Now()})
 			continue
 		}
 		late = true
@@ -204,7 +208,7 @@
 // noteReading keeps how long a reading took until the endpoint's keeper is asked
 // again.
 func (r *Relay) noteReading(m pool.Member, took place.Took) {
-	took.Span -= r.config.Home.RoundTrip(m.Zone)
+	took.Span -= readingTrips * r.config.Home.RoundTrip(m.Zone)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.readings[m.Name] = took
--- a/relay/read_test.go
+++ b/relay/read_test.go
@@ -214,6 +214,21 @@
 	}
 }
 
+// TestEnginesThatChangeTheirStageAreNotAskedAgain has engines that look idle, as they
+// do nothing: every request would ask them first, and find no other in its tries.
+func TestEnginesThatChangeTheirStageAreNotAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stand := &standIn{down: map[ident.EndpointName]bool{"r1": true, "d1": true}}
+		r := newTestRelay(t, stand)
+		for range 20 {
+			_, refusal := send(t.Context(), r, "/read/x")
+			assert.Assert(t, refusal == nil)
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, stand.askedDown <= 2, "engines that are down were asked %d times", stand.askedDown)
+	})
+}
+
 // TestWhatAResumedStreamReads has callers resume after a loss of power: the tokens
 // that they have are read once more, and take memory.
 func TestWhatAResumedStreamReads(t *testing.T) {
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -32,6 +32,12 @@
 	triedDecodes = 3
 	// keeperPause is how long a keeper that did not answer is not asked.
 	keeperPause = 2 * time.Second
+	// downPause is how long an endpoint whose engine works on nothing goes behind all
+	// others: a change of stages takes 6 s, and a restart two.
+	downPause = time.Second
+	// downTokens has such an endpoint go behind any that is full, for as long as what
+	// a keeper said is used.
+	downTokens = 1 << 30
 	// blindTokens bounds the prompt tokens this process has under way at a decode
 	// endpoint whose keeper does not answer: a third of the engines' memory.
 	blindTokens = 30000
@@ -128,6 +134,7 @@
 		return s.askBlind(m)
 	}
 	if answer.Down {
+		s.config.Pool.Observe(m.Name, pool.Load{Free: -downTokens, At: time.Now()})
 		return answer, nil
 	}
 	s.config.Pool.Observe(m.Name, pool.Load{Free: answer.Free, At: time.Now()})
--- a/relay/stand_in_test.go
+++ b/relay/stand_in_test.go
@@ -82,6 +82,8 @@
 	ordered []ident.EndpointName
 	down    map[ident.EndpointName]bool
 	mute    bool
+	// askedDown counts what was asked of engines that are down.
+	askedDown int
 	// onRead is called when a prompt was read.
 	onRead func()
 }
@@ -221,6 +223,10 @@
 	if err := s.keeper(ctx); err != nil {
 		return place.Answer{}, err
 	}
+	if s.down[s.asked] {
+		s.askedDown++
+		return place.Answer{Down: true}, nil
+	}
 	if s.full {
 		return place.Answer{Wait: 3 * time.Second, Memory: 100000}, nil
 	}
@@ -249,10 +255,14 @@
 	return nil
 }
 
-func (s *standIn) Turn(ctx context.Context, _ ident.Address, turn place.Turn) (place.TurnAnswer, error) {
+func (s *standIn) Turn(ctx context.Context, endpoint ident.Address, turn place.Turn) (place.TurnAnswer, error) {
 	if err := s.keeper(ctx); err != nil {
 		return place.TurnAnswer{}, err
 	}
+	if s.down[ident.EndpointName(strings.TrimSuffix(string(endpoint), ":1"))] {
+		s.askedDown++
+		return place.TurnAnswer{Down: true}, nil
+	}
 	if turn.Own {
 		s.stalls = append(s.stalls, turn.Stall)
 		return place.TurnAnswer{Granted: turn.Stall >= s.ownStall}, nil
