Make a service's metric attributes once, not at every event; a benchmark of events

Cause: of the 7 allocations and 2.3 microseconds of an event passed on, 3 allocations and a third of the time made the attributes of one histogram. Change: the option is kept for each service.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -29,6 +30,9 @@
 // Meter is the instruments of one process.
 type Meter struct {
 	registry *prometheus.Registry
+	// services holds the metric.MeasurementOption of each ident.ServiceName, which is
+	// dear to make for every event.
+	services sync.Map
 
 	requests      metric.Int64Counter
 	withinTarget  metric.Int64Counter
@@ -75,7 +79,7 @@
 
 // Request counts an ended request by service and outcome.
 func (m *Meter) Request(service ident.ServiceName, outcome string, within bool) {
-	of := serviceOption(service)
+	of := m.of(service)
 	m.requests.Add(context.Background(), 1, of, metric.WithAttributes(attribute.String("outcome", outcome)))
 	if within {
 		m.withinTarget.Add(context.Background(), 1, of)
@@ -84,27 +88,27 @@
 
 // FirstToken records the time from a request's arrival to its first token.
 func (m *Meter) FirstToken(service ident.ServiceName, span time.Duration) {
-	m.firstToken.Record(context.Background(), span.Seconds(), serviceOption(service))
+	m.firstToken.Record(context.Background(), span.Seconds(), m.of(service))
 }
 
 // BetweenTokens records the time between two tokens of one answer.
 func (m *Meter) BetweenTokens(service ident.ServiceName, span time.Duration) {
-	m.betweenTokens.Record(context.Background(), span.Seconds(), serviceOption(service))
+	m.betweenTokens.Record(context.Background(), span.Seconds(), m.of(service))
 }
 
 // WholeAnswer records the time from a request's arrival to its answer's end.
 func (m *Meter) WholeAnswer(service ident.ServiceName, span time.Duration) {
-	m.wholeAnswer.Record(context.Background(), span.Seconds(), serviceOption(service))
+	m.wholeAnswer.Record(context.Background(), span.Seconds(), m.of(service))
 }
 
 // Prefill counts tokens that a prefill endpoint was asked to read.
 func (m *Meter) Prefill(service ident.ServiceName, tokens ident.TokenCount) {
-	m.prefill.Add(context.Background(), int64(tokens), serviceOption(service))
+	m.prefill.Add(context.Background(), int64(tokens), m.of(service))
 }
 
 // WastedPrefill counts tokens that were read for nothing.
 func (m *Meter) WastedPrefill(service ident.ServiceName, tokens ident.TokenCount) {
-	m.wasted.Add(context.Background(), int64(tokens), serviceOption(service))
+	m.wasted.Add(context.Background(), int64(tokens), m.of(service))
 }
 
 // Control counts one control message of a kind and its size.
@@ -116,11 +120,16 @@
 
 // RegionLink counts bytes that left for another region.
 func (m *Meter) RegionLink(service ident.ServiceName, size ident.ByteCount) {
-	m.linkBytes.Add(context.Background(), int64(size), serviceOption(service))
+	m.linkBytes.Add(context.Background(), int64(size), m.of(service))
 }
 
-func serviceOption(service ident.ServiceName) metric.MeasurementOption {
-	return metric.WithAttributes(attribute.String("service", string(service)))
+func (m *Meter) of(service ident.ServiceName) metric.MeasurementOption {
+	if option, ok := m.services.Load(service); ok {
+		return option.(metric.MeasurementOption)
+	}
+	option := metric.WithAttributeSet(attribute.NewSet(attribute.String("service", string(service))))
+	m.services.Store(service, option)
+	return option
 }
 
 // builder makes instruments and keeps the first error.
--- /dev/null
+++ b/relay/bench_test.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"crocusstep/ident"
+	"crocusstep/pool"
+)
+
+// longAnswers is a stand-in whose answers have some events, one to a read.
+type longAnswers struct {
+	*standIn
+	events int
+}
+
+func (l *longAnswers) Write(context.Context, pool.Endpoint, *Request, *Reading, time.Duration) (*Answer, error) {
+	return &Answer{Status: http.StatusOK, Header: http.Header{}, Sealed: true, Body: io.NopCloser(&eventReader{left: l.events})}, nil
+}
+
+// eventReader returns one event at each read.
+type eventReader struct {
+	left int
+	made int
+	next bytes.Buffer
+}
+
+func (e *eventReader) Read(p []byte) (int, error) {
+	if e.left == 0 {
+		return 0, io.EOF
+	}
+	e.left--
+	e.made++
+	e.next.Reset()
+	fmt.Fprintf(&e.next, "id: %d\ndata: %0280d\n\n", e.made, 0)
+	return copy(p, e.next.Bytes()), nil
+}
+
+// discard is a caller that takes everything.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discard) WriteHeader(int)             {}
+func (d *discard) FlushError() error           { return nil }
+
+// BenchmarkEvents passes a stream's events on; what is reported is per event.
+func BenchmarkEvents(b *testing.B) {
+	r := newTestRelay(b, &standIn{})
+	r.config.Endpoints = &longAnswers{standIn: &standIn{}, events: b.N}
+	request := &Request{
+		Attempt: ident.AttemptID("a"), Method: http.MethodPost, Target: "/read/x", Path: "/read/x", Host: "h",
+		Header: http.Header{}, Arrived: time.Now(), Patience: time.Hour, Prompt: &Prompt{Tokens: 5200, Most: 8000, Output: 4300},
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	if refusal := r.Serve(b.Context(), request, &discard{header: http.Header{}}); refusal != nil {
+		b.Fatal(refusal)
+	}
+}
