--- a/mutant/mutants.go
+++ b/mutant/mutants.go
@@ -390,7 +390,7 @@
 	{
 		promise: "a request whose prompt nobody can read in time is refused",
 		file:    "relay/prefill.go",
-		old:     "case !found && time.Now().After(deadline):",
+		old:     "case !next.granted && time.Now().After(deadline):",
 		changed: "case false:",
 		pkg:     "relay", test: "TestLatePrefillEndpoints",
 	},
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -26,16 +26,9 @@
 	// turnPause is the time between two rounds of asking for a turn: half of what the
 	// mean prompt takes.
 	turnPause = 50 * time.Millisecond
-	// goesOnTurnMost is the same for a stream that goes on: its caller has seen a pause
-	// already, and leaves after one of 3.6 s, of which the place and the reading take
-	// up to two.
-	goesOnTurnMost = 1500 * time.Millisecond
 	// readingTrips is the ways there and back that are no part of a reading: that of a
 	// new connection and that of the request.
 	readingTrips = 2
-	// eventAllowance is the part of the longest pause that goes by between two events
-	// at an engine's usual pace, with their way to the caller.
-	eventAllowance = 130 * time.Millisecond
 	// readTimes and readSlack bound a reading: engines that are half as fast as
 	// others, and a lost packet that is sent again, are within it.
 	readTimes = 3
@@ -56,15 +49,15 @@
 		members := s.config.Pool.Members(s.service.Name, pool.Prefill)
 		members = slices.DeleteFunc(members, func(m pool.Member) bool { return s.tried[m.Name] })
 		members = s.config.Home.Prefills(members, g.member.Zone, time.Now())
-		m, ahead, found, late := s.takeTurn(ctx, members, max(turnWait, time.Until(deadline)))
+		next := s.takeTurn(ctx, members, max(turnWait, time.Until(deadline)))
 		switch {
 		case ctx.Err() != nil:
 			return nil, ctx.Err()
-		case !found && s.takeOwnTurn(ctx, g, late):
+		case !next.granted && s.takeOwnTurn(ctx, g, next.late):
 			return nil, nil
-		case !found && time.Now().After(deadline):
+		case !next.granted && time.Now().After(deadline):
 			return nil, errNoTurn
-		case !found:
+		case !next.granted:
 			common.Pause(ctx, turnPause)
 			continue
 		}
@@ -76,7 +69,7 @@
 		if !s.mayArrive(ctx) {
 			return nil, errors.Join(link.ErrNotSent, errNoRepeat)
 		}
-		from, err := s.readAt(ctx, m, ahead)
+		from, err := s.readAt(ctx, next.member, next.ahead)
 		if err == nil || ctx.Err() != nil {
 			return from, err
 		}
@@ -84,60 +77,25 @@
 	return nil, nil
 }
 
-// takeOwnTurn asks the keeper beside the decode endpoint whether that may read the
-// prompt. Where others read prompts, if late, the answers that it makes must not
-// stand still for longer than they may.
-func (s *stream) takeOwnTurn(ctx context.Context, g *grant, othersRead bool) bool {
-	stall := s.left()
-	if othersRead {
-		stall = s.stallMost()
-	}
-	return s.askOwnTurn(ctx, g, s.request.Prompt.Tokens+s.before(), stall)
-}
-
-// awaitOwnTurn waits until the decode endpoint may read what was made of the answer
-// elsewhere, which no prefill endpoint reads. It does not wait for so long that the
-// caller would leave.
-func (s *stream) awaitOwnTurn(ctx context.Context, g *grant) {
-	deadline := time.Now().Add(goesOnTurnMost)
-	for s.before() > 0 && ctx.Err() == nil && time.Now().Before(deadline) && !s.askOwnTurn(ctx, g, s.before(), s.stallMost()) {
-		common.Pause(ctx, turnPause)
-	}
-}
-
-// stallMost is how long answers may stand still between two events.
-func (s *stream) stallMost() time.Duration {
-	if s.route.MaxGap <= 0 {
-		return s.left()
-	}
-	return s.route.MaxGap - eventAllowance
-}
-
-// askOwnTurn asks for a reading by the decode endpoint itself. One that has no
-// keeper is not asked.
-func (s *stream) askOwnTurn(ctx context.Context, g *grant, tokens ident.TokenCount, stall time.Duration) bool {
-	if !g.held {
-		return true
-	}
-	answer, err := s.config.Places.Turn(ctx, g.member.Address, place.Turn{
-		Attempt: s.request.Attempt, Tokens: tokens, Own: true, Stall: stall,
-	})
-	if err != nil {
-		return s.keeperFailed(ctx, g.member, err)
-	}
-	return answer.Granted
+// turn is what came of asking prefill endpoints for a turn.
+type turn struct {
+	granted bool
+	member  pool.Member
+	// ahead is how long the reading has to wait for those before.
+	ahead time.Duration
+	// late is set if none was granted, but some endpoint would read the prompt later.
+	late bool
 }
 
-// takeTurn asks the keepers beside prefill endpoints for a turn, and returns how
-// long the reading has to wait for those before. If none is found, late says that
-// some endpoint would read the prompt, but not in time.
-func (s *stream) takeTurn(ctx context.Context, members []pool.Member, wait time.Duration) (m pool.Member, ahead time.Duration, found, late bool) {
+// takeTurn asks the keepers beside prefill endpoints for a turn. An endpoint whose
+// keeper is gone is used without one.
+func (s *stream) takeTurn(ctx context.Context, members []pool.Member, wait time.Duration) (next turn) {
 	for _, m := range members[:min(triedPrefills, len(members))] {
 		if m.Suspended {
 			break
 		}
 		if s.keeperGone(m.Name) {
-			return m, turnWait, true, false
+			return turn{granted: true, member: m, ahead: turnWait}
 		}
 		answer, err := s.config.Places.Turn(ctx, m.Address, place.Turn{
 			Attempt: s.request.Attempt, Tokens: s.request.Prompt.Tokens, Wait: wait, Last: s.takeReading(m.Name),
@@ -146,23 +104,23 @@
 			if !s.keeperFailed(ctx, m, err) {
 				continue
 			}
-			return m, turnWait, true, false
+			return turn{granted: true, member: m, ahead: turnWait}
 		}
 		if answer.Down {
 			s.config.Pool.Observe(m.Name, pool.Load{Ahead: downPause, Pace: m.Load.Pace, At: time.Now()})
 			continue
 		}
-		late = true
+		next.late = true
 		load := pool.Load{Ahead: answer.Ahead, Pace: answer.Pace, At: time.Now()}
 		if answer.Granted {
 			load.Ahead += time.Duration(answer.Pace * float64(pool.ReadingTime(s.request.Prompt.Tokens)))
 		}
 		s.config.Pool.Observe(m.Name, load)
 		if answer.Granted {
-			return m, answer.Ahead, true, false
+			return turn{granted: true, member: m, ahead: answer.Ahead}
 		}
 	}
-	return pool.Member{}, 0, false, late
+	return next
 }
 
 // readAt has the prompt read at one endpoint. One that takes far longer than it
