--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build soak soak-short test test-long demo lint measure mutants generate
+.PHONY: build bound soak soak-short test test-long demo lint measure mutants generate
 
 build:
 	go build -o bin/crocusstep .
@@ -42,6 +42,10 @@
 	go test -run XXX -bench Decision ./route | tee docs/measure/decision.txt
 	go run ./sizing
 
+# The logs of one day to a file, relays and keepers together.
+bound: build
+	@for log in $(LOGS); do echo "$$(basename $$log .txt)"; bin/crocusstep report bound --engine examples/engine.yaml $$log || exit 1; echo; done
+
 test-long:
 	CROCUSSTEP_SEEDS=$(or $(SEEDS),20) go test -timeout 60m ./...
 
--- a/start/start_test.go
+++ b/start/start_test.go
@@ -32,6 +32,8 @@
 		{"settings with faults", []string{"settings", "check", "agent", broken}, exitFaults, "", "broken.yaml:1: service: unknown key"},
 		{"accepted settings", []string{"settings", "check", "entry", "../examples/halvorsen/entry.yaml"}, exitOK, "", ""},
 		{"defaults", []string{"settings", "default", "agent"}, exitOK, "sweep-interval: 2s", ""},
+		{"an engine's formula with faults", []string{"report", "bound", "--engine", broken, broken}, exitFaults, "", "broken.yaml:1: memory: missing"},
+		{"logs without requests", []string{"report", "bound", "--engine", "../examples/engine.yaml", broken}, exitFailed, "", "no request with a prompt"},
 		{"a platform that cannot be reached", []string{"service", "--platform", "127.0.0.1:1", "list"}, exitFailed, "", "the platform did not take the call"},
 	}
 	for _, s := range scenarios {
