--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -22,7 +22,7 @@
 	turnWait = 250 * time.Millisecond
 	// turnMost is the longest wait for a turn: the memory at the decode endpoint is
 	// held meanwhile, and a place whose run does not begin is taken back after 2.5 s.
-	turnMost = 700 * time.Millisecond
+	turnMost = 500 * time.Millisecond
 	// turnPause is the time between two rounds of asking for a turn: half of what the
 	// mean prompt takes.
 	turnPause = 50 * time.Millisecond
