--- a/client/conn.go
+++ b/client/conn.go
@@ -150,7 +150,7 @@
 		}
 		// A response to an earlier request on this connection; the expected one may follow.
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
-		if err != nil || skipped == maxSkippedBytes || closeDelimited(response) {
+		if err != nil || skipped == maxSkippedBytes || FramingOf(response) == FramedByClose {
 			return nil, errors.Join(ErrResponseLost, errors.New("the response belongs to another request"))
 		}
 	}
@@ -205,7 +205,7 @@
 	default:
 		return false
 	}
-	if response.Close || k.reader.Buffered() > 0 || closeDelimited(response) {
+	if response.Close || k.reader.Buffered() > 0 || FramingOf(response) == FramedByClose {
 		return false
 	}
 	timeout, found := keepAliveTimeout(response.Header)
@@ -218,9 +218,26 @@
 	return timeout > 0
 }
 
-// closeDelimited reports whether the end of the connection marks the end of the body.
-func closeDelimited(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+// Framing is how the end of a response's body is marked.
+type Framing string
+
+// The ways to mark the end of a body.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose means that the body ends with its connection.
+	FramedByClose Framing = "close"
+)
+
+// FramingOf returns how the end of a response's body is marked.
+func FramingOf(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return FramedByChunks
+	case response.ContentLength < 0 && response.Body != http.NoBody:
+		return FramedByClose
+	}
+	return FramedByLength
 }
 
 // keepAliveTimeout returns the timeout parameter of the Keep-Alive header, and whether it
--- a/relay/call.go
+++ b/relay/call.go
@@ -102,6 +102,7 @@
 		return nil, errNotExecuted
 	}
 	e.executions++
+	e.framing = response.Framing
 	body, err := readBody(response.Body)
 	if err != nil {
 		outcome = outcomeOf(ctx, err)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -48,6 +48,10 @@
 	status  int
 	// endpoint is the last one that was used.
 	endpoint ident.EndpointName
+	// framing is that of the last response.
+	framing client.Framing
+	// unfinished is the size of the incomplete event at the end of the last response.
+	unfinished ident.ByteCount
 	// firstPartAt is when the first part of the response arrived.
 	firstPartAt time.Time
 	// longestGap is the longest gap between two parts of the response.
@@ -183,5 +187,7 @@
 	e.Log.Info("request ended", "request", e.request.Attempt, "route", e.route.Name, "service", e.service.Name,
 		"table", e.version, "endpoints", e.config.Pool.Revision(), "endpoint", e.endpoint, "outcome", outcome,
 		"status", e.status, "sends", e.sends, "ran", e.executions, "first", firstLatency, "whole", responseTime, "spent", e.earlierWait,
-		"prompt", prompt.Tokens, "estimate", prompt.EstimatedOutput, "longest-pause", e.longestGap, "tokens-made", e.generated.Load(), "retry-after", wait, "note", note)
+		"prompt", prompt.Tokens, "estimate", prompt.EstimatedOutput, "longest-pause", e.longestGap, "tokens-made", e.generated.Load(),
+		"framing", e.framing, "unfinished", e.unfinished,
+		"retry-after", wait, "note", note)
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"crocusstep/client"
 	"crocusstep/gossip"
 	"crocusstep/ident"
 	"crocusstep/pool"
@@ -59,6 +60,8 @@
 	Misdirected bool
 	// Signed is set if the response carries the service's signature.
 	Signed bool
+	// Framing is how the end of the body is marked.
+	Framing client.Framing
 }
 
 // Successful reports whether the status is 2xx.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -45,6 +45,7 @@
 	if !response.Signed {
 		return errors.Join(client.ErrResponseLost, errors.New("the answer has no signature"))
 	}
+	s.framing = response.Framing
 	controller := http.NewResponseController(s.writer)
 	var pending []byte
 	buffer := make([]byte, readBufferBytes)
@@ -56,6 +57,7 @@
 		if complete < 2 {
 			complete = 0
 		}
+		s.unfinished = ident.ByteCount(len(pending) - complete)
 		if ended {
 			complete = len(pending)
 		}
