A stream that ends inside an event is truncated, however its end is marked

Cause: relay.forward took the end of the body for the end of the stream and sent the bytes of the unfinished event along. A response without length and chunks ends with its connection, so an engine that breaks off and closes in order looked like one that had finished. The same held for a valid end of chunks or length. Class: the end of a transport unit taken for the end of the message in it.

Ruled out: a lost reset (client.Do reports it in each case of the test).

Change: package event finds complete events, with any line ends; a stream with an unfinished event at its end, or without an event although the caller has none, is truncated: resumed elsewhere if it may be, else the connection to the caller is aborted. An unfinished event is never forwarded. Responses of another content type have no events and are forwarded whole, once read. Streams with CR LF or CR are forwarded event by event now; before, they were held back to their end.

Open: an orderly end between two events is passed on, as nothing shows more.

--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -17,6 +17,20 @@
 		mutated:   "return echoed != want+\"none\"",
 		pkg:       "client", test: "TestClient",
 	},
+	{
+		guarantee: "a stream that ends inside an event is truncated",
+		file:      "relay/stream.go",
+		original:  "if splitter.Unfinished() || !began",
+		mutated:   "if !began",
+		pkg:       "platform", test: "TestTruncatedStreamIsNeverComplete",
+	},
+	{
+		guarantee: "a stream without an event is truncated",
+		file:      "relay/stream.go",
+		original:  "|| !began && !s.mayBeEmpty(response)",
+		mutated:   "",
+		pkg:       "platform", test: "TestTruncatedStreamIsNeverComplete",
+	},
 	{
 		guarantee: "an action whose response was lost is not sent again",
 		file:      "relay/exchange.go",
--- a/relay/request.go
+++ b/relay/request.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"crocusstep/client"
@@ -67,6 +68,17 @@
 // Successful reports whether the status is 2xx.
 func (r *Response) Successful() bool { return r.Status >= 200 && r.Status < 300 }
 
+// hasEvents reports whether the body is a stream of events, which a response without a
+// content type is, too.
+func (r *Response) hasEvents() bool {
+	contentType := r.Header.Get("Content-Type")
+	if contentType == "" {
+		return r.Status == http.StatusOK
+	}
+	mediaType, _, _ := strings.Cut(contentType, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // CachedPrompt is a prefilled prompt whose KV cache its prefill endpoint holds for a
 // limited time.
 type CachedPrompt struct {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 	"time"
 
 	"crocusstep/client"
+	"crocusstep/event"
 	"crocusstep/ident"
 )
 
@@ -36,56 +36,78 @@
 	next *reservation
 }
 
+// errTruncated means that the end of a response shows that its stream is not complete.
+var errTruncated = errors.New("the stream ended inside an event or without one")
+
 // forward forwards complete events as they arrive, so that another endpoint can resume
 // after the last of them. It returns an error if the stream was truncated.
 func (s *stream) forward(response *Response) error {
+	s.framing = response.Framing
 	if !response.Successful() {
 		return s.forwardFailure(response)
 	}
 	if !response.Signed {
 		return errors.Join(client.ErrResponseLost, errors.New("the answer has no signature"))
 	}
-	s.framing = response.Framing
-	controller := http.NewResponseController(s.writer)
-	var pending []byte
+	if !response.hasEvents() {
+		return s.forwardWhole(response)
+	}
+	var splitter event.Splitter
+	began := false
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		ended := errors.Is(err, io.EOF)
-		complete := bytes.LastIndex(pending, []byte("\n\n")) + 2
-		if complete < 2 {
-			complete = 0
-		}
-		s.unfinished = ident.ByteCount(len(pending) - complete)
-		if ended {
-			complete = len(pending)
-		}
-		if complete > 0 {
-			s.startResponse(response)
-			s.recordEvents(pending[:complete])
-			if _, err := s.writer.Write(pending[:complete]); err != nil {
-				return errors.Join(context.Canceled, err)
-			}
-			pending = append(pending[:0], pending[complete:]...)
-			if err := controller.Flush(); err != nil {
-				return errors.Join(context.Canceled, err)
+		if events := splitter.Add(buffer[:n]); len(events) > 0 {
+			began = true
+			s.recordEvents(events)
+			if err := s.write(response, events); err != nil {
+				return err
 			}
 		}
+		s.unfinished = ident.ByteCount(len(splitter.Pending()))
 		switch {
-		case ended:
-			s.startResponse(response)
-			s.clearCrashes()
-			s.recordLength()
-			return nil
+		case errors.Is(err, io.EOF):
+			return s.end(response, &splitter, began)
 		case err != nil:
 			return errors.Join(client.ErrResponseLost, err)
-		case len(pending) > maxEventBytes:
+		case len(splitter.Pending()) > maxEventBytes:
 			return errors.New("an event is too large")
 		}
 	}
 }
 
+// write sends a part of the stream to the caller.
+func (s *stream) write(response *Response, part []byte) error {
+	s.startResponse(response)
+	if _, err := s.writer.Write(part); err != nil {
+		return errors.Join(context.Canceled, err)
+	}
+	if err := http.NewResponseController(s.writer).Flush(); err != nil {
+		return errors.Join(context.Canceled, err)
+	}
+	return nil
+}
+
+// end ends the response to the caller, unless the stream was truncated. Began is set if the
+// response had an event.
+func (s *stream) end(response *Response, splitter *event.Splitter, began bool) error {
+	if splitter.Unfinished() || !began && !s.mayBeEmpty(response) {
+		return errors.Join(client.ErrResponseLost, errTruncated)
+	}
+	if err := s.write(response, splitter.Pending()); err != nil {
+		return err
+	}
+	s.clearCrashes()
+	s.recordLength()
+	return nil
+}
+
+// mayBeEmpty reports whether a response without an event may be complete: if the caller has
+// all events already, and the response marks its end.
+func (s *stream) mayBeEmpty(response *Response) bool {
+	return s.request.LastEventID != "" && response.Framing != client.FramedByClose
+}
+
 // startResponse sends the response header before the first event.
 func (s *stream) startResponse(response *Response) {
 	if s.started {
@@ -108,11 +130,10 @@
 		s.longestGap = max(s.longestGap, now.Sub(s.lastEvent))
 	}
 	s.lastEvent = now
-	for line := range bytes.Lines(events) {
-		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
-			s.request.LastEventID = string(bytes.TrimSpace(id))
-			s.countEvent()
-		}
+	last, count := event.IDs(events)
+	if count > 0 {
+		s.request.LastEventID = last
+		s.countEvents(count)
 	}
 }
 
@@ -133,9 +154,9 @@
 	return s.earlierTokens + ident.TokenCount(s.generated.Load())
 }
 
-func (s *stream) countEvent() {
+func (s *stream) countEvents(count int) {
 	if s.disaggregated() {
-		s.generated.Add(int64(s.service.Engine.TokensPerEvent))
+		s.generated.Add(int64(count) * int64(s.service.Engine.TokensPerEvent))
 	}
 }
 
@@ -146,6 +167,21 @@
 	}
 }
 
+// forwardWhole forwards a response without events after reading it completely, since
+// nothing else shows where a part of it ends.
+func (s *stream) forwardWhole(response *Response) error {
+	body, err := readBody(response.Body)
+	if err != nil {
+		return err
+	}
+	if s.started {
+		return errors.New("the endpoint resumed a stream without events")
+	}
+	s.clearCrashes()
+	s.writeResponse(&bufferedResponse{status: response.Status, header: response.Header, body: body})
+	return nil
+}
+
 // forwardFailure forwards an endpoint's error response after reading it completely.
 func (s *stream) forwardFailure(response *Response) error {
 	body, err := readBody(response.Body)
