--- a/memnet/network.go
+++ b/memnet/network.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -127,7 +130,8 @@
 	near, far := net.Pipe()
 	hosts := pair(host, target.host)
 	local := &conn{Conn: near, network: n, hosts: hosts, from: host}
-	remote := &conn{Conn: far, network: n, hosts: hosts, from: target.host}
+	remote := &conn{Conn: far, network: n, hosts: hosts, from: target.host, peer: local}
+	local.peer = remote
 	select {
 	case target.accepted <- remote:
 	case <-target.closed:
@@ -213,11 +217,34 @@
 	// hosts are the two ends, sorted.
 	hosts [2]Host
 	from  Host
+	// peer is the other end.
+	peer *conn
+	// resets is set if a close resets the connection; wasReset is set once the peer has
+	// done so.
+	resets, wasReset atomic.Bool
+}
+
+// SetLinger makes Close reset the connection if the time is zero, like that of net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
+	return nil
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && c.wasReset.Load() {
+		err = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	}
+	return n, err
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.network.removeConn(c)
+	if c.resets.Load() {
+		c.peer.wasReset.Store(true)
+	}
 	return c.Conn.Close()
 }
 
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -31,6 +31,13 @@
 		mutated:   "",
 		pkg:       "platform", test: "TestTruncatedStreamIsNeverComplete",
 	},
+	{
+		guarantee: "a truncated response resets a connection with HTTP/1.0",
+		file:      "platform/caller_handler.go",
+		original:  "\t\t_ = tcp.SetLinger(0)\n",
+		mutated:   "\t\t_ = tcp\n",
+		pkg:       "platform", test: "TestTruncatedStreamHTTP10",
+	},
 	{
 		guarantee: "an action whose response was lost is not sent again",
 		file:      "relay/exchange.go",
