Prompts with a part that crashes engines are blocked

Cause: crashes were counted by fingerprint, the digest of the whole request, so each new prompt with the same deadly part started at zero. Class: evidence keyed by a whole where the cause is a part that wholes share. Ruled out: slow gossip (the test has a mean of 0.6 s an exchange, and counts never rose) and requests admitted before.

Change: package crash (was gossip.CrashTracker) also counts crashes by shared part, for prompts whose output had not begun; three at different times, at two endpoints, block prompts that hold all parts that the crashed ones share. Parts that are sound elsewhere are not blamed. Blocked prompts are refused at once, also between their tries; after a quarantine single ones are tried again. A report goes to all hubs immediately. A prefill that timed out no longer counts as a crash.

--- /dev/null
+++ b/crash/tracker_test.go
@@ -0,0 +1,72 @@
+package crash
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func TestTracker(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		crashes  []Report
+		elapsed  time.Duration
+		blocked  bool
+	}{
+		{testName: "two crashes do not block", crashes: []Report{{Fingerprint: "f", Attempt: "1"}, {Fingerprint: "f", Attempt: "2"}}},
+		{
+			testName: "three crashes of one request under other ids block it",
+			crashes:  []Report{{Fingerprint: "f", Attempt: "1"}, {Fingerprint: "f", Attempt: "2"}, {Fingerprint: "f", Attempt: "3"}},
+			blocked:  true,
+		},
+		{
+			testName: "one crash received three times counts once",
+			crashes:  []Report{{Fingerprint: "f", Attempt: "1"}, {Fingerprint: "f", Attempt: "1"}, {Fingerprint: "f", Attempt: "1"}},
+		},
+		{
+			testName: "crashes of other requests do not count",
+			crashes:  []Report{{Fingerprint: "f", Attempt: "1"}, {Fingerprint: "g", Attempt: "2"}, {Fingerprint: "h", Attempt: "3"}},
+		},
+		{
+			testName: "expired crashes do not count",
+			crashes:  []Report{{Fingerprint: "f", Attempt: "1"}, {Fingerprint: "f", Attempt: "2"}, {Fingerprint: "f", Attempt: "3"}},
+			elapsed:  requestCrashTTL,
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			r := NewTracker()
+			for _, c := range s.crashes {
+				r.RecordCrash(c, start)
+			}
+			assert.Equal(t, r.Blocked("f", nil, start.Add(s.elapsed)), s.blocked)
+		})
+	}
+}
+
+// TestCompletedRequestIsNotBlocked covers an idempotent request that many callers send
+// and that was running when endpoints crashed for other reasons.
+func TestCompletedRequestIsNotBlocked(t *testing.T) {
+	r := NewTracker()
+	for _, attempt := range []string{"1", "2", "3"} {
+		r.RecordCrash(Report{Fingerprint: "f", Attempt: attempt}, start)
+	}
+	r.RecordSuccess("f", start.Add(time.Second))
+	assert.Assert(t, !r.Blocked("f", nil, start.Add(2*time.Second)))
+	for _, attempt := range []string{"4", "5", "6"} {
+		r.RecordCrash(Report{Fingerprint: "f", Attempt: attempt}, start.Add(3*time.Second))
+	}
+	assert.Assert(t, r.Blocked("f", nil, start.Add(4*time.Second)), "crashes after the success count")
+}
+
+func TestTrackerIsBounded(t *testing.T) {
+	r := NewTracker()
+	for i := range 4 * maxStoredCrashes {
+		r.RecordCrash(Report{Fingerprint: Fingerprint(strconv.Itoa(i)), Attempt: "a"}, start)
+	}
+	assert.Assert(t, r.Size() <= maxStoredCrashes)
+}
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"crocusstep/crash"
 	"crocusstep/pool"
 	"crocusstep/table"
 )
@@ -14,7 +15,7 @@
 // Hub keeps the newest state received from any process, for others to fetch. It does
 // not act on it. It is safe for concurrent use.
 type Hub struct {
-	crashes   *CrashTracker
+	crashes   *crash.Tracker
 	endpoints *pool.Pool
 
 	mutex sync.Mutex
@@ -25,7 +26,7 @@
 
 // NewHub returns an empty hub.
 func NewHub() *Hub {
-	return &Hub{crashes: NewCrashTracker(), endpoints: pool.NewPool(), peers: map[string]time.Time{}}
+	return &Hub{crashes: crash.NewTracker(), endpoints: pool.NewPool(), peers: map[string]time.Time{}}
 }
 
 // Exchange applies the newer parts of a message and returns what its sender lacks.
@@ -33,6 +34,7 @@
 	for _, c := range in.Crashes {
 		h.crashes.RecordCrash(c, now)
 	}
+	h.crashes.ApplySounds(in.Sounds, now)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if in.Table != nil && (h.table == nil || in.Table.Version > h.table.Version) {
@@ -41,7 +43,7 @@
 	in.ApplyEndpoints(h.endpoints)
 	h.endpoints.RemoveLapsed(now, time.Time{})
 	h.updatePeers(in.Sender, now)
-	out := &Message{Digest: Digest{Crashes: h.crashes.Size()}, Peers: len(h.peers), Rank: h.rank(in.Sender)}
+	out := &Message{Digest: Digest{Crashes: h.crashes.Size()}, Sounds: h.crashes.Sounds(now), Peers: len(h.peers), Rank: h.rank(in.Sender)}
 	if h.table != nil {
 		out.Digest.Table = h.table.Version
 		if h.table.Version > in.Digest.Table {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -3,6 +3,7 @@
 package gossip
 
 import (
+	"crocusstep/crash"
 	"crocusstep/pool"
 	"crocusstep/table"
 )
@@ -27,7 +28,9 @@
 	Endpoints []pool.Endpoint `json:"endpoints,omitempty"`
 	Changes   []pool.Change   `json:"changes,omitempty"`
 	Since     pool.Revision   `json:"since,omitempty"`
-	Crashes   []Crash         `json:"crashes,omitempty"`
+	Crashes   []crash.Report  `json:"crashes,omitempty"`
+	// Sounds are the parts of prompts in crashes that are sound.
+	Sounds []crash.Sound `json:"sounds,omitempty"`
 	// Peers is the number of processes that have recently sent the hub a message,
 	// including the receiver.
 	Peers int `json:"peers,omitempty"`
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -1,6 +1,6 @@
 // Package poison detects poison requests, which crash the endpoints that run
 // them: it counts crashes per request over the whole fleet and blocks requests
-// with too many. See docs/design/blame.md.
+// with too many. See docs/design/crash.md.
 package poison
 
 import (
--- a/relay/call_test.go
+++ b/relay/call_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"crocusstep/crash"
 	"crocusstep/fault"
-	"crocusstep/gossip"
 	"crocusstep/ident"
 	"crocusstep/pool"
 )
@@ -160,7 +160,7 @@
 	r := newTestRelay(t, backend)
 	request := &Request{Host: "h", Target: "/lookup/x"}
 	for _, attempt := range []string{"1", "2", "3"} {
-		r.crashes.RecordCrash(gossip.Crash{Fingerprint: request.fingerprint(), Attempt: attempt}, time.Now())
+		r.crashes.RecordCrash(crash.Report{Fingerprint: request.fingerprint(), Attempt: attempt}, time.Now())
 	}
 	_, refusal := send(t.Context(), r, "/lookup/x")
 	assert.Equal(t, refusal.Code, fault.RequestSuspended)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -9,7 +9,6 @@
 
 	"crocusstep/client"
 	"crocusstep/fault"
-	"crocusstep/gossip"
 	"crocusstep/ident"
 	"crocusstep/pool"
 	"crocusstep/table"
@@ -58,6 +57,11 @@
 	longestGap time.Duration
 	// generated is the number of output tokens forwarded, as far as known.
 	generated atomic.Int64
+	// tryEvents is the number of events in the response of the current try.
+	tryEvents int
+	// probing is set while the request is run although it is blocked, to find out whether
+	// it still crashes endpoints.
+	probing bool
 	// prepaidSends is the number of sends that count against the retry limits already.
 	prepaidSends int
 }
@@ -66,8 +70,8 @@
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	e.retryLimiter(e.service.Name).RecordRequest(e.request.Arrived)
-	if e.crashes.Size() > 0 && e.crashes.Blocked(e.request.fingerprint(), time.Now()) {
-		return fault.New(fault.RequestSuspended, "the request has crashed endpoints").WithRetryAfter(blockedRetryAfter)
+	if refusal := e.admit(); refusal != nil {
+		return refusal
 	}
 	if e.route.Kind == table.Streaming {
 		return e.serveStream(ctx)
@@ -113,25 +117,6 @@
 	return pool.Success
 }
 
-// recordCrash counts a connection that broke while the endpoint executed the request.
-func (e *exchange) recordCrash(ctx context.Context, err error) {
-	if ctx.Err() != nil || !errors.Is(err, client.ErrResponseLost) {
-		return
-	}
-	crash := gossip.Crash{Fingerprint: e.request.fingerprint(), Attempt: string(e.request.Attempt) + "/" + string(e.endpoint)}
-	count := e.crashes.RecordCrash(crash, time.Now())
-	e.Log.Info("an endpoint broke off with the request aboard", "request", e.request.Attempt, "endpoint", e.endpoint,
-		"fingerprint", crash.Fingerprint, "count", count, "error", err)
-}
-
-// clearCrashes resets the crash count of requests like this one after a complete
-// response.
-func (e *exchange) clearCrashes() {
-	if e.crashes.Size() > 0 {
-		e.crashes.RecordSuccess(e.request.fingerprint(), time.Now())
-	}
-}
-
 // finalRefusal returns the refusal of a request without a response; its outcome states
 // whether an endpoint may have executed the request.
 func (e *exchange) finalRefusal(ctx context.Context, refusal *fault.Refusal) *fault.Refusal {
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -103,6 +103,8 @@
 		case <-timer.C:
 		case <-g.announce:
 			targets = hubCount
+		case <-g.relay.partCrashed:
+			targets = hubCount
 		}
 		timer.Stop()
 		for i := range targets {
@@ -132,7 +134,7 @@
 }
 
 func (g *Gossip) exchange(ctx context.Context, hub pool.Endpoint) {
-	out := &gossip.Message{Sender: g.self, Digest: g.digest()}
+	out := &gossip.Message{Sender: g.self, Digest: g.digest(), Sounds: g.relay.crashes.Sounds(time.Now())}
 	response, err := g.keepers.Exchange(ctx, hub.Address, out)
 	if err != nil {
 		g.Log.Info("gossip exchange with a keeper failed", "endpoint", hub.Name, "error", err)
@@ -175,6 +177,7 @@
 	for _, c := range in.Crashes {
 		g.relay.crashes.RecordCrash(c, time.Now())
 	}
+	g.relay.crashes.ApplySounds(in.Sounds, time.Now())
 	if in.Table != nil && g.relay.SetTable(in.Table) {
 		g.Log.Info("routes learned from a peer", "table", in.Table.Version, "keeper", hub.Name)
 	}
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -67,6 +67,9 @@
 			// The first prefill was free; another one counts as a send.
 			s.sends++
 		}
+		if refusal := s.suspended(); refusal != nil {
+			return nil, refusal
+		}
 		if !s.allowSend(ctx) {
 			return nil, errors.Join(client.ErrNotSent, errNoRetry)
 		}
@@ -144,7 +147,8 @@
 			s.countPrefill()
 		}
 		s.endpoint = m.Name
-		s.recordCrash(ctx, err)
+		// An endpoint that was too slow has not crashed.
+		s.recordCrash(limited, err)
 	case response != nil:
 		outcome = pool.Failed
 		if response.Misdirected {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"crocusstep/common"
+	"crocusstep/crash"
 	"crocusstep/fault"
-	"crocusstep/gossip"
 	"crocusstep/ident"
 	"crocusstep/keeper"
 	"crocusstep/memory"
@@ -23,8 +23,6 @@
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refusal.
 	minRetryAfter = 500 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
-	// blockedRetryAfter is for requests blocked because they crash endpoints.
-	blockedRetryAfter = time.Minute
 	// deadlineMargin leaves time to respond before the caller times out.
 	deadlineMargin = 20 * time.Millisecond
 )
@@ -56,7 +54,10 @@
 	*common.Common
 	config  Config
 	table   atomic.Pointer[table.Table]
-	crashes *gossip.CrashTracker
+	crashes *crash.Tracker
+	// partCrashed holds one entry if a crash with parts of a prompt is to be sent to all
+	// hubs.
+	partCrashed chan struct{}
 	// waitEstimator distinguishes returning callers from new ones.
 	waitEstimator *retry.WaitEstimator
 	tasks         common.Tasks
@@ -81,7 +82,8 @@
 	return &Relay{
 		Common:           c,
 		config:           config,
-		crashes:          gossip.NewCrashTracker(),
+		crashes:          crash.NewTracker(),
+		partCrashed:      make(chan struct{}, 1),
 		retryLimiters:    map[ident.ServiceName]*retry.Limiter{},
 		waitEstimator:    retry.NewWaitEstimator(),
 		unreachableUntil: map[ident.EndpointName]time.Time{},
--- a/relay/request.go
+++ b/relay/request.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"crocusstep/client"
-	"crocusstep/gossip"
+	"crocusstep/crash"
 	"crocusstep/ident"
 	"crocusstep/pool"
 )
@@ -34,6 +34,8 @@
 	LastEventID string
 	// Prompt is nil if the request carries no token counts.
 	Prompt *Prompt
+	// digest is empty until it is needed.
+	digest crash.Fingerprint
 }
 
 // Prompt holds the token counts that a caller sends with a language model request.
@@ -43,10 +45,24 @@
 	MaxOutput ident.TokenCount
 	// EstimatedOutput is the caller's estimate of the output, or zero.
 	EstimatedOutput ident.TokenCount
+	// Parts are the parts that other prompts may share.
+	Parts []crash.PartID
 }
 
-func (r *Request) fingerprint() gossip.Fingerprint {
-	return gossip.FingerprintOf(r.Host, r.Target, r.Body)
+// fingerprint returns the digest of the request, which it computes once.
+func (r *Request) fingerprint() crash.Fingerprint {
+	if r.digest == "" {
+		r.digest = crash.FingerprintOf(r.Host, r.Target, r.Body)
+	}
+	return r.digest
+}
+
+// parts returns the shared parts of the request's prompt.
+func (r *Request) parts() []crash.PartID {
+	if r.Prompt == nil {
+		return nil
+	}
+	return r.Prompt.Parts
 }
 
 // Response is an endpoint's response.
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -89,6 +89,10 @@
 
 // attempt makes one attempt at serving the request.
 func (s *stream) attempt(ctx context.Context) error {
+	s.tryEvents = 0
+	if refusal := s.suspended(); refusal != nil {
+		return refusal
+	}
 	if !s.disaggregated() {
 		return s.attemptPlain(ctx)
 	}
@@ -179,6 +183,9 @@
 	if !s.config.Pool.Usable(res.member.Endpoint) {
 		return nil, errors.Join(client.ErrNotSent, errors.New("the decode endpoint has left meanwhile"))
 	}
+	if refusal := s.suspended(); refusal != nil {
+		return nil, errors.Join(client.ErrNotSent, refusal)
+	}
 	if !s.allowSend(ctx) {
 		return nil, errors.Join(client.ErrNotSent, errNoRetry)
 	}
@@ -236,7 +243,7 @@
 	if err == nil || cached == nil || !errors.Is(err, client.ErrNotSent) && !errors.Is(err, errNotExecuted) {
 		return nil
 	}
-	if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 || errors.Is(err, errNoRetry) {
+	if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 || errors.Is(err, errNoRetry) || s.suspended() != nil {
 		return nil
 	}
 	s.tried[s.endpoint] = true
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -131,6 +131,7 @@
 	}
 	s.lastEvent = now
 	last, count := event.IDs(events)
+	s.countTryEvents(max(count, 1))
 	if count > 0 {
 		s.request.LastEventID = last
 		s.countEvents(count)
