An endpoint that says in a response that it leaves gets no new requests

Change: the endpoint client reads it from the head of each response, releases too, if the process that answers is the one that was asked. The pool excludes that process until another one has its name; repeated records do not undo it. Keepers read it from their engine's report, deny waiting reservations and answer that the engine is down.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -120,7 +120,7 @@
 
 // serves reports whether the engine currently serves a stage.
 func (k *Keeper) serves(stage pool.Stage) bool {
-	return !k.report.ChangingStage && (k.report.Stage == stage || k.report.Stage == pool.Combined)
+	return !k.report.ChangingStage && !k.report.Leaving && (k.report.Stage == stage || k.report.Stage == pool.Combined)
 }
 
 // Reserve waits for memory up to the request's MaxWait. It rejects the request
@@ -201,6 +201,9 @@
 		delete(k.reservations, w.request.Attempt)
 		granted = false
 	}
+	if !granted && k.report.Leaving {
+		return ReserveResponse{Down: true}
+	}
 	return k.response(w.request, granted)
 }
 
@@ -223,6 +226,10 @@
 // admitLocked grants reservations in order. A request that does not fit blocks those
 // behind it, so that large requests are not starved.
 func (k *Keeper) admitLocked() {
+	if k.report.Leaving {
+		k.denyWaiting()
+		return
+	}
 	if k.down || !k.serves(pool.Decode) {
 		return
 	}
@@ -234,6 +241,14 @@
 	}
 }
 
+// denyWaiting denies all waiting requests, which cannot be served here any more.
+func (k *Keeper) denyWaiting() {
+	for _, w := range k.waiting {
+		close(w.granted)
+	}
+	k.waiting = nil
+}
+
 func (k *Keeper) grant(request ReserveRequest) {
 	k.reservations[request.Attempt] = &reservation{request: request, grantedAt: time.Now()}
 }
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -179,6 +179,8 @@
 	Stage   pool.Stage
 	// ChangingStage is set while the engine changes its stage.
 	ChangingStage bool
+	// Leaving is set once the engine accepts no new requests.
+	Leaving bool
 	// Orders counts the orders that the engine has accepted since its start.
 	Orders int64
 	// StartMillis is the Unix millisecond of the engine's start, zero if unknown.
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -38,6 +38,20 @@
 		mutated:   "\t\t_ = tcp\n",
 		pkg:       "platform", test: "TestTruncatedStreamHTTP10",
 	},
+	{
+		guarantee: "an endpoint that says that it leaves gets no requests",
+		file:      "platform/endpoint_client.go",
+		original:  "\t\tc.state.Leaving(e)\n",
+		mutated:   "",
+		pkg:       "platform", test: "TestLeavingEndpoint",
+	},
+	{
+		guarantee: "an engine that leaves grants no reservations",
+		file:      "keeper/keeper.go",
+		original:  "return !k.report.ChangingStage && !k.report.Leaving &&",
+		mutated:   "return !k.report.ChangingStage &&",
+		pkg:       "keeper", test: "TestLeavingEngine",
+	},
 	{
 		guarantee: "prompts with a part that crashes engines are blocked",
 		file:      "relay/crash.go",
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -100,7 +100,9 @@
 	lapsedAt time.Time
 	// excludedUntil ends the exclusion after a mismatch.
 	excludedUntil time.Time
-	load          Load
+	// leaving is set once the process has said so itself, whatever its record says.
+	leaving bool
+	load    Load
 }
 
 // Pool is safe for concurrent use.
@@ -142,7 +144,7 @@
 	defer p.mutex.Unlock()
 	var list []Member
 	for _, m := range p.members {
-		if m.endpoint.Service == service && m.endpoint.Stage == stage && !m.endpoint.Draining &&
+		if m.endpoint.Service == service && m.endpoint.Stage == stage && m.accepts() &&
 			!now.Before(m.excludedUntil) && !p.replaced(m) {
 			list = append(list, m.snapshot(now))
 		}
@@ -150,6 +152,14 @@
 	return list
 }
 
+// accepts reports whether the process accepts new requests.
+func (m *member) accepts() bool { return !m.endpoint.Draining && !m.leaving }
+
+// runs reports whether the member is the process of a record.
+func (m *member) runs(e Endpoint) bool {
+	return m.endpoint.StartMillis == e.StartMillis && m.endpoint.Address == e.Address
+}
+
 // replaced reports whether a process that started later has the same address.
 func (p *Pool) replaced(m *member) bool {
 	return m.endpoint.StartMillis < p.latestStart[m.endpoint.Address]
@@ -173,8 +183,20 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	m, known := p.members[e.Name]
-	return known && m.endpoint.StartMillis == e.StartMillis && m.endpoint.Address == e.Address &&
-		m.endpoint.Stage == e.Stage && !m.endpoint.Draining
+	return known && m.runs(e) && m.endpoint.Stage == e.Stage && m.accepts()
+}
+
+// MarkLeaving records that a process accepts no new requests, until another process has its
+// name. It reports whether that is news.
+func (p *Pool) MarkLeaving(e Endpoint) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	m, known := p.members[e.Name]
+	if !known || !m.runs(e) || m.leaving {
+		return false
+	}
+	m.leaving = true
+	return true
 }
 
 // UpdateLoad stores the load of an endpoint unless a newer one is known.
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -68,7 +68,7 @@
 func newRelayServer(p *platformProcess, settings conf.Relay) *relayServer {
 	s := &relayServer{platformProcess: p, settings: settings, pool: pool.NewPool()}
 	s.shutdownSettings.Store(&settings.Shutdown)
-	s.endpoints = platform.NewEndpointClient(socket.Dial)
+	s.endpoints = platform.NewEndpointClient(socket.Dial, relay.NewEndpointState(p.Common, s.pool))
 	keepers := keeper.NewClient(socket.NewClient(), settings.Peers.KeeperPort)
 	s.relay = relay.NewRelay(p.Common, relay.Config{
 		Topology:   newTopology(settings),
