An endpoint that rejects a request and asks for a pause gets no requests until it ends

Change: the endpoint client reads it, bounded to a minute, invalid values logged; the pool excludes the process until the pause and a jitter of up to 0.5 s have passed; if all endpoints of a service pause, callers are refused at once and told when the first is back. Keepers obey the pause of their engine's reports and orders. A cached prompt at such an endpoint expires by itself.

One request at most may meet four rejections and be refused, as four sends are the limit.

--- a/keeper/engine_state.go
+++ b/keeper/engine_state.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"crocusstep/ident"
 	"crocusstep/memory"
+	"crocusstep/pool"
 )
 
 const (
@@ -38,8 +40,9 @@
 func (k *Keeper) refresh(ctx context.Context) {
 	k.mutex.Lock()
 	fresh := time.Since(k.reportedAt) < reportTTL
+	paused := time.Now().Before(k.pausedUntil)
 	k.mutex.Unlock()
-	if fresh {
+	if fresh || paused {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -52,6 +55,7 @@
 		return
 	}
 	if err != nil {
+		k.applyPause(err)
 		if ctx.Err() == nil || !k.down {
 			k.Log.Warn("the engine does not report", "error", err)
 		}
@@ -65,6 +69,15 @@
 	k.applyReport(report, polledAt)
 }
 
+// applyPause keeps the keeper from calling an engine that has asked for a pause.
+func (k *Keeper) applyPause(err error) {
+	var pause *PauseError
+	if errors.As(err, &pause) {
+		k.pausedUntil = time.Now().Add(min(pause.Pause, pool.MaxPause))
+		k.down = true
+	}
+}
+
 // applyReport stores a report and reconciles the reservations with the requests that
 // the engine holds.
 func (k *Keeper) applyReport(report EngineReport, polledAt time.Time) {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -60,6 +60,8 @@
 	prefillUntil time.Time
 	// prefillGrantedAt is when the last prefill slot was granted.
 	prefillGrantedAt time.Time
+	// pausedUntil ends the pause that the engine has asked for, or is zero.
+	pausedUntil time.Time
 	// stageChangedAt is when a stage change was last sent to the engine.
 	stageChangedAt time.Time
 	wake           chan struct{}
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -187,6 +187,14 @@
 	StartMillis int64
 }
 
+// PauseError means that the engine rejected a call and wants no other one for a while.
+type PauseError struct {
+	Pause time.Duration
+}
+
+// Error implements error.
+func (e *PauseError) Error() string { return "the engine asks for a pause of " + e.Pause.String() }
+
 // RunningRequest is a request that holds memory in an engine.
 type RunningRequest struct {
 	Attempt ident.AttemptID
--- a/keeper/stage.go
+++ b/keeper/stage.go
@@ -21,7 +21,7 @@
 	report := k.report
 	reason := ""
 	switch {
-	case k.down:
+	case k.down, time.Now().Before(k.pausedUntil):
 		reason = "the engine does not report"
 	case report.ChangingStage:
 		reason = "the engine carries out an order"
@@ -41,6 +41,9 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stageTimeout)
 	defer cancel()
 	if err := k.engine.ChangeStage(ctx, request, report); err != nil {
+		k.mutex.Lock()
+		k.applyPause(err)
+		k.mutex.Unlock()
 		return StageResponse{Sent: true, Reason: err.Error()}
 	}
 	return StageResponse{Sent: true, Accepted: true}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -21,6 +21,8 @@
 	// responded at its address, or after its deleted record came back with a restore. The
 	// store removes its record after three missed heartbeats.
 	mismatchExclusion = 4 * time.Second
+	// MaxPause limits the pause that an endpoint may ask for.
+	MaxPause = time.Minute
 	// latencyWeight is the weight of the newest request in the mean latency.
 	latencyWeight = 0.2
 )
@@ -100,6 +102,8 @@
 	lapsedAt time.Time
 	// excludedUntil ends the exclusion after a mismatch.
 	excludedUntil time.Time
+	// pausedUntil ends the pause that the process has asked for, or is zero.
+	pausedUntil time.Time
 	// leaving is set once the process has said so itself, whatever its record says.
 	leaving bool
 	load    Load
@@ -145,7 +149,7 @@
 	var list []Member
 	for _, m := range p.members {
 		if m.endpoint.Service == service && m.endpoint.Stage == stage && m.accepts() &&
-			!now.Before(m.excludedUntil) && !p.replaced(m) {
+			!now.Before(m.excludedUntil) && !now.Before(m.pausedUntil) && !p.replaced(m) {
 			list = append(list, m.snapshot(now))
 		}
 	}
@@ -183,7 +187,42 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	m, known := p.members[e.Name]
-	return known && m.runs(e) && m.endpoint.Stage == e.Stage && m.accepts()
+	return known && m.runs(e) && m.endpoint.Stage == e.Stage && m.accepts() && !time.Now().Before(m.pausedUntil)
+}
+
+// Pause excludes a process until a time, unless it is excluded for longer. It reports whether
+// the process is a member.
+func (p *Pool) Pause(e Endpoint, until time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	m, known := p.members[e.Name]
+	if !known || !m.runs(e) {
+		return false
+	}
+	if until.After(m.pausedUntil) {
+		m.pausedUntil = until
+	}
+	return true
+}
+
+// PausedUntil returns when the first paused member of a service and stage accepts requests
+// again. It reports false if any member accepts requests now, or none will.
+func (p *Pool) PausedUntil(service ident.ServiceName, stage Stage) (first time.Time, paused bool) {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, m := range p.members {
+		if m.endpoint.Service != service || m.endpoint.Stage != stage || !m.accepts() || p.replaced(m) {
+			continue
+		}
+		if !now.Before(m.pausedUntil) {
+			return time.Time{}, false
+		}
+		if !paused || m.pausedUntil.Before(first) {
+			first, paused = m.pausedUntil, true
+		}
+	}
+	return first, paused
 }
 
 // MarkLeaving records that a process accepts no new requests, until another process has its
--- a/relay/call.go
+++ b/relay/call.go
@@ -92,10 +92,7 @@
 	defer func() { _ = response.Body.Close() }()
 	e.sends++
 	if response.NotExecuted {
-		outcome = pool.Failed
-		if response.Misdirected {
-			outcome = pool.Mismatch
-		}
+		outcome = response.rejection()
 		e.Log.Info("an endpoint did not run a request", "request", e.request.Attempt, "endpoint", m.Name,
 			"status", response.Status, "outstanding", m.Outstanding)
 		discardBody(response.Body)
--- a/relay/endpoint_state.go
+++ b/relay/endpoint_state.go
@@ -1,10 +1,17 @@
 package relay
 
 import (
+	"math/rand/v2"
+	"time"
+
 	"crocusstep/common"
 	"crocusstep/pool"
 )
 
+// maxPauseJitter prolongs pauses, so that the relays do not come back in the same instant, nor
+// to all endpoints that have paused together.
+const maxPauseJitter = 500 * time.Millisecond
+
 // EndpointState records in a pool what endpoints say of themselves in their responses.
 type EndpointState struct {
 	*common.Common
@@ -22,3 +29,17 @@
 		s.Log.Info("an endpoint says that it leaves", "endpoint", e.Name, "started", e.StartMillis)
 	}
 }
+
+// Pause records that an endpoint has asked for a pause when it rejected a request. Stated is
+// what it sent; the pause is zero if that is invalid.
+func (s *EndpointState) Pause(e pool.Endpoint, pause time.Duration, stated string) {
+	pause = min(pause, pool.MaxPause)
+	if pause <= 0 {
+		s.Log.Info("an endpoint asks for an invalid pause", "endpoint", e.Name, "stated", stated)
+		return
+	}
+	until := time.Now().Add(pause + rand.N(maxPauseJitter))
+	if s.pool.Pause(e, until) {
+		s.Log.Info("an endpoint asks for a pause", "endpoint", e.Name, "pause", pause, "stated", stated)
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -117,6 +118,20 @@
 	return pool.Success
 }
 
+// pauseLeft returns the time, with jitter, until the first endpoint accepts requests, if all
+// that could serve the request have asked for a pause; else zero.
+func (e *exchange) pauseLeft() time.Duration {
+	stage := pool.Combined
+	if e.service.Engine != nil {
+		stage = pool.Decode
+	}
+	until, paused := e.config.Pool.PausedUntil(e.service.Name, stage)
+	if !paused {
+		return 0
+	}
+	return time.Until(until) + rand.N(maxPauseJitter)
+}
+
 // finalRefusal returns the refusal of a request without a response; its outcome states
 // whether an endpoint may have executed the request.
 func (e *exchange) finalRefusal(ctx context.Context, refusal *fault.Refusal) *fault.Refusal {
@@ -141,6 +156,9 @@
 		final.Code = fault.EndpointBusy
 		final.RetryAfter = max(final.RetryAfter, e.retryAfterJitter(minRetryAfter))
 	}
+	if final.RetryAfter > 0 {
+		final.RetryAfter = max(final.RetryAfter, e.pauseLeft())
+	}
 	return &final
 }
 
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -150,10 +150,7 @@
 		// An endpoint that was too slow has not crashed.
 		s.recordCrash(limited, err)
 	case response != nil:
-		outcome = pool.Failed
-		if response.Misdirected {
-			outcome = pool.Mismatch
-		}
+		outcome = response.rejection()
 		s.sends++
 		err = errNotExecuted
 	default:
--- a/relay/request.go
+++ b/relay/request.go
@@ -75,6 +75,9 @@
 	NotExecuted bool
 	// Misdirected is set if the process at the address is not the expected one.
 	Misdirected bool
+	// Paused is set if the endpoint has asked for a pause with its rejection, which then says
+	// nothing else about it.
+	Paused bool
 	// Signed is set if the response carries the service's signature.
 	Signed bool
 	// Framing is how the end of the body is marked.
@@ -84,6 +87,17 @@
 // Successful reports whether the status is 2xx.
 func (r *Response) Successful() bool { return r.Status >= 200 && r.Status < 300 }
 
+// rejection returns the outcome of a request that the endpoint did not execute.
+func (r *Response) rejection() pool.Outcome {
+	switch {
+	case r.Misdirected:
+		return pool.Mismatch
+	case r.Paused:
+		return pool.Neutral
+	}
+	return pool.Failed
+}
+
 // hasEvents reports whether the body is a stream of events, which a response without a
 // content type is, too.
 func (r *Response) hasEvents() bool {
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -225,11 +225,8 @@
 // with reserved memory mostly rejects a request because it cannot fetch the KV cache;
 // then the failure is recorded for the prefill endpoint.
 func (s *stream) recordRejection(res *reservation, cached *CachedPrompt, response *Response) {
-	res.outcome = pool.Failed
-	if response.Misdirected {
-		res.outcome = pool.Mismatch
-	}
-	if cached != nil && res.confirmed && !response.Misdirected {
+	res.outcome = response.rejection()
+	if cached != nil && res.confirmed && res.outcome == pool.Failed {
 		res.outcome = pool.Neutral
 		s.config.Pool.Begin(cached.Endpoint, 0)(pool.Failed, 0)
 	}
@@ -270,6 +267,10 @@
 		return
 	}
 	s.Meter.CountWastedPrefillTokens(s.service.Name, s.request.Prompt.Tokens)
+	if !s.config.Pool.Usable(cached.Endpoint) {
+		s.Log.Info("a cached prompt is left to expire", "request", s.request.Attempt, "endpoint", cached.Endpoint.Name)
+		return
+	}
 	s.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
