Soak: endpoints that say that they leave, and that ask for a pause

The soak's checks are unchanged; it can't tell relays apart at an endpoint, so who was asked for a pause is checked by TestRetryAfterOfEndpoint only.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -85,6 +85,11 @@
 		f.mutex.Unlock()
 		return f.store.PutConfiguration(version)
 	}},
+	{name: "an endpoint asks for a pause", inject: func(f *fleet, rng *rand.Rand, duration time.Duration) error {
+		f.processAt(f.randomEndpoint(rng)).RejectFor(duration)
+		time.Sleep(duration)
+		return nil
+	}},
 	{name: "restore the store from a copy", affectsTiming: true, inject: func(f *fleet, rng *rand.Rand, duration time.Duration) error {
 		c := f.store.Copy()
 		time.Sleep(duration)
@@ -232,6 +237,7 @@
 	defer f.release(e.address())
 	old := f.processAt(e)
 	f.setDraining(e, true)
+	old.SetLeaving()
 	if err := f.store.Register(old, e.address(), zone, true); err != nil {
 		return err
 	}
