--- a/keeper/endless_test.go
+++ b/keeper/endless_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
@@ -49,19 +50,22 @@
 	}
 }
 
-// TestEndlessResponse lets a process at a keeper's address respond without end.
+// TestEndlessResponse lets a process at a keeper's address respond without end. In virtual
+// time the response is cut off by its size, however slow the machine is.
 func TestEndlessResponse(t *testing.T) {
-	clientSide, serverSide := net.Pipe()
-	go func() {
-		defer func() { _ = serverSide.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(serverSide)); err != nil {
-			return
-		}
-		_, _ = io.Copy(serverSide, &countingReader{prefix: strings.NewReader("HTTP/1.1 200 OK\r\n\r\n" + `{"why":"`)})
-	}()
-	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return clientSide, nil }}
-	defer transport.CloseIdleConnections()
-	c := NewClient(&http.Client{Transport: transport}, 1)
-	_, err := c.ChangeStage(t.Context(), "10.0.0.1:1", StageRequest{})
-	assert.ErrorContains(t, err, "unexpected EOF")
+	synctest.Test(t, func(t *testing.T) {
+		clientSide, serverSide := net.Pipe()
+		go func() {
+			defer func() { _ = serverSide.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(serverSide)); err != nil {
+				return
+			}
+			_, _ = io.Copy(serverSide, &countingReader{prefix: strings.NewReader("HTTP/1.1 200 OK\r\n\r\n" + `{"why":"`)})
+		}()
+		transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return clientSide, nil }}
+		defer transport.CloseIdleConnections()
+		c := NewClient(&http.Client{Transport: transport}, 1)
+		_, err := c.ChangeStage(t.Context(), "10.0.0.1:1", StageRequest{})
+		assert.ErrorContains(t, err, "unexpected EOF")
+	})
 }
