Workspaces: callers' keys are decoded, and endpoints learn whose request they run

Change: platform decodes workspaces into table.Workspace, which holds digests of keys only; relays refuse unknown keys with 401, strip the callers' identity headers and set the workspace's name. A workspace's priority replaces its route's. Without workspaces the headers pass as before.

--- a/fault/refusal.go
+++ b/fault/refusal.go
@@ -29,6 +29,8 @@
 	BadRequest          Code = "bad-request"
 	MalformedJSON       Code = "malformed-json"
 	UnknownRoute        Code = "unknown-route"
+	UnknownCaller       Code = "unknown-caller"
+	OverQuota           Code = "over-quota"
 	UnknownService      Code = "unknown-service"
 	UnknownCall         Code = "unknown-call"
 	BodyTooLarge        Code = "body-too-large"
@@ -63,6 +65,8 @@
 	BadRequest:          http.StatusBadRequest,
 	MalformedJSON:       http.StatusBadRequest,
 	UnknownRoute:        http.StatusNotFound,
+	UnknownCaller:       http.StatusUnauthorized,
+	OverQuota:           http.StatusTooManyRequests,
 	UnknownService:      http.StatusNotFound,
 	UnknownCall:         http.StatusNotFound,
 	BodyTooLarge:        http.StatusRequestEntityTooLarge,
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -27,8 +27,11 @@
 type exchange struct {
 	*Relay
 	request *Request
-	route   table.Route
-	service table.Service
+	// route has the priority of the workspace.
+	route table.Route
+	// workspace is nil if the caller needs none.
+	workspace *table.Workspace
+	service   table.Service
 	// tableVersion is that of the table that routed the request.
 	tableVersion table.Version
 	// urgent is set if no route to the service is more urgent.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -134,15 +135,20 @@
 	if t == nil || !r.config.Pool.Loaded() {
 		return r.RecordRefusal(request.Attempt, fault.New(fault.DocumentsNotLoaded, "no routes are known yet").WithRetryAfter(r.retryAfterJitter(minRetryAfter)))
 	}
-	route, found := t.Match(request.Host, request.Path)
+	workspace := identify(t, request)
+	route, found := t.MatchCaller(request.Host, request.Path, workspace)
 	if !found {
 		return r.RecordRefusal(request.Attempt, fault.New(fault.UnknownRoute, "no route matches in version %d", t.Version))
 	}
+	if t.KeysRequired() && workspace == nil && !route.Open {
+		return r.RecordRefusal(request.Attempt, fault.New(fault.UnknownCaller, "no workspace has the key in version %d", t.Version))
+	}
 	service := route.Pick(rand.Float64())
 	e := &exchange{
 		Relay:        r,
 		request:      request,
 		route:        route,
+		workspace:    workspace,
 		service:      t.Services[service],
 		tableVersion: t.Version,
 		urgent:       t.MostUrgent(route, service),
@@ -157,6 +163,20 @@
 	return refusal
 }
 
+// identify returns the workspace of the caller, nil if it is unknown, and completes the request's
+// headers.
+func identify(t *table.Table, request *Request) *table.Workspace {
+	if !t.KeysRequired() {
+		maps.Copy(request.Header, request.IdentityHeaders)
+		return nil
+	}
+	workspace := t.Caller(request.Key)
+	if workspace != nil {
+		request.Workspace = workspace.Name
+	}
+	return workspace
+}
+
 // RecordRefusal counts and logs a refusal that precedes routing, and returns it.
 func (r *Relay) RecordRefusal(attempt ident.AttemptID, refusal *fault.Refusal) *fault.Refusal {
 	r.Meter.CountRequest("", string(refusal.Code), false)
--- a/relay/request.go
+++ b/relay/request.go
@@ -13,6 +13,7 @@
 	"crocusstep/crash"
 	"crocusstep/ident"
 	"crocusstep/pool"
+	"crocusstep/table"
 )
 
 // Request is one attempt of a caller.
@@ -36,6 +37,13 @@
 	Resumes ident.AttemptID
 	// Prompt is nil if the request carries no token counts.
 	Prompt *Prompt
+	// Key is the digest of the caller's key, zero if the request has none.
+	Key table.KeyDigest
+	// IdentityHeaders are those of Header that identify the caller. They are forwarded only if
+	// callers need no keys.
+	IdentityHeaders http.Header
+	// Workspace is whose request it is, empty if that is unknown.
+	Workspace ident.WorkspaceName
 	// digest is empty until it is needed.
 	digest crash.Fingerprint
 }
--- a/table/table.go
+++ b/table/table.go
@@ -59,6 +59,8 @@
 	Resumable bool
 	// HasPrompt is set if requests carry a prompt for a language model.
 	HasPrompt bool `json:"Prompted"`
+	// Open routes need no key.
+	Open bool `json:"Open,omitempty"`
 }
 
 // Retryable reports whether a request may be executed more than once.
@@ -106,6 +108,7 @@
 	routes map[string][]Route
 	// priorities holds the priority of the most urgent route to each service.
 	priorities map[ident.ServiceName]int
+	callers    map[KeyDigest]*Workspace
 }
 
 // Document is the serialized form of a table, in which processes exchange it.
@@ -114,6 +117,9 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	// KeysRequired is set if callers need the key of a workspace, except on open routes.
+	KeysRequired bool        `json:"keys-required,omitempty"`
+	Workspaces   []Workspace `json:"workspaces,omitempty"`
 }
 
 // NewTable builds a table from a document.
@@ -122,11 +128,13 @@
 	for _, s := range d.Services {
 		t.Services[s.Name] = s
 	}
+	t.indexCallers()
 	for _, r := range d.Routes {
 		t.routes[r.Host] = append(t.routes[r.Host], r)
+		priority := t.highestPriority(r)
 		for _, s := range r.WeightedServices {
-			if highest, known := t.priorities[s.Service]; !known || r.Priority < highest {
-				t.priorities[s.Service] = r.Priority
+			if highest, known := t.priorities[s.Service]; !known || priority < highest {
+				t.priorities[s.Service] = priority
 			}
 		}
 	}
@@ -136,6 +144,12 @@
 	return t
 }
 
+// MatchCaller is Match with the priority that the workspace, which may be nil, has on the route.
+func (t *Table) MatchCaller(host, path string, w *Workspace) (Route, bool) {
+	r, found := t.Match(host, path)
+	return w.prioritize(r), found
+}
+
 // MostUrgent reports whether no route to a service is more urgent than r.
 func (t *Table) MostUrgent(r Route, service ident.ServiceName) bool {
 	return r.Priority <= t.priorities[service]
