--- a/rate/rate_test.go
+++ b/rate/rate_test.go
@@ -10,69 +10,100 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
+// limitedDay is a minute in which processes use their shares and grants of a limit.
+type limitedDay struct {
+	testName  string
+	limit     PerSecond
+	processes int
+	// parts is the number of groups of processes that do not know of each other, each with a
+	// keeper of its own; zero means one.
+	parts int
+	// burst is the time between two moments at which all processes send; zero if they
+	// always do.
+	burst time.Duration
+	// minRatio is the lowest part of the limit that is used over the whole time.
+	minRatio float64
+}
+
+const (
+	limitWindow = 4 * time.Second
+	limitStep   = 20 * time.Millisecond
+	limitSpan   = time.Minute
+)
+
+// play returns the most requests in a window, and the part of the limit that was used.
+func (d *limitedDay) play(seed uint64) (most int, used float64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	parts := max(1, d.parts)
+	shares, grants := []*Share{}, []*Grants[string]{}
+	for range d.processes {
+		shares = append(shares, NewShare(random.Float64()))
+	}
+	for range parts {
+		grants = append(grants, NewGrants[string]())
+	}
+	order := random.Perm(d.processes)
+	var sent []time.Time
+	total := 0
+	for now := start; now.Before(start.Add(limitSpan)); now = now.Add(limitStep) {
+		if d.burst > 0 && now.Sub(start)%d.burst != 0 {
+			continue
+		}
+		for _, i := range order {
+			acquired := shares[i].TryAcquire(now, d.limit, d.processes/parts)
+			if !acquired {
+				_, acquired = grants[i%parts].Reserve(now, "endpoint", d.limit, 0)
+			}
+			if acquired {
+				sent = append(sent, now)
+				total++
+			}
+		}
+		for len(sent) > 0 && now.Sub(sent[0]) >= limitWindow {
+			sent = sent[1:]
+		}
+		most = max(most, len(sent))
+	}
+	return most, float64(total) / limitSpan.Seconds() / float64(d.limit)
+}
+
+// run plays the day with a number of seeds.
+func (d *limitedDay) run(t *testing.T, seeds uint64) {
+	allowed := 1.5*float64(d.limit)*limitWindow.Seconds() + 5
+	for seed := range seeds {
+		most, used := d.play(seed + 1)
+		assert.Check(t, float64(most) <= allowed, "seed %d: %d requests in %s, %v allowed", seed+1, most, limitWindow, allowed)
+		assert.Check(t, used >= d.minRatio, "seed %d: %v of the limit is used", seed+1, used)
+	}
+}
+
 // TestLimitOverProcesses guards against limits that are kept by each process and exceeded by
 // their sum: processes use their shares and grants with little and much demand, alone and in
 // bursts.
 func TestLimitOverProcesses(t *testing.T) {
-	const (
-		window = 4 * time.Second
-		step   = 20 * time.Millisecond
-		span   = time.Minute
-	)
-	scenarios := []struct {
-		testName  string
-		limit     PerSecond
-		processes int
-		// burst is the time between two moments at which all processes send; zero if they
-		// always do.
-		burst time.Duration
-		// minRatio is the lowest part of the limit that is used over the whole time.
-		minRatio float64
-	}{
+	scenarios := []limitedDay{
 		{testName: "one process", limit: 5.1, processes: 1, minRatio: 0.9},
 		{testName: "6 processes", limit: 5.1, processes: 6, minRatio: 0.9},
 		{testName: "30 processes", limit: 5.1, processes: 30, minRatio: 0.9},
 		{testName: "300 processes", limit: 5.1, processes: 300, minRatio: 0.9},
-		{testName: "3000 processes, low limit", limit: 0.2, processes: 3000, minRatio: 0.6},
 		{testName: "300 processes, high limit", limit: 500, processes: 300, minRatio: 0.9},
 		{testName: "300 processes in bursts of 10 s", limit: 5.1, processes: 300, burst: 10 * time.Second},
 	}
 	for _, s := range scenarios {
-		t.Run(s.testName, func(t *testing.T) {
-			shares, grants, random := []*Share{}, NewGrants[string](), rand.New(rand.NewPCG(1, 2))
-			for range s.processes {
-				shares = append(shares, NewShare(random.Float64()))
-			}
-			order := random.Perm(s.processes)
-			var sent []time.Time
-			most, total := 0, 0
-			for now := start; now.Before(start.Add(span)); now = now.Add(step) {
-				if s.burst > 0 && now.Sub(start)%s.burst != 0 {
-					continue
-				}
-				for _, i := range order {
-					acquired := shares[i].TryAcquire(now, s.limit, s.processes)
-					if !acquired {
-						_, acquired = grants.Reserve(now, "endpoint", s.limit, 0)
-					}
-					if acquired {
-						sent = append(sent, now)
-						total++
-					}
-				}
-				for len(sent) > 0 && now.Sub(sent[0]) >= window {
-					sent = sent[1:]
-				}
-				most = max(most, len(sent))
-			}
-			allowed := 1.5*float64(s.limit)*window.Seconds() + 5
-			assert.Assert(t, float64(most) <= allowed, "%d requests in %s, %v allowed", most, window, allowed)
-			used := float64(total) / span.Seconds() / float64(s.limit)
-			assert.Assert(t, used >= s.minRatio, "%v of the limit is used", used)
-		})
+		t.Run(s.testName, func(t *testing.T) { s.run(t, 1) })
 	}
 }
 
+// TestLowLimitOverProcesses guards against a low limit that many processes leave unused.
+func TestLowLimitOverProcesses(t *testing.T) {
+	(&limitedDay{limit: 0.2, processes: 3000, minRatio: 0.8}).run(t, 40)
+}
+
+// TestLimitOverHalves lets two halves of the processes not know of each other.
+func TestLimitOverHalves(t *testing.T) {
+	(&limitedDay{limit: 5.1, processes: 300, parts: 2}).run(t, 40)
+}
+
 func TestShare(t *testing.T) {
 	scenarios := []struct {
 		testName string
