crocusstep table check: errors and changes of a configuration before it is sent

Cause: operators learned of routes that never match, of weights that sum to zero and of quotas above what endpoints serve only from refused requests.

--- a/start/start.go
+++ b/start/start.go
@@ -61,6 +61,7 @@
 	c.addAction()
 	c.addSuspect()
 	c.addReport()
+	c.addTable()
 	c.add(c.app.Command("version", "Print the version."), c.printVersion)
 	command, err := c.app.Parse(args)
 	switch {
--- a/start/start_test.go
+++ b/start/start_test.go
@@ -14,6 +14,8 @@
 	folder := t.TempDir()
 	broken := filepath.Join(folder, "broken.yaml")
 	assert.NilError(t, os.WriteFile(broken, []byte("service: S\nkind: plain\n"), 0o600))
+	routes := filepath.Join(folder, "routes.json")
+	assert.NilError(t, os.WriteFile(routes, []byte(`{"version":1,"routes":[{"name":"r"}]}`), 0o600))
 	scenarios := []struct {
 		testName string
 		args     []string
@@ -34,6 +36,9 @@
 		{"defaults", []string{"settings", "default", "agent"}, exitOK, "sweep-interval: 2s", ""},
 		{"an engine file with errors", []string{"report", "bound", "--engine", broken, broken}, exitInvalid, "", "broken.yaml:1: memory: missing"},
 		{"logs without requests", []string{"report", "bound", "--engine", "../examples/engine.yaml", broken}, exitFailed, "", "no request with a prompt"},
+		{"a routing table with errors", []string{"table", "check", routes}, exitInvalid, "error: route r: it can never match, as it has no host", "has errors"},
+		{"a routing table that is not newer", []string{"table", "check", "--format", "json", "--in-force", routes, routes}, exitInvalid, `"entry": "version"`, ""},
+		{"an unreadable routing table", []string{"table", "check", broken}, exitInvalid, "", "broken.yaml:0: invalid character"},
 		{"an unreachable platform", []string{"service", "--platform", "127.0.0.1:1", "list"}, exitFailed, "", "the platform is unavailable"},
 	}
 	for _, s := range scenarios {
