Quotas of workspaces are kept by all relays together

Cause: workspaces have quotas over all relays, but nothing enforced them.

Change: package quota holds the decisions: each relay has an equal share of the stated slack, which it uses without a call; one keeper a workspace, chosen by rendezvous hashing, grants the quota itself from a bucket that also counts a sliding window; the next keeper has an emergency bucket of a part of the slack while the first doesn't respond. A request is charged once and gives its charge back if no endpoint ran it. Requests beyond the quota get a 429 with the time at which they would fit. Token counts that aren't two positive numbers get a 400 where the quota counts tokens. The tolerances come from the settings, section quotas.

--- a/conf/relay.go
+++ b/conf/relay.go
@@ -31,6 +31,16 @@
 	Window parser.Duration `yaml:"window"`
 }
 
+// QuotaBounds is what all relays together may use beyond the quotas of workspaces.
+type QuotaBounds struct {
+	// Length of the windows in which the use of quotas is counted.
+	Window parser.Duration `yaml:"window"`
+	// Part of a quota that may be exceeded.
+	Excess float64 `yaml:"excess"`
+	// Units beyond the excess, summed over all relays.
+	Slack float64 `yaml:"slack"`
+}
+
 // RelayShutdown is how a relay shuts down after SIGTERM.
 type RelayShutdown struct {
 	// Time after SIGTERM for which new connections are still accepted while the load balancer stops sending.
@@ -56,7 +66,9 @@
 	// All availability zones.
 	Zones []Zone `yaml:"availability-zones"`
 	// Limits on retries.
-	Retries  RetryLimits   `yaml:"retries"`
+	Retries RetryLimits `yaml:"retries"`
+	// Tolerances of quotas.
+	Quotas   QuotaBounds   `yaml:"quotas"`
 	Shutdown RelayShutdown `yaml:"stop"`
 	// Memory limit of the process; the garbage collector keeps well below it.
 	Memory parser.Size `yaml:"memory"`
@@ -82,6 +94,7 @@
 		MetricsPort: defaultMetricsPort,
 		Platform:    defaultPlatform(),
 		Retries:     RetryLimits{Ratio: 0.1, Slack: 10, Window: parser.Duration(10 * time.Second)},
+		Quotas:      QuotaBounds{Window: parser.Duration(8 * time.Second), Excess: 0.1},
 		Shutdown:    RelayShutdown{ShutdownDelay: parser.Duration(2400 * time.Millisecond), GracePeriod: parser.Duration(8 * time.Second)},
 		Memory:      128 * parser.MiB,
 	}
@@ -104,6 +117,7 @@
 	checkAddress(source, "platform.address", settings.Platform.Address)
 	checkPositive(source, "platform.timeout", settings.Platform.Timeout)
 	checkPositive(source, "retries.window", settings.Retries.Window)
+	checkPositive(source, "quotas.window", settings.Quotas.Window)
 	checkPositive(source, "stop.grace", settings.Shutdown.GracePeriod)
 	checkPositive(source, "memory", settings.Memory)
 	checkPort(source, "metrics-port", settings.MetricsPort)
@@ -111,6 +125,9 @@
 	if settings.Retries.Ratio < 0 || settings.Retries.Slack < 0 {
 		source.Report("retries", "ratio and slack cannot be negative")
 	}
+	if settings.Quotas.Excess < 0 || settings.Quotas.Slack < 0 {
+		source.Report("quotas", "excess and slack cannot be negative")
+	}
 	return settings, source.Err()
 }
 
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -14,6 +14,7 @@
 	"crocusstep/fault"
 	"crocusstep/gossip"
 	"crocusstep/ident"
+	"crocusstep/quota"
 )
 
 // callTimeout limits a call to a keeper, on top of the wait that the request allows.
@@ -23,6 +24,10 @@
 // permitTimeout limits a request for a permit, which a plain call waits for.
 const permitTimeout = 120 * time.Millisecond
 
+// quotaTimeout limits a request for units of a quota, which every request of a stream waits for.
+// A keeper's instance that pauses for a tenth of a second still responds in it.
+const quotaTimeout = 200 * time.Millisecond
+
 // Client calls the keepers on the instances of endpoints.
 type Client struct {
 	http *http.Client
@@ -78,6 +83,13 @@
 	return response, err
 }
 
+// Quota requests units of a workspace's quota from a keeper, or returns some.
+func (c *Client) Quota(ctx context.Context, keeper ident.Address, request QuotaRequest) (response quota.Response, err error) {
+	defer fault.Annotate(&err, "request units of a quota from the keeper of %s", keeper)
+	err = c.call(ctx, keeper, QuotaPath, quotaTimeout, request, &response)
+	return response, err
+}
+
 // Origin sends origins of streams to a keeper, or asks it for one.
 func (c *Client) Origin(ctx context.Context, keeper ident.Address, request OriginRequest) (response OriginResponse, err error) {
 	defer fault.Annotate(&err, "exchange origins with the keeper of %s", keeper)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -12,6 +12,7 @@
 	"crocusstep/memory"
 	"crocusstep/origin"
 	"crocusstep/pool"
+	"crocusstep/quota"
 	"crocusstep/rate"
 )
 
@@ -45,6 +46,8 @@
 	engine Engine
 	// permits grants permits of the limits that endpoints state.
 	permits *rate.Grants[limitedProcess]
+	// quotas grants units of the quotas of workspaces.
+	quotas *quota.Grants[ident.WorkspaceName]
 	// origins holds the software versions that began streams, of any engines.
 	origins *origin.Book
 
@@ -92,7 +95,7 @@
 // NewKeeper returns a keeper without reservations.
 func NewKeeper(c *common.Common, e Engine) *Keeper {
 	return &Keeper{
-		Common: c, engine: e, permits: rate.NewGrants[limitedProcess](), origins: origin.NewBook(),
+		Common: c, engine: e, permits: rate.NewGrants[limitedProcess](), quotas: quota.NewGrants[ident.WorkspaceName](time.Now()), origins: origin.NewBook(),
 		reservations: map[ident.AttemptID]*reservation{}, slowdown: 1, wake: make(chan struct{}, 1),
 	}
 }
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -22,6 +22,7 @@
 	GossipPath  = "/news"
 	PermitPath  = "/permit"
 	OriginPath  = "/origin"
+	QuotaPath   = "/quota"
 )
 
 // maxMessageBytes limits a message to or from a keeper. A configuration may have 1 MB, and
--- a/keeper/server.go
+++ b/keeper/server.go
@@ -9,6 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"crocusstep/gossip"
+	"crocusstep/quota"
 )
 
 // NewHandler returns the handler of the keeper's calls.
@@ -35,6 +36,14 @@
 			"wait", response.Wait, "max-wait", request.MaxWait)
 		return response
 	}))
+	router.HandlerFunc(http.MethodPost, QuotaPath, handle(func(_ context.Context, request QuotaRequest) quota.Response {
+		response := k.Quota(request)
+		k.Log.Info("quota requested", "workspace", request.Workspace, "need", request.Need, "extra", request.Extra,
+			"emergency", request.Emergency, "granted", response.Granted, "level", response.Level, "wait", response.Wait,
+			"retry-after", response.RetryAfter, "table", response.Version, "restarted", response.Restarted,
+			"view-age", request.ViewAge, "changed", request.Changed, "unused", len(request.Unused))
+		return response
+	}))
 	router.HandlerFunc(http.MethodPost, OriginPath, handle(func(_ context.Context, request OriginRequest) OriginResponse { return k.Origin(request) }))
 	router.HandlerFunc(http.MethodPost, LoadPath, handle(k.Load))
 	router.HandlerFunc(http.MethodPost, StagePath, handle(func(ctx context.Context, request StageRequest) StageResponse {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -12,6 +12,7 @@
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/pool"
+	"crocusstep/quota"
 	"crocusstep/table"
 )
 
@@ -48,6 +49,11 @@
 	// the endpoints that may have executed the request.
 	sends      int
 	executions int
+	// prefilled is set once an endpoint may have prefilled the prompt.
+	prefilled bool
+	// charge is what the request took of the workspace's quota, by a grant of granter.
+	charge  quota.Charge
+	granter ident.Address
 	// started is set once a part of the response has been sent to the caller.
 	started bool
 	status  int
@@ -81,6 +87,10 @@
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	e.retryLimiter(e.service.Name).RecordRequest(e.request.Arrived)
+	if refusal := e.chargeQuota(ctx); refusal != nil {
+		return refusal
+	}
+	defer e.returnUnusedQuota()
 	if refusal := e.admit(); refusal != nil {
 		return refusal
 	}
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -24,6 +24,7 @@
 	"crocusstep/keeper"
 	"crocusstep/meter"
 	"crocusstep/pool"
+	"crocusstep/quota"
 	"crocusstep/retry"
 	"crocusstep/table"
 )
@@ -279,6 +280,10 @@
 	return keeper.PermitResponse{}, nil
 }
 
+func (*fakeBackend) Quota(context.Context, ident.Address, keeper.QuotaRequest) (quota.Response, error) {
+	return quota.Response{}, nil
+}
+
 func (b *fakeBackend) Load(context.Context, ident.Address, keeper.LoadRequest) (keeper.ReserveResponse, error) {
 	return b.load, nil
 }
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -202,4 +202,5 @@
 		s.sends++
 	}
 	s.prefills++
+	s.prefilled = true
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"crocusstep/keeper"
 	"crocusstep/memory"
 	"crocusstep/pool"
+	"crocusstep/quota"
 	"crocusstep/retry"
 	"crocusstep/table"
 )
@@ -38,6 +39,7 @@
 	ChangeStage(ctx context.Context, endpoint ident.Address, request keeper.StageRequest) (keeper.StageResponse, error)
 	Origin(ctx context.Context, endpoint ident.Address, request keeper.OriginRequest) (keeper.OriginResponse, error)
 	Permit(ctx context.Context, endpoint ident.Address, request keeper.PermitRequest) (keeper.PermitResponse, error)
+	Quota(ctx context.Context, endpoint ident.Address, request keeper.QuotaRequest) (quota.Response, error)
 }
 
 // Config configures a Relay.
@@ -48,7 +50,9 @@
 	Keepers   Keepers
 	// Retries holds the retry limits that all relays share.
 	Retries retry.Limits
-	// RelayCount returns how many relays share the retry limits.
+	// Quotas holds what is tolerated beyond the quotas of workspaces.
+	Quotas quota.Bounds
+	// RelayCount returns how many relays share the retry limits and the quotas.
 	RelayCount func() int
 }
 
@@ -64,6 +68,7 @@
 	origins     *originLog
 	// waitEstimator distinguishes returning callers from new ones.
 	waitEstimator *retry.WaitEstimator
+	quotas        *quotas
 	tasks         common.Tasks
 
 	mutex sync.Mutex
@@ -89,6 +94,7 @@
 		crashes:          crash.NewTracker(),
 		partCrashed:      make(chan struct{}, 1),
 		origins:          newOriginLog(),
+		quotas:           newQuotas(config.Quotas),
 		retryLimiters:    map[ident.ServiceName]*retry.Limiter{},
 		waitEstimator:    retry.NewWaitEstimator(),
 		unreachableUntil: map[ident.EndpointName]time.Time{},
--- a/relay/request.go
+++ b/relay/request.go
@@ -37,6 +37,9 @@
 	Resumes ident.AttemptID
 	// Prompt is nil if the request carries no token counts.
 	Prompt *Prompt
+	// InvalidTokenCounts is set if the request carries token counts that are not two positive
+	// numbers.
+	InvalidTokenCounts bool
 	// Key is the digest of the caller's key, zero if the request has none.
 	Key table.KeyDigest
 	// IdentityHeaders are those of Header that identify the caller. They are forwarded only if
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -15,6 +15,7 @@
 	"crocusstep/keeper"
 	"crocusstep/platform"
 	"crocusstep/pool"
+	"crocusstep/quota"
 	"crocusstep/relay"
 	"crocusstep/retry"
 	"crocusstep/socket"
@@ -76,6 +77,7 @@
 		Endpoints:  s.endpoints,
 		Keepers:    keepers,
 		Retries:    retryLimits(settings),
+		Quotas:     quotaBounds(settings),
 		RelayCount: func() int { return s.gossip.RelayCount() },
 	})
 	s.gossip = relay.NewGossip(s.relay, s.pool, keepers, string(settings.Location.Instance))
@@ -87,6 +89,10 @@
 	return retry.Limits{Ratio: settings.Retries.Ratio, Slack: settings.Retries.Slack, Window: settings.Retries.Window.Std()}
 }
 
+func quotaBounds(settings conf.Relay) quota.Bounds {
+	return quota.Bounds{Window: settings.Quotas.Window.Std(), Excess: settings.Quotas.Excess, Slack: quota.Units(settings.Quotas.Slack)}
+}
+
 func newTopology(settings conf.Relay) pool.Topology {
 	topology := pool.Topology{Zone: settings.Location.Zone, Regions: map[ident.ZoneName]ident.RegionName{}}
 	for _, z := range settings.Zones {
@@ -130,6 +136,7 @@
 	s.tasks.Go(func() { s.gossip.Run(s.ctx) })
 	s.tasks.Go(func() { s.relay.Balance(s.ctx, s.gossip.IsLeader) })
 	s.tasks.Go(func() { s.relay.SendOrigins(s.ctx) })
+	s.tasks.Go(func() { s.relay.ReturnQuotas(s.ctx) })
 	s.tasks.Go(func() { s.cleanUp(endpoints) })
 }
 
@@ -183,8 +190,8 @@
 }
 
 // watchSettings reloads the settings file at SIGHUP and when a poll finds it
-// changed. Only the retry limits and the shutdown times are applied; all else
-// needs a restart.
+// changed. Only the retry limits, the tolerances of quotas and the shutdown times are
+// applied; all else needs a restart.
 func (s *relayServer) watchSettings(file string) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
@@ -211,8 +218,10 @@
 			continue
 		}
 		s.relay.SetRetries(retryLimits(settings))
+		s.relay.SetQuotas(quotaBounds(settings))
 		s.shutdownSettings.Store(&settings.Shutdown)
-		s.Log.Info("settings reloaded", "retry-ratio", settings.Retries.Ratio, "retry-slack", settings.Retries.Slack, "grace", settings.Shutdown.GracePeriod)
+		s.Log.Info("settings reloaded", "retry-ratio", settings.Retries.Ratio, "retry-slack", settings.Retries.Slack,
+			"quota-excess", settings.Quotas.Excess, "quota-slack", settings.Quotas.Slack, "grace", settings.Shutdown.GracePeriod)
 	}
 }
 
