--- a/relay/call.go
+++ b/relay/call.go
@@ -36,6 +36,11 @@
 			}
 			break
 		}
+		if revoked := e.revoked(); revoked != nil {
+			e.config.Pool.ReturnPermit(endpoint.Endpoint)
+			refusal = revoked
+			break
+		}
 		if !e.allowSend(ctx) {
 			e.config.Pool.ReturnPermit(endpoint.Endpoint)
 			break
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -34,6 +34,8 @@
 	service   table.Service
 	// tableVersion is that of the table that routed the request.
 	tableVersion table.Version
+	// keysVersion is that of the newest table that allowed the caller.
+	keysVersion table.Version
 	// urgent is set if no route to the service is more urgent.
 	urgent bool
 	writer http.ResponseWriter
@@ -162,7 +164,7 @@
 			final.Code = fault.EndpointFailed
 		}
 	}
-	if final.Outcome == fault.NotExecuted && !impliesNotExecuted(final.Status()) && final.Code != fault.Cancelled {
+	if final.Outcome == fault.NotExecuted && !impliesNotExecuted(final.Status()) && final.Code != fault.Cancelled && final.Code != fault.UnknownCaller {
 		final.Code = fault.EndpointBusy
 		final.RetryAfter = max(final.RetryAfter, e.retryAfterJitter(minRetryAfter))
 	}
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -102,9 +102,22 @@
 	downRequests int
 	// onPrefill is called after a successful prefill.
 	onPrefill func()
+	// onAsk, if set, is called when a keeper is asked for memory, a slot or a permit.
+	onAsk func(what string)
+	// onSend, if set, is called when an endpoint receives a request.
+	onSend func(operation string)
+}
+
+func (b *fakeBackend) ask(what string) {
+	if b.onAsk != nil {
+		b.onAsk(what)
+	}
 }
 
 func (b *fakeBackend) next(e pool.Endpoint, operation string) behaviour {
+	if b.onSend != nil {
+		b.onSend(operation)
+	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	script := b.script[e.Name]
@@ -235,6 +248,7 @@
 }
 
 func (b *fakeBackend) Reserve(ctx context.Context, endpoint ident.Address, _ keeper.ReserveRequest) (keeper.ReserveResponse, error) {
+	b.ask("memory")
 	b.lastReserved = ident.EndpointName(strings.TrimSuffix(string(endpoint), ":1"))
 	if err := b.keeperError(ctx); err != nil {
 		return keeper.ReserveResponse{}, err
@@ -275,8 +289,9 @@
 	return keeper.OriginResponse{}, nil
 }
 
-func (*fakeBackend) Permit(context.Context, ident.Address, keeper.PermitRequest) (keeper.PermitResponse, error) {
-	return keeper.PermitResponse{}, nil
+func (b *fakeBackend) Permit(context.Context, ident.Address, keeper.PermitRequest) (keeper.PermitResponse, error) {
+	b.ask("permit")
+	return keeper.PermitResponse{Granted: b.onAsk != nil}, nil
 }
 
 func (b *fakeBackend) Load(context.Context, ident.Address, keeper.LoadRequest) (keeper.ReserveResponse, error) {
@@ -284,6 +299,9 @@
 }
 
 func (b *fakeBackend) SchedulePrefill(ctx context.Context, endpoint ident.Address, request keeper.PrefillRequest) (keeper.PrefillResponse, error) {
+	if !request.Local {
+		b.ask("slot")
+	}
 	if err := b.keeperError(ctx); err != nil {
 		return keeper.PrefillResponse{}, err
 	}
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -67,7 +67,8 @@
 			// The first prefill was free; another one counts as a send.
 			s.sends++
 		}
-		if refusal := s.suspended(); refusal != nil {
+		if refusal := s.barred(); refusal != nil {
+			s.config.Pool.ReturnPermit(next.member.Endpoint)
 			return nil, refusal
 		}
 		if !s.allowSend(ctx) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -108,6 +107,7 @@
 			return false
 		}
 		if r.table.CompareAndSwap(current, next) {
+			r.logKeys(current, next)
 			return true
 		}
 	}
@@ -135,14 +135,11 @@
 	if t == nil || !r.config.Pool.Loaded() {
 		return r.RecordRefusal(request.Attempt, fault.New(fault.DocumentsNotLoaded, "no routes are known yet").WithRetryAfter(r.retryAfterJitter(minRetryAfter)))
 	}
-	workspace := identify(t, request)
-	route, found := t.MatchCaller(request.Host, request.Path, workspace)
-	if !found {
-		return r.RecordRefusal(request.Attempt, fault.New(fault.UnknownRoute, "no route matches in version %d", t.Version))
-	}
-	if t.KeysRequired() && workspace == nil && !route.Open {
-		return r.RecordRefusal(request.Attempt, fault.New(fault.UnknownCaller, "no workspace has the key in version %d", t.Version))
+	route, workspace, refusal := match(t, request)
+	if refusal != nil {
+		return r.RecordRefusal(request.Attempt, refusal)
 	}
+	request.setWorkspace(t, workspace)
 	service := route.Pick(rand.Float64())
 	e := &exchange{
 		Relay:        r,
@@ -151,6 +148,7 @@
 		workspace:    workspace,
 		service:      t.Services[service],
 		tableVersion: t.Version,
+		keysVersion:  t.Version,
 		urgent:       t.MostUrgent(route, service),
 		writer:       w,
 		tried:        map[ident.EndpointName]bool{},
@@ -158,25 +156,11 @@
 		deadline:     request.Arrived.Add(min(request.Timeout, route.Timeout) - deadlineMargin),
 	}
 	e.service.Name = service
-	refusal := e.serve(ctx)
+	refusal = e.serve(ctx)
 	e.log(refusal)
 	return refusal
 }
 
-// identify returns the workspace of the caller, nil if it is unknown, and completes the request's
-// headers.
-func identify(t *table.Table, request *Request) *table.Workspace {
-	if !t.KeysRequired() {
-		maps.Copy(request.Header, request.IdentityHeaders)
-		return nil
-	}
-	workspace := t.Caller(request.Key)
-	if workspace != nil {
-		request.Workspace = workspace.Name
-	}
-	return workspace
-}
-
 // RecordRefusal counts and logs a refusal that precedes routing, and returns it.
 func (r *Relay) RecordRefusal(attempt ident.AttemptID, refusal *fault.Refusal) *fault.Refusal {
 	r.Meter.CountRequest("", string(refusal.Code), false)
--- a/relay/request.go
+++ b/relay/request.go
@@ -24,7 +24,8 @@
 	Target string
 	Path   string
 	Host   string
-	// Header is forwarded; it holds neither hop-by-hop headers nor the router's own.
+	// Header is forwarded; it holds neither hop-by-hop headers, nor the router's own, nor those
+	// that identify the caller.
 	Header  http.Header
 	Body    []byte
 	HasBody bool
@@ -39,9 +40,11 @@
 	Prompt *Prompt
 	// Key is the digest of the caller's key, zero if the request has none.
 	Key table.KeyDigest
-	// IdentityHeaders are those of Header that identify the caller. They are forwarded only if
-	// callers need no keys.
+	// IdentityHeaders are the caller's own headers that identify it, which Header lacks. They are
+	// forwarded only if ForwardsIdentity is set.
 	IdentityHeaders http.Header
+	// ForwardsIdentity is set if callers need no keys.
+	ForwardsIdentity bool
 	// Workspace is whose request it is, empty if that is unknown.
 	Workspace ident.WorkspaceName
 	// digest is empty until it is needed.
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -100,7 +100,7 @@
 // attempt makes one attempt at serving the request.
 func (s *stream) attempt(ctx context.Context) error {
 	s.tryEvents = 0
-	if refusal := s.suspended(); refusal != nil {
+	if refusal := s.barred(); refusal != nil {
 		return refusal
 	}
 	if !s.disaggregated() {
@@ -197,7 +197,7 @@
 		// The first event arrived while a stall had memory reserved elsewhere.
 		return nil, errors.Join(client.ErrNotSent, errors.New("the endpoint runs another software version than the stream"))
 	}
-	if refusal := s.suspended(); refusal != nil {
+	if refusal := s.barred(); refusal != nil {
 		return nil, errors.Join(client.ErrNotSent, refusal)
 	}
 	if !s.allowSend(ctx) {
@@ -254,7 +254,7 @@
 	if err == nil || cached == nil || !errors.Is(err, client.ErrNotSent) && !errors.Is(err, errNotExecuted) {
 		return nil
 	}
-	if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 || errors.Is(err, errNoRetry) || s.suspended() != nil {
+	if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 || errors.Is(err, errNoRetry) || s.barred() != nil {
 		return nil
 	}
 	s.tried[s.endpoint] = true
--- a/table/table.go
+++ b/table/table.go
@@ -106,9 +106,10 @@
 	Limits   Limits
 	// routes holds the routes of each host, longest prefix first.
 	routes map[string][]Route
-	// priorities holds the priority of the most urgent route to each service.
+	// priorities holds the priority of the most urgent caller and route to each service.
 	priorities map[ident.ServiceName]int
-	callers    map[KeyDigest]*Workspace
+	// callers holds the workspace of each key.
+	callers map[KeyDigest]*Workspace
 }
 
 // Document is the serialized form of a table, in which processes exchange it.
@@ -129,9 +130,10 @@
 		t.Services[s.Name] = s
 	}
 	t.indexCallers()
+	callers := newCallerPriorities(d)
 	for _, r := range d.Routes {
 		t.routes[r.Host] = append(t.routes[r.Host], r)
-		priority := t.highestPriority(r)
+		priority := callers.on(r)
 		for _, s := range r.WeightedServices {
 			if highest, known := t.priorities[s.Service]; !known || priority < highest {
 				t.priorities[s.Service] = priority
@@ -150,7 +152,7 @@
 	return w.prioritize(r), found
 }
 
-// MostUrgent reports whether no route to a service is more urgent than r.
+// MostUrgent reports whether no caller has a more urgent route to a service than r.
 func (t *Table) MostUrgent(r Route, service ident.ServiceName) bool {
 	return r.Priority <= t.priorities[service]
 }
