--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -29,6 +29,16 @@
 	// relayCountWindow is how long the highest number of relays counts at least: a restarted
 	// keeper needs about 2 s to hear of all relays.
 	relayCountWindow = 5 * time.Second
+	// watchTimeout is the longest wait of a watch in a relay that watches the store
+	// continuously. A lost watch is noticed after it and the timeout of a call (0.8 s): together
+	// less than the 4 s within which a change must be known after an outage.
+	watchTimeout = 2400 * time.Millisecond
+	// relaxedWatchTimeout is that of the other relays, which receive changes by gossip
+	// from the relays that watch continuously.
+	relaxedWatchTimeout = 8 * time.Second
+	// relaxedWatchPause is the time that gossip through the keepers takes to reach
+	// the other relays.
+	relaxedWatchPause = 1200 * time.Millisecond
 	// unknownRelayCount is assumed until a keeper has reported the number of relays: more
 	// than any deployment has, so that relays without keepers keep to the shared limits.
 	unknownRelayCount = 1000
@@ -84,6 +94,19 @@
 	return g.rank.Load() < watcherCount || contact == nil || now.Sub(*contact) > keeperContactTTL
 }
 
+// NextWatchTimeout returns a random wait for the next watch of the store, so that the watches
+// of different relays end at different times and some relay soon notices when all
+// lose the store together. Relays that receive changes from others pause between
+// two watches, so that several changes cost one call.
+func (g *Gossip) NextWatchTimeout(ctx context.Context) time.Duration {
+	limit := watchTimeout
+	if !g.IsWatcher() {
+		common.Sleep(ctx, relaxedWatchPause)
+		limit = relaxedWatchTimeout
+	}
+	return limit/2 + rand.N(limit/2)
+}
+
 func (g *Gossip) recordContact(now time.Time) { g.lastContact.Store(&now) }
 
 // Announce makes Run send a change from the store to all hubs immediately.
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -24,16 +23,6 @@
 )
 
 const (
-	// watchTimeout is the longest wait of a watch in a relay that watches the store
-	// continuously. A lost watch is noticed after it and storeTimeout: together less
-	// than the 4 s within which a change must be known after an outage.
-	watchTimeout = 2400 * time.Millisecond
-	// relaxedWatchTimeout is that of the other relays, which receive changes by gossip
-	// from the relays that watch continuously.
-	relaxedWatchTimeout = 8 * time.Second
-	// relaxedWatchPause is the time that gossip through the keepers takes to reach
-	// the other relays.
-	relaxedWatchPause = 1200 * time.Millisecond
 	// storeTimeout bounds a call to the store, which responds in 4 ms, and in up to 60
 	// times that when it is slow.
 	storeTimeout = 800 * time.Millisecond
@@ -129,8 +118,8 @@
 		Timeout: storeTimeout,
 		Observe: func(call string, size ident.ByteCount) { s.Meter.CountControlMessage("platform-"+call, size) },
 	})
-	configs := store.NewWatcher(s.Common, client, platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.nextWatchTimeout})
-	endpoints := store.NewWatcher(s.Common, client, platform.EndpointKind, &platform.EndpointReader{Common: s.Common, Pool: s.pool, NextWatchTimeout: s.nextWatchTimeout, OnChange: s.gossip.Announce})
+	configs := store.NewWatcher(s.Common, client, platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.gossip.NextWatchTimeout})
+	endpoints := store.NewWatcher(s.Common, client, platform.EndpointKind, &platform.EndpointReader{Common: s.Common, Pool: s.pool, NextWatchTimeout: s.gossip.NextWatchTimeout, OnChange: s.gossip.Announce})
 	s.tasks.Go(func() { configs.Run(s.ctx) })
 	s.tasks.Go(func() { endpoints.Run(s.ctx) })
 	s.tasks.Go(func() { s.gossip.Run(s.ctx) })
@@ -140,19 +129,6 @@
 	s.tasks.Go(func() { s.cleanUp(endpoints) })
 }
 
-// nextWatchTimeout returns a random wait for the next watch, so that the watches
-// of different relays end at different times and some relay soon notices when all
-// lose the store together. Relays that receive changes from others pause between
-// two watches, so that several changes cost one call.
-func (s *relayServer) nextWatchTimeout(ctx context.Context) time.Duration {
-	limit := watchTimeout
-	if !s.gossip.IsWatcher() {
-		common.Sleep(ctx, relaxedWatchPause)
-		limit = relaxedWatchTimeout
-	}
-	return limit/2 + rand.N(limit/2)
-}
-
 func (s *relayServer) applyTable(d *table.Document) {
 	if s.relay.SetTable(d) {
 		s.Log.Info("routes in force", "table", d.Version, "routes", len(d.Routes), "services", len(d.Services))
