--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -173,9 +173,9 @@
 	},
 	{
 		guarantee: "only complete events are forwarded, so that another endpoint can continue",
-		file:      "relay/stream.go",
-		original:  "complete := bytes.LastIndex(pending, []byte(\"\\n\\n\")) + 2",
-		mutated:   "complete := len(pending)",
+		file:      "event/splitter.go",
+		original:  "\ts.complete = completeBytes(s.buffer)\n",
+		mutated:   "\ts.complete = len(s.buffer)\n",
 		pkg:       "relay", test: "TestServeStream",
 	},
 	{
--- /dev/null
+++ b/mutant/workspace.go
@@ -0,0 +1,103 @@
+package main
+
+// workspaceMutants holds one mutant for each mechanism of workspaces and callers' keys.
+var workspaceMutants = []mutant{
+	{
+		guarantee: "no caller without a key is served",
+		file:      "relay/caller.go",
+		original:  "case !t.KeysRequired() || isOpen || workspace != nil:",
+		mutated:   "case true:",
+		pkg:       "platform", test: "TestKeys",
+	},
+	{
+		guarantee: "no key reaches an endpoint",
+		file:      "platform/endpoint_client.go",
+		original:  "if r.ForwardsIdentity {",
+		mutated:   "if true {",
+		pkg:       "platform", test: "TestKeys",
+	},
+	{
+		guarantee: "endpoints learn the workspace",
+		file:      "platform/endpoint_client.go",
+		original:  "header.Set(workspaceHeader, string(r.Workspace))",
+		mutated:   "header.Del(workspaceHeader)",
+		pkg:       "platform", test: "TestResumedStreamKeepsWorkspace",
+	},
+	{
+		guarantee: "a key counts although its header is listed in Connection",
+		file:      "platform/caller_handler.go",
+		original:  "decodeKey(header[keyHeader])",
+		mutated:   "decodeKey(request.Header[keyHeader])",
+		pkg:       "platform", test: "TestKeys",
+	},
+	{
+		guarantee: "a caller without a key is refused before its body has come",
+		file:      "platform/caller_handler.go",
+		original:  "\t\t\tw.Header().Set(\"Connection\", \"close\")\n\t\t\treturn nil, refusal\n",
+		mutated:   "\t\t\treturn nil, refusal\n",
+		pkg:       "platform", test: "TestUnknownCallerBeforeBody",
+	},
+	{
+		guarantee: "a waiting request whose key was revoked is not sent",
+		file:      "relay/caller.go",
+		original:  "if e.started || t.Version == e.keysVersion {",
+		mutated:   "if true {",
+		pkg:       "relay", test: "TestRevokedWhileWaiting",
+	},
+	{
+		guarantee: "a stream that has begun is completed with a revoked key",
+		file:      "relay/caller.go",
+		original:  "if e.started || t.Version == e.keysVersion {",
+		mutated:   "if t.Version == e.keysVersion {",
+		pkg:       "relay", test: "TestRevokedWhileRunning",
+	},
+	{
+		guarantee: "a revoked key is refused with 401",
+		file:      "relay/exchange.go",
+		original:  " && final.Code != fault.UnknownCaller {",
+		mutated:   " {",
+		pkg:       "relay", test: "TestRevokedWhileWaiting",
+	},
+	{
+		guarantee: "a list of workspaces that is null does not turn keys off",
+		file:      "platform/workspaces.go",
+		original:  "return nil, false, errors.New(\"the workspaces are null\")",
+		mutated:   "return nil, false, nil",
+		pkg:       "platform", test: "TestDecodeWorkspaces",
+	},
+	{
+		guarantee: "a key is of one workspace only",
+		file:      "platform/workspaces.go",
+		original:  "if holder, found := holders[key]; found {",
+		mutated:   "if holder, found := holders[key]; false && found {",
+		pkg:       "platform", test: "TestDecodeWorkspaces",
+	},
+	{
+		guarantee: "a bad document is logged once",
+		file:      "platform/store_readers.go",
+		original:  "\t\tr.rejected = newest.Version\n",
+		mutated:   "",
+		pkg:       "platform", test: "TestBadDocument",
+	},
+	{
+		guarantee: "an older document replaces no newer one",
+		file:      "relay/relay.go",
+		original:  "if current != nil && next.Version <= current.Version {",
+		mutated:   "if current != nil && next.Version == current.Version {",
+		pkg:       "platform", test: "TestRevocation",
+	},
+	{
+		guarantee: "relays that the store turns away learn a revocation from their peers",
+		file:      "relay/gossip.go",
+		original:  "if in.Table != nil && g.relay.SetTable(in.Table) {",
+		mutated:   "if in.Table != nil && false {",
+		pkg:       "platform", test: "TestRevocation",
+	},
+	{
+		guarantee: "a workspace's priority goes before its route's",
+		file:      "table/workspace.go",
+		original:  "if w != nil && w.Priority != nil {",
+		mutated:   "if false {",
+		pkg:       "table", test: "TestMostUrgent",
+	},
+}
