Quotas: half of the slack is granted with the burst; leases are bounded by size

Change: the granter's bucket holds half of the slack and half of the burst; the other half of the burst is granted steadily. Units that a relay holds in advance are bounded by a part of the slack instead of by time, so that a relay that serves few requests of a workspace calls less.

"request ended" names workspace and charge.

--- a/quota/account.go
+++ b/quota/account.go
@@ -8,7 +8,7 @@
 
 const (
 	// trendSpan is the time constant of an account's average use.
-	trendSpan = time.Second
+	trendSpan = 4 * time.Second
 	// extraSpan is the time for whose expected use units are asked for in advance: half of
 	// LeaseTTL, so that few of them expire.
 	extraSpan = LeaseTTL / 2
@@ -22,7 +22,7 @@
 	lease          Units
 	leaseGrantedAt time.Time
 	emergencyLease bool
-	// use is the recent use of requests below maxExtra, a second.
+	// use is the recent use of requests that a lease can hold, a second.
 	use   Units
 	useAt time.Time
 	// deniedUntil is when the granter can grant anything again, retryAfter when denied requests
@@ -53,11 +53,10 @@
 	if now.Sub(a.leaseGrantedAt) >= LeaseTTL {
 		a.lease = 0
 	}
-	maxExtra := limit.PerSecond / Units(max(1, relays))
-	if amount <= maxExtra {
+	if maxLease := limit.maxLease(relays); amount <= maxLease {
 		a.decayUse(now)
 		a.use += amount / Units(trendSpan.Seconds())
-		extra = min(a.use*Units(extraSpan.Seconds()), maxExtra)
+		extra = min(a.use*Units(extraSpan.Seconds()), maxLease)
 	}
 	if a.lease+a.share.level < amount {
 		return Charge{}, amount, extra
@@ -80,6 +79,7 @@
 	defer a.mutex.Unlock()
 	a.deniedUntil = time.Time{}
 	if rest := response.Granted - amount; rest > 0 {
+		// An older lease is given up, so that the relay never holds two.
 		a.lease, a.leaseGrantedAt, a.emergencyLease = rest, askedAt, emergency
 	}
 	a.used += amount
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -32,7 +32,7 @@
 
 // restarted reports whether the bucket has been in use for less than its window, so that another
 // process may have granted units in it.
-func (b *bucket) restarted(now time.Time) bool { return now.Sub(b.began) < b.terms.span }
+func (b *bucket) restarted(now time.Time) bool { return now.Sub(b.began) < b.terms.window }
 
 // update fills the bucket and moves its window.
 func (b *bucket) update(now time.Time) {
@@ -51,14 +51,14 @@
 	}
 }
 
-func (b *bucket) slotLength() time.Duration { return max(1, b.terms.span/slots) }
+func (b *bucket) slotLength() time.Duration { return max(1, b.terms.window/slots) }
 
 // setTerms changes the terms. The window starts again if its length changes.
 func (b *bucket) setTerms(t terms, now time.Time) {
 	if t == b.terms {
 		return
 	}
-	if t.span != b.terms.span {
+	if t.window != b.terms.window {
 		b.taken, b.newest, b.origin = [slots + 1]Units{}, 0, now
 	}
 	if t.windowMax < b.terms.windowMax {
@@ -69,15 +69,12 @@
 	b.level = min(b.level, t.capacity)
 }
 
-// wait returns the time until units can be taken, zero if they can now.
+// wait returns the time until units can be taken, zero if they can now. A request may be larger
+// than the capacity: it overdraws a bucket that is not overdrawn already.
 func (b *bucket) wait(now time.Time, need Units) time.Duration {
-	floor := Units(0)
-	if !b.restarted(now) {
-		floor = -b.terms.overdraft
-	}
 	wait := time.Duration(0)
-	if b.level < floor {
-		wait = max(1, seconds((floor-b.level)/b.terms.perSecond))
+	if b.level < 0 {
+		wait = max(1, seconds(-b.level/b.terms.perSecond))
 	}
 	sum := need
 	for _, taken := range b.taken {
@@ -114,7 +111,7 @@
 		b.promised = first
 	}
 	promised := b.promised.Sub(now)
-	b.promised = now.Add(min(promised+seconds(need/b.terms.perSecond), b.terms.span))
+	b.promised = now.Add(min(promised+seconds(need/b.terms.perSecond), b.terms.window))
 	return promised
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -36,23 +36,28 @@
 }
 
 // The parts of the slack. Relays in two halves that do not know of each other take their shares
-// twice, so that seven of eight parts are in use at most; the last one is for the request that
-// overdraws a new granter's bucket.
+// and leases twice, so that seven of eight parts are in use at most. The last one is for the
+// request that overdraws the bucket of a new granter.
 const (
-	sharePart     = 1.0 / 4
-	emergencyPart = 1.0 / 4
-	overdraftPart = 1.0 / 8
+	grantPart     = 1.0 / 2
+	emergencyPart = 1.0 / 8
+	sharePart     = 1.0 / 16
+	leasePart     = 1.0 / 16
 )
 
 const (
-	// shareSpan is how long a relay's share accumulates: at 31 relays and the smallest quota, a
-	// share of 100 tokens a second then holds a plain request of 200.
-	shareSpan = 3 * time.Second
+	// shareSpan is how long a relay's share accumulates: a relay that is idle most of the time
+	// can then use it for a request of its own.
+	shareSpan = 8 * time.Second
 	// LeaseTTL is how long a relay may use units that were granted beyond the need of a request.
-	LeaseTTL = time.Second
+	// The size of leases alone bounds what is used beyond the window of their grant.
+	LeaseTTL = 30 * time.Second
 	// maxOverlap is how long relays may differ in the granter after its change: a change reaches
 	// every relay within two exchanges with keepers, 0.6 s apart.
 	maxOverlap = 2 * time.Second
+	// steadyBurstPart is the part of the burst that is granted at a steady rate over a window
+	// instead of at once: a workspace that stays at its limit may use a burst in each window.
+	steadyBurstPart = 0.5
 )
 
 // quota returns the units of the quota in a window.
@@ -64,28 +69,35 @@
 	return sharePart * l.Slack / Units((l.Window + shareSpan).Seconds())
 }
 
+// maxLease returns the most that one of a number of relays holds in advance.
+func (l Limit) maxLease(relays int) Units { return leasePart * l.Slack / Units(max(1, relays)) }
+
 // terms are the terms under which a bucket is emptied.
 type terms struct {
 	// perSecond fills the bucket up to capacity; positive.
 	perSecond, capacity Units
-	// overdraft is how far the level may be below zero before the last request.
-	overdraft Units
-	// windowMax limits the units taken in span.
+	// windowMax limits the units taken in window.
 	windowMax Units
-	span      time.Duration
+	window    time.Duration
 }
 
-// granted returns the terms of the granter's bucket. Leases are used up to LeaseTTL after their
-// grant, so that the window of grants is longer.
+// granted returns the terms of the granter's bucket. In a window, a full bucket grants windowMax.
+// A granter that begins with an empty one and its predecessor grant no more together.
 func (l Limit) granted() terms {
-	overdraft := overdraftPart * l.Slack
-	return terms{perSecond: l.PerSecond, capacity: l.Burst, overdraft: overdraft, windowMax: l.quota() + overdraft, span: l.Window + LeaseTTL}
+	steady := steadyBurstPart * l.Burst
+	extra := grantPart * l.Slack
+	return terms{
+		perSecond: l.PerSecond + steady/Units(l.Window.Seconds()),
+		capacity:  l.Burst - steady + extra,
+		windowMax: l.quota() + extra,
+		window:    l.Window,
+	}
 }
 
 // emergency returns the terms of the bucket for relays that do not reach the granter.
 func (l Limit) emergency() terms {
 	total := emergencyPart * l.Slack
-	return terms{perSecond: max(total/Units(l.Window.Seconds()), minPerSecond), windowMax: total, span: l.Window}
+	return terms{perSecond: max(total/Units(l.Window.Seconds()), minPerSecond), windowMax: total, window: l.Window}
 }
 
 // minPerSecond keeps waits finite where the slack is zero.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -209,10 +209,16 @@
 	if e.request.Prompt != nil {
 		prompt = *e.request.Prompt
 	}
-	e.Log.Info("request ended", "request", e.request.Attempt, "route", e.route.Name, "service", e.service.Name,
+	attributes := []any{
+		"request", e.request.Attempt, "route", e.route.Name, "service", e.service.Name,
 		"table", e.tableVersion, "endpoints", e.config.Pool.Revision(), "endpoint", e.endpoint, "outcome", outcome,
 		"status", e.status, "sends", e.sends, "ran", e.executions, "first", firstLatency, "whole", responseTime, "spent", e.earlierWait,
 		"prompt", prompt.Tokens, "estimate", prompt.EstimatedOutput, "longest-pause", e.longestGap, "tokens-made", e.generated.Load(),
 		"resumes", e.request.Resumes, "versions", e.versions, "framing", e.framing, "unfinished", e.unfinished,
-		"retry-after", wait, "note", note)
+		"retry-after", wait, "note", note,
+	}
+	if e.workspace != nil && e.workspace.Quota != nil {
+		attributes = append(attributes, "workspace", e.workspace.Name, "charge", e.charge.Total, "granted", e.charge.Granted)
+	}
+	e.Log.Info("request ended", attributes...)
 }
