Relay: no second prefill without a send left for its decode

Cause: after a first send, the retry limits were asked for the prefill and, once the prompt was read, again for the decode. Change: both sends are acquired before the prefill. After a rejected decode the search for another engine ends with half of the handle's life, and after as many engines as a first search. Test: TestNoPrefillWithoutDecode failed before (two prefills), passes now.

--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -71,7 +71,7 @@
 			s.config.Pool.ReturnPermit(next.member.Endpoint)
 			return nil, refusal
 		}
-		if !s.allowSend(ctx) {
+		if !s.allowPrefill(ctx) {
 			return nil, errors.Join(client.ErrNotSent, errNoRetry)
 		}
 		cached, err := s.prefillAt(ctx, next.member, next.backlog)
@@ -82,6 +82,16 @@
 	return nil, nil
 }
 
+// allowPrefill reports whether the prompt may be sent to one more prefill endpoint. After the
+// first send, the retry limits must also allow the decode that follows: otherwise the prompt
+// would be prefilled in vain.
+func (s *stream) allowPrefill(ctx context.Context) bool {
+	if s.sends > 0 && (s.sends+resumeSends > maxSends || !s.prepaySends(resumeSends-s.prepaidSends)) {
+		return false
+	}
+	return s.allowSend(ctx)
+}
+
 // prefillSlot is the result of requests for a prefill slot.
 type prefillSlot struct {
 	granted bool
--- a/relay/prefill_test.go
+++ b/relay/prefill_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,3 +51,22 @@
 		assert.Equal(t, len(backend.sent), 1, "%v", backend.sent)
 	})
 }
+
+// A stream breaks off, and the retry limits allow one more send of the two that its prefill and
+// its decode at another engine take.
+func TestNoPrefillWithoutDecode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &fakeBackend{nextDecode: interruptsStream}
+		r := newTestRelay(t, backend)
+		r.SetRetries(retry.Limits{Slack: 1.25, Window: 10 * time.Second})
+		_, refusal := send(t.Context(), r, "/resume/x")
+		assert.Assert(t, refusal != nil)
+		prefills := 0
+		for _, sent := range backend.sent {
+			if strings.HasPrefix(sent, "prefill") {
+				prefills++
+			}
+		}
+		assert.Equal(t, prefills, 1, "%v", backend.sent)
+	})
+}
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -254,11 +254,15 @@
 	if err == nil || cached == nil || !errors.Is(err, client.ErrNotSent) && !errors.Is(err, errNotExecuted) {
 		return nil
 	}
-	if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 || errors.Is(err, errNoRetry) || s.barred() != nil {
+	if errors.Is(err, errNoRetry) || s.barred() != nil {
 		return nil
 	}
 	s.tried[s.endpoint] = true
-	for _, m := range s.decodeCandidates() {
+	candidates := s.decodeCandidates()
+	for _, m := range candidates[:min(maxDecodeTries, len(candidates))] {
+		if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 {
+			return nil
+		}
 		if _, res := s.tryReserve(ctx, m, 0, resumedUrgency); res != nil {
 			return res
 		}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -127,13 +127,13 @@
 	return true
 }
 
-// prepaySends counts sends against the retry limits before they are made.
+// prepaySends counts further sends against the retry limits before they are made.
 func (s *stream) prepaySends(count int) bool {
 	for range count {
 		if !s.retryLimiter(s.service.Name).TryAcquire(time.Now(), s.config.RelayCount()) {
 			return false
 		}
+		s.prepaidSends++
 	}
-	s.prepaidSends = count
 	return true
 }
