--- a/conf/relay.go
+++ b/conf/relay.go
@@ -41,6 +41,12 @@
 	Slack float64 `yaml:"slack"`
 }
 
+// Routing is how relays choose the endpoint of a request.
+type Routing struct {
+	// Send requests where they are likely to cost least, by what was learned of outputs and of the engines' speed.
+	LearnedCosts bool `yaml:"learned-costs"`
+}
+
 // RelayShutdown is how a relay shuts down after SIGTERM.
 type RelayShutdown struct {
 	// Time after SIGTERM for which new connections are still accepted while the load balancer stops sending.
@@ -70,6 +76,8 @@
 	// Tolerances of quotas.
 	Quotas   QuotaBounds   `yaml:"quotas"`
 	Shutdown RelayShutdown `yaml:"stop"`
+	// Choice of endpoints.
+	Routing Routing `yaml:"routing"`
 	// Memory limit of the process; the garbage collector keeps well below it.
 	Memory parser.Size `yaml:"memory"`
 }
--- a/keeper/engine_state.go
+++ b/keeper/engine_state.go
@@ -83,6 +83,7 @@
 func (k *Keeper) applyReport(report EngineReport, polledAt time.Time) {
 	if k.report.StartMillis != 0 && report.StartMillis != k.report.StartMillis {
 		clear(k.reservations)
+		k.speed = engineSpeed{}
 	}
 	reported := map[ident.AttemptID]bool{}
 	for _, running := range report.Requests {
@@ -119,7 +120,9 @@
 	case elapsed < minStepSample || held == r.sampleTokens:
 		return
 	default:
-		k.stepTime.add(len(k.report.Requests), elapsed/time.Duration(held-r.sampleTokens))
+		step := elapsed / time.Duration(held-r.sampleTokens)
+		k.stepTime.add(len(k.report.Requests), step)
+		k.speed.addStep(step, now)
 	}
 	r.sampleTokens, r.sampledAt = held, now
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"crocusstep/common"
+	"crocusstep/cost"
 	"crocusstep/ident"
 	"crocusstep/memory"
 	"crocusstep/origin"
@@ -65,6 +66,8 @@
 	mean     MeanRequest
 	// slowdown is the ratio of measured to nominal prefill time.
 	slowdown float64
+	// speed is what relays with learned costs ask for.
+	speed engineSpeed
 	// prefillUntil is when the last granted prefill is expected to end.
 	prefillUntil time.Time
 	// prefillGrantedAt is when the last prefill slot was granted.
@@ -303,5 +306,17 @@
 		Used:         k.used(),
 		StepTime:     k.stepTime.measured(k.maxRequests(request.Slots)),
 		MeanRequest:  k.mean,
+		Speed:        k.speedFor(request.Speed),
 	}
 }
+
+// speedFor returns the engine's speed if a relay wants it, else nil.
+func (k *Keeper) speedFor(wanted bool) *cost.Speed {
+	if !wanted {
+		return nil
+	}
+	speed := k.speed.speed(time.Now())
+	k.Meter.RecordEngineSpeed("prefill-slowdown", speed.Slowdown)
+	k.Meter.RecordEngineSpeed("decode-step-seconds", speed.Step.Seconds())
+	return speed
+}
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"crocusstep/cost"
 	"crocusstep/ident"
 	"crocusstep/memory"
 	"crocusstep/pool"
@@ -45,6 +46,8 @@
 	MaxWait time.Duration `json:"wait-ns"`
 	// Urgency orders waiting requests, lowest value first.
 	Urgency int `json:"urgency"`
+	// Speed is set if the relay wants the engine's speed.
+	Speed bool `json:"speed,omitempty"`
 }
 
 // initialTokens returns the tokens that the request holds when decoding starts.
@@ -77,6 +80,8 @@
 	StepTime time.Duration `json:"step-ns"`
 	// MeanRequest averages the reservations requested from this keeper.
 	MeanRequest MeanRequest `json:"load"`
+	// Speed is that of the engine if the request wants it, else nil.
+	Speed *cost.Speed `json:"speed,omitempty"`
 }
 
 // LoadRequest asks for the load without a reservation.
@@ -129,6 +134,9 @@
 	MaxStall time.Duration `json:"stall-ns,omitempty"`
 	// LastTiming is the newest prefill that the relay measured at this engine.
 	LastTiming PrefillTiming `json:"last"`
+	// Speed is set if the relay wants the engine's speed. The schedule then follows that speed,
+	// too.
+	Speed bool `json:"speed,omitempty"`
 }
 
 // PrefillTiming is the duration of a prefill without queueing and network time.
@@ -146,6 +154,8 @@
 	Slowdown float64 `json:"pace"`
 	// Down is set if the engine does not report or does not prefill.
 	Down bool `json:"down,omitempty"`
+	// Speed is that of the engine if the request wants it, else nil.
+	Speed *cost.Speed `json:"speed,omitempty"`
 }
 
 // StageRequest requests a change of an engine's stage.
--- a/keeper/prefill.go
+++ b/keeper/prefill.go
@@ -35,7 +35,12 @@
 		return k.scheduleLocalPrefill(request)
 	}
 	k.updateSlowdown(request.LastTiming)
-	duration := time.Duration(k.slowdown * float64(pool.PrefillTime(request.Tokens)))
+	k.speed.addPrefill(request.LastTiming, time.Now())
+	slowdown, speed := k.slowdown, k.speedFor(request.Speed)
+	if speed != nil && speed.Slowdown > 0 {
+		slowdown = speed.Slowdown
+	}
+	duration := time.Duration(slowdown * float64(pool.PrefillTime(request.Tokens)))
 	if k.down || !k.serves(pool.Prefill) {
 		return PrefillResponse{Down: true}
 	}
@@ -45,11 +50,11 @@
 	}
 	backlog := max(0, k.prefillUntil.Sub(now))
 	if backlog > request.MaxWait {
-		return PrefillResponse{Backlog: backlog, Slowdown: k.slowdown}
+		return PrefillResponse{Backlog: backlog, Slowdown: slowdown, Speed: speed}
 	}
 	k.prefillGrantedAt = now
 	k.prefillUntil = now.Add(backlog + duration)
-	return PrefillResponse{Granted: true, Backlog: backlog, Slowdown: k.slowdown}
+	return PrefillResponse{Granted: true, Backlog: backlog, Slowdown: slowdown, Speed: speed}
 }
 
 // updateSlowdown adds a measured prefill to the moving average.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -24,6 +24,7 @@
 var (
 	timeToFirstTokenBuckets = []float64{0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.2, 1.5, 2, 3, 5, 10, 30}
 	interTokenBuckets       = []float64{0.01, 0.02, 0.03, 0.04, 0.05, 0.06, 0.07, 0.076, 0.09, 0.12, 0.2, 0.5, 1, 5}
+	costErrorBuckets        = []float64{0.1, 0.25, 0.5, 0.7, 0.8, 0.9, 1, 1.1, 1.25, 1.5, 2, 4, 10}
 	responseTimeBuckets     = []float64{0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60}
 )
 
@@ -41,6 +42,8 @@
 	responseTime        metric.Float64Histogram
 	prefillTokens       metric.Int64Counter
 	wastedPrefillTokens metric.Int64Counter
+	costError           metric.Float64Histogram
+	engineSpeed         metric.Float64Gauge
 	controlMessages     metric.Int64Counter
 	controlBytes        metric.Int64Counter
 	crossRegionBytes    metric.Int64Counter
@@ -65,6 +68,8 @@
 		responseTime:        b.histogram("whole.answer", "Time to the whole answer.", responseTimeBuckets),
 		prefillTokens:       b.counter("prefill.tokens", "Prompt tokens sent to prefill endpoints."),
 		wastedPrefillTokens: b.counter("wasted.prefill.tokens", "Prefilled tokens whose result no caller got."),
+		costError:           b.ratios("cost.error", "Actual cost as a multiple of the predicted one, by kind of cost.", costErrorBuckets),
+		engineSpeed:         b.gauge("engine.speed", "Learned speed of this keeper's engine: slowdown of prefills, seconds of a decode step."),
 		controlMessages:     b.counter("control.messages", "Control messages by kind."),
 		controlBytes:        b.counter("control.bytes", "Bytes of control messages by kind."),
 		crossRegionBytes:    b.counter("region.link.bytes", "Bytes sent to another region."),
@@ -112,6 +117,17 @@
 	m.wastedPrefillTokens.Add(context.Background(), int64(tokens), m.serviceOption(service))
 }
 
+// RecordCostError records an actual cost as a multiple of the predicted one. The kind is one of few
+// constants.
+func (m *Meter) RecordCostError(service ident.ServiceName, kind string, ratio float64) {
+	m.costError.Record(context.Background(), ratio, m.serviceOption(service), metric.WithAttributes(attribute.String("kind", kind)))
+}
+
+// RecordEngineSpeed records what a keeper has learned of its engine.
+func (m *Meter) RecordEngineSpeed(kind string, value float64) {
+	m.engineSpeed.Record(context.Background(), value, metric.WithAttributes(attribute.String("kind", kind)))
+}
+
 // CountControlMessage counts one control message and its size by kind.
 func (m *Meter) CountControlMessage(kind string, size ident.ByteCount) {
 	option := metric.WithAttributes(attribute.String("kind", kind))
@@ -152,6 +168,19 @@
 	return histogram
 }
 
+func (b *builder) ratios(name, description string, bounds []float64) metric.Float64Histogram {
+	histogram, err := b.meter.Float64Histogram(name,
+		metric.WithDescription(description), metric.WithUnit("1"), metric.WithExplicitBucketBoundaries(bounds...))
+	b.recordError(err)
+	return histogram
+}
+
+func (b *builder) gauge(name, description string) metric.Float64Gauge {
+	gauge, err := b.meter.Float64Gauge(name, metric.WithDescription(description))
+	b.recordError(err)
+	return gauge
+}
+
 func (b *builder) recordError(err error) {
 	if b.err == nil {
 		b.err = err
--- a/relay/local_prefill.go
+++ b/relay/local_prefill.go
@@ -25,7 +25,7 @@
 func (s *stream) tryLocalPrefill(ctx context.Context, res *reservation, availableLater bool) bool {
 	stall := s.timeLeft()
 	if availableLater {
-		stall = s.maxStall()
+		stall = s.nominalStall(res.member)
 	}
 	return s.requestLocalPrefill(ctx, res, s.request.Prompt.Tokens+s.resumeTokens(), stall)
 }
@@ -35,7 +35,7 @@
 // would disconnect.
 func (s *stream) awaitLocalPrefill(ctx context.Context, res *reservation) {
 	deadline := time.Now().Add(maxResumeSlotWait)
-	for s.resumeTokens() > 0 && ctx.Err() == nil && time.Now().Before(deadline) && !s.requestLocalPrefill(ctx, res, s.resumeTokens(), s.maxStall()) {
+	for s.resumeTokens() > 0 && ctx.Err() == nil && time.Now().Before(deadline) && !s.requestLocalPrefill(ctx, res, s.resumeTokens(), s.nominalStall(res.member)) {
 		common.Sleep(ctx, slotRetryInterval)
 	}
 }
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -49,8 +49,7 @@
 	for tries := 0; tries < maxPrefillTries; {
 		members := s.config.Pool.Members(s.service.Name, pool.Prefill)
 		members = slices.DeleteFunc(members, func(m pool.Member) bool { return s.tried[m.Name] })
-		members = s.config.Topology.RankPrefill(members, res.member.Zone, time.Now())
-		next := s.schedulePrefill(ctx, members, max(minSlotWait, time.Until(deadline)))
+		next := s.pickPrefill(ctx, members, res.member.Zone, max(minSlotWait, time.Until(deadline)))
 		switch {
 		case ctx.Err() != nil:
 			return nil, ctx.Err()
@@ -96,7 +95,8 @@
 type prefillSlot struct {
 	granted bool
 	member  pool.Member
-	// backlog is how long the prompt waits behind other prefills.
+	// backlog is how long the prompt waits behind other prefills, or would at the last endpoint
+	// asked.
 	backlog time.Duration
 	// availableLater is set if no slot was granted, but some endpoint could prefill the
 	// prompt later.
@@ -120,6 +120,7 @@
 		}
 		s.config.Pool.ReturnPermit(m.Endpoint)
 		next.availableLater = next.availableLater || slot.availableLater
+		next.backlog = slot.backlog
 	}
 	return next
 }
@@ -132,6 +133,7 @@
 	}
 	response, err := s.config.Keepers.SchedulePrefill(ctx, m.Address, keeper.PrefillRequest{
 		Attempt: s.request.Attempt, Tokens: s.request.Prompt.Tokens, MaxWait: wait, LastTiming: s.takePrefillTiming(m.Name),
+		Speed: s.config.LearnedCosts,
 	})
 	if err != nil {
 		if !s.keeperFailed(ctx, m, err) {
@@ -148,6 +150,7 @@
 		load.PrefillBacklog += time.Duration(response.Slowdown * float64(pool.PrefillTime(s.request.Prompt.Tokens)))
 	}
 	s.config.Pool.UpdateLoad(m.Name, load)
+	s.learnPrefill(m, response)
 	return prefillSlot{granted: response.Granted, member: m, backlog: response.Backlog, availableLater: true}
 }
 
@@ -179,6 +182,7 @@
 	default:
 		// Whether the prompt is still cached shows only when a decode endpoint fetches it.
 		s.countPrefill()
+		s.observePrefill(m, backlog, time.Since(began))
 		s.recordPrefill(m, keeper.PrefillTiming{Tokens: s.request.Prompt.Tokens, Duration: time.Since(began) - backlog})
 		delete(s.tried, m.Name)
 		s.Meter.CountPrefillTokens(s.service.Name, s.request.Prompt.Tokens)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,6 +53,9 @@
 	Quotas quota.Bounds
 	// RelayCount returns how many relays share the retry limits and the quotas.
 	RelayCount func() int
+	// LearnedCosts sends requests where they are likely to cost least, by what was learned of
+	// outputs and of the engines' speed.
+	LearnedCosts bool
 }
 
 // Relay serves callers' requests. It is safe for concurrent use.
@@ -68,6 +71,7 @@
 	// waitEstimator distinguishes returning callers from new ones.
 	waitEstimator *retry.WaitEstimator
 	quotas        *quotas
+	learned       *learnedCosts
 	tasks         common.Tasks
 
 	mutex sync.Mutex
@@ -96,6 +100,7 @@
 		quotas:           newQuotas(config.Quotas),
 		retryLimiters:    map[ident.ServiceName]*retry.Limiter{},
 		waitEstimator:    retry.NewWaitEstimator(),
+		learned:          newLearnedCosts(),
 		unreachableUntil: map[ident.EndpointName]time.Time{},
 		loads:            map[ident.ServiceName]*serviceLoad{},
 		prefillTimings:   map[ident.EndpointName]keeper.PrefillTiming{},
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -115,7 +115,7 @@
 	// Combined engines prefill their prompts themselves.
 	members = append(members, s.config.Pool.Members(s.service.Name, pool.Combined)...)
 	members = slices.DeleteFunc(members, func(m pool.Member) bool { return s.tried[m.Name] || !s.runsVersion(m.Version) })
-	return s.config.Topology.RankDecode(members, time.Now())
+	return s.rankDecode(members)
 }
 
 // tryReserve takes a permit of the endpoint and asks its keeper for memory.
@@ -141,10 +141,11 @@
 		Attempt:   s.request.Attempt,
 		Prompt:    p.Tokens,
 		Generated: s.resumeTokens(),
-		Output:    s.lengthEstimator(s.service.Name).Estimate(p.EstimatedOutput, p.MaxOutput),
+		Output:    s.estimateOutput(),
 		Slots:     m.Slots,
 		MaxWait:   wait,
 		Urgency:   urgency,
+		Speed:     s.config.LearnedCosts,
 	})
 	if err != nil {
 		if !s.keeperFailed(ctx, m, err) {
@@ -158,6 +159,7 @@
 	}
 	s.config.Pool.UpdateLoad(m.Name, pool.Load{Headroom: response.Headroom, ReportedAt: time.Now()})
 	s.recordKeeperLoad(m, response)
+	s.learnDecode(m, response)
 	if !response.Granted {
 		return response, nil
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -173,7 +173,7 @@
 // recordLength adds the length of a complete output to the service's estimator.
 func (s *stream) recordLength() {
 	if s.disaggregated() && !s.resumed {
-		s.lengthEstimator(s.service.Name).Observe(s.request.Prompt.EstimatedOutput, ident.TokenCount(s.generated.Load()))
+		s.observeOutput(ident.TokenCount(s.generated.Load()))
 	}
 }
 
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -79,6 +79,8 @@
 		Retries:    retryLimits(settings),
 		Quotas:     quotaBounds(settings),
 		RelayCount: func() int { return s.gossip.RelayCount() },
+
+		LearnedCosts: settings.Routing.LearnedCosts,
 	})
 	s.gossip = relay.NewGossip(s.relay, s.pool, keepers, string(settings.Location.Instance))
 	s.callers = newServer(platform.NewCallerHandler(s.relay, s.draining.Load), adminHeaderTimeout)
