--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -243,6 +243,8 @@
 	if cached != nil && res.confirmed && res.outcome == pool.Failed {
 		res.outcome = pool.Neutral
 		s.config.Pool.Begin(cached.Endpoint, 0)(pool.Failed, 0)
+		// The next handle there would lapse as well.
+		s.tried[cached.Endpoint.Name] = true
 	}
 	s.Log.Info("an endpoint did not run a request", "request", s.request.Attempt, "endpoint", res.member.Name,
 		"status", response.Status, "granted", res.confirmed, "read-apart", cached != nil)
@@ -254,11 +256,15 @@
 	if err == nil || cached == nil || !errors.Is(err, client.ErrNotSent) && !errors.Is(err, errNotExecuted) {
 		return nil
 	}
-	if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 || errors.Is(err, errNoRetry) || s.barred() != nil {
+	if errors.Is(err, errNoRetry) || s.barred() != nil {
 		return nil
 	}
 	s.tried[s.endpoint] = true
-	for _, m := range s.decodeCandidates() {
+	candidates := s.decodeCandidates()
+	for _, m := range candidates[:min(maxDecodeTries, len(candidates))] {
+		if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 {
+			return nil
+		}
 		if _, res := s.tryReserve(ctx, m, 0, resumedUrgency); res != nil {
 			return res
 		}
