Streams after a restart of all relays go on at a single version only where that is shown

Cause: a relay without a record of a stream took the only version that it saw for that of the stream. Of the past it knew as much as the oldest process that it met, whatever that process had seen end: a keeper that no relay had told of the end of a version vouched for the time before it. A relay that had not heard of a new version yet concluded the same, also without a restart.

Change: what a process knows of the past runs from one revision of the store to another. A history extends another only if they overlap; a relay closes the gap between a keeper's history and its own first list by the store's changes in between, and if the store has them no more, the past stays unknown until the callers from then have left. Before a take-up without a record goes on, most hubs must have responded to an exchange that began after it; announcements also go to the hubs before the change. A take-up that can't go on says when to return only where that can help (version-unknown), and none where no engine runs its version (version-ended). An equal number of messages otherwise: one read of the store per start of a relay, three exchanges per take-up without a record while one version is known (before: three requests for its origin if it has no name, now none).

TestSoftwareVersions: histories now say what they cover; one of an earlier build, which does not, counts for nothing.

--- a/fault/refusal.go
+++ b/fault/refusal.go
@@ -45,6 +45,8 @@
 	Overloaded          Code = "overloaded"
 	TargetUnreachable   Code = "target-unreachable"
 	NoEndpoint          Code = "no-endpoint"
+	VersionUnknown      Code = "version-unknown"
+	VersionEnded        Code = "version-ended"
 	EndpointFailed      Code = "endpoint-failed"
 	EndpointBusy        Code = "endpoint-busy"
 	Draining            Code = "draining"
@@ -81,6 +83,8 @@
 	Overloaded:          http.StatusServiceUnavailable,
 	TargetUnreachable:   http.StatusServiceUnavailable,
 	NoEndpoint:          http.StatusServiceUnavailable,
+	VersionUnknown:      http.StatusServiceUnavailable,
+	VersionEnded:        http.StatusServiceUnavailable,
 	EndpointFailed:      http.StatusBadGateway,
 	EndpointBusy:        http.StatusServiceUnavailable,
 	Draining:            http.StatusServiceUnavailable,
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -60,7 +60,7 @@
 	before := p.Revision()
 	switch {
 	case m.Endpoints != nil:
-		p.ApplySnapshot(m.Endpoints, m.Digest.Endpoints, false)
+		p.ApplyPeerSnapshot(m.Endpoints, m.Digest.Endpoints)
 	case m.Changes != nil && p.Loaded() && before >= m.Since:
 		p.ApplyChanges(m.Changes, m.Digest.Endpoints, false)
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -128,7 +128,8 @@
 	// revision is that of the newest state applied.
 	revision Revision
 	loaded   bool
-	loadedAt time.Time
+	// covered is the part of the past whose software versions are members' or in versions.
+	covered coverage
 	// versions holds the software versions of processes that have ended.
 	versions versionHistory
 	// changeLog holds the changes after baseRevision, in order.
--- a/pool/records.go
+++ b/pool/records.go
@@ -48,6 +48,21 @@
 func (p *Pool) ApplySnapshot(list []Endpoint, revision Revision, outage bool) (applied bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	return p.applySnapshot(list, revision, outage)
+}
+
+// ApplyPeerSnapshot applies a snapshot of another process. What ran between the last state of this
+// one and the snapshot is then unknown, unless the other's history covers it.
+func (p *Pool) ApplyPeerSnapshot(list []Endpoint, revision Revision) (applied bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if applied = p.applySnapshot(list, revision, false); applied {
+		p.covered = coverage{from: revision, since: time.Now()}
+	}
+	return applied
+}
+
+func (p *Pool) applySnapshot(list []Endpoint, revision Revision, outage bool) (applied bool) {
 	if p.loaded && revision <= p.revision {
 		return false
 	}
@@ -58,7 +73,7 @@
 	}
 	outage = outage || restored
 	if !p.loaded {
-		p.loadedAt = time.Now()
+		p.covered = coverage{from: revision, since: time.Now()}
 	}
 	p.loaded, p.revision = true, revision
 	listed := map[ident.EndpointName]bool{}
--- a/pool/version.go
+++ b/pool/version.go
@@ -18,87 +18,51 @@
 }
 
 // SingleVersion returns the only software version that the endpoints of a service have run for a
-// time. It reports false if there were others, an unknown one, or if this process has known the
-// endpoints for a shorter time.
+// time. It reports false if there were others, an unknown one, or if this process does not know all
+// versions of that time.
 func (p *Pool) SingleVersion(service ident.ServiceName, span time.Duration) (version ident.SoftwareVersion, single bool) {
-	now := time.Now()
+	version, at, possible := p.NextSingleVersion(service, span)
+	if !possible || time.Now().Before(at) {
+		return "", false
+	}
+	return version, true
+}
+
+// NextSingleVersion returns the software version that all endpoints of a service run, and the time
+// at which there will have been no other for a span. It reports false if they run several or
+// unknown ones.
+func (p *Pool) NextSingleVersion(service ident.ServiceName, span time.Duration) (version ident.SoftwareVersion, at time.Time, possible bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if !p.loaded || now.Sub(p.loadedAt) < span {
-		return "", false
+	if !p.loaded {
+		return "", at, false
 	}
 	for _, m := range p.members {
 		if m.endpoint.Service != service {
 			continue
 		}
 		if m.endpoint.Version == "" || version != "" && version != m.endpoint.Version {
-			return "", false
+			return "", at, false
 		}
 		version = m.endpoint.Version
 	}
+	at = p.covered.since.Add(span)
 	for other, last := range p.versions[service] {
-		if other != version && now.Sub(last) < span {
-			return "", false
-		}
-	}
-	return version, version != ""
-}
-
-// EndedVersion is the software version of a process that has ended; others may still run it.
-type EndedVersion struct {
-	Service ident.ServiceName     `json:"service"`
-	Version ident.SoftwareVersion `json:"version"`
-	// Age is the time since the last such process ended.
-	Age time.Duration `json:"age-ns"`
-}
-
-// History is what a process knows of the software versions of the past.
-type History struct {
-	// Age is how long the process has known the endpoints.
-	Age   time.Duration  `json:"age-ns"`
-	Ended []EndedVersion `json:"ended,omitempty"`
-}
-
-// maxHistoryAge is the longest age that processes tell each other.
-const maxHistoryAge = time.Minute
-
-// History returns what this process knows, or nil before it knows any endpoints.
-func (p *Pool) History() *History {
-	now := time.Now()
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if !p.loaded {
-		return nil
-	}
-	h := &History{Age: min(now.Sub(p.loadedAt), maxHistoryAge)}
-	for service, versions := range p.versions {
-		for version, last := range versions {
-			if age := now.Sub(last); age < maxHistoryAge {
-				h.Ended = append(h.Ended, EndedVersion{Service: service, Version: version, Age: age})
-			} else {
-				delete(versions, version)
-			}
+		if end := last.Add(span); other != version && end.After(at) {
+			at = end
 		}
 	}
-	return h
+	return version, at, version != ""
 }
 
-// AdoptHistory adds what another process knows, if this one knows the endpoints. A process that
-// has just started then knows the versions from before its start.
-func (p *Pool) AdoptHistory(h *History) {
-	now := time.Now()
+// RunsVersion reports whether any process of a service runs a software version.
+func (p *Pool) RunsVersion(service ident.ServiceName, version ident.SoftwareVersion) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if h == nil || !p.loaded {
-		return
-	}
-	if since := now.Add(-min(h.Age, maxHistoryAge)); since.Before(p.loadedAt) {
-		p.loadedAt = since
-	}
-	for _, v := range h.Ended {
-		last := now.Add(-v.Age)
-		if last.After(p.versions[v.Service][v.Version]) {
-			p.versions.record(Endpoint{Service: v.Service, Version: v.Version}, last)
+	for _, m := range p.members {
+		if m.endpoint.Service == service && m.endpoint.Version == version {
+			return true
 		}
 	}
+	return false
 }
--- a/pool/version_test.go
+++ b/pool/version_test.go
@@ -17,6 +17,12 @@
 	return e
 }
 
+// closeGap adopts a history that ends before the pool's first state, with the store's changes.
+func closeGap(p *Pool, to Revision, changes ...Change) {
+	running := []ServiceVersion{{Service: "s", Version: "v1"}}
+	p.AdoptHistoryWith(&History{Age: time.Minute, From: 2, To: 3, Running: running}, changes, to)
+}
+
 // TestSoftwareVersions guards against a service that counts as one of a single software version
 // while streams of another one may still be taken up.
 func TestSoftwareVersions(t *testing.T) {
@@ -73,16 +79,59 @@
 		{
 			testName: "a process that has just started learns that there was no other version",
 			run: func(p *Pool) {
-				p.AdoptHistory(&History{Age: span})
+				p.AdoptHistory(&History{Age: span, From: 2, To: 5})
 			},
 			single: "v1",
 		},
 		{
 			testName: "a process that has just started learns of a version that has ended",
 			run: func(p *Pool) {
-				p.AdoptHistory(&History{Age: span, Ended: []EndedVersion{{Service: "s", Version: "v2", Age: time.Second}}})
+				p.AdoptHistory(&History{Age: span, From: 2, To: 5, Ended: []EndedVersion{{Service: "s", Version: "v2", Age: time.Second}}})
 			},
 		},
+		{
+			testName: "a history that ends before the first state leaves a gap",
+			run:      func(p *Pool) { p.AdoptHistory(&History{Age: span, From: 2, To: 4}) },
+		},
+		{
+			testName: "a history of an earlier build does not say what it covers",
+			run:      func(p *Pool) { p.AdoptHistory(&History{Age: span}) },
+		},
+		{
+			testName: "the store's changes close the gap",
+			run:      func(p *Pool) { closeGap(p, 5) },
+			single:   "v1",
+		},
+		{
+			testName: "changes that end before the first state leave a gap",
+			run:      func(p *Pool) { closeGap(p, 4) },
+		},
+		{
+			testName: "a version that came and went in the gap",
+			run:      func(p *Pool) { closeGap(p, 5, Change{Endpoint: ofVersion("c", 1, "v3")}) },
+		},
+		{
+			testName: "a version that ran before the gap",
+			run: func(p *Pool) {
+				p.AdoptHistoryWith(&History{Age: span, From: 2, To: 3, Running: []ServiceVersion{{Service: "s", Version: "v3"}}}, nil, 5)
+			},
+		},
+		{
+			testName: "what ran before the snapshot of a peer is unknown",
+			run: func(p *Pool) {
+				time.Sleep(span)
+				p.ApplyPeerSnapshot([]Endpoint{ofVersion("a", 1, "v1")}, 6)
+			},
+		},
+		{
+			testName: "the peer knows what ran before its snapshot",
+			run: func(p *Pool) {
+				time.Sleep(span)
+				p.ApplyPeerSnapshot([]Endpoint{ofVersion("a", 1, "v1")}, 6)
+				p.AdoptHistory(&History{Age: span, From: 2, To: 6})
+			},
+			single: "v1",
+		},
 		{
 			testName: "a peer that does not forward versions",
 			run: func(p *Pool) {
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -65,6 +65,10 @@
 	lastContact atomic.Pointer[time.Time]
 	// announce holds one entry if there is a change to send to all hubs immediately.
 	announce chan struct{}
+	// announced holds the hubs of the last announcement.
+	announced []pool.Endpoint
+	refresher refresher
+	gap       gap
 }
 
 // NewGossip returns the gossip of a relay's state; self names the relay.
@@ -124,34 +128,52 @@
 func (g *Gossip) Run(ctx context.Context) {
 	for round := rand.IntN(hubCount); ctx.Err() == nil; round++ {
 		timer := time.NewTimer(gossipInterval/2 + rand.N(gossipInterval))
-		targets := 1
+		everyone := false
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
 		case <-g.announce:
-			targets = hubCount
+			everyone = true
 		case <-g.relay.partCrashed:
-			targets = hubCount
+			everyone = true
 		}
 		timer.Stop()
-		for i := range targets {
-			if hub, found := g.hub(round + i); found && ctx.Err() == nil {
+		hubs := g.hubs()
+		targets := hubs
+		switch {
+		case everyone:
+			targets = g.announceTargets(hubs)
+		case len(hubs) > 0:
+			targets = hubs[round%len(hubs):][:1]
+		}
+		for _, hub := range targets {
+			if ctx.Err() == nil {
 				g.exchange(ctx, hub)
 			}
 		}
 	}
 }
 
-// hub returns the keeper to contact in a round. Relays with the same endpoints choose
-// the same hubs.
-func (g *Gossip) hub(round int) (pool.Endpoint, bool) {
+// announceTargets returns the hubs of an announcement: also those of the last one, which relays
+// that do not know the present endpoints still ask.
+func (g *Gossip) announceTargets(hubs []pool.Endpoint) []pool.Endpoint {
+	targets := slices.Clone(hubs)
+	for _, last := range g.announced {
+		if !slices.ContainsFunc(hubs, func(e pool.Endpoint) bool { return e.Address == last.Address }) {
+			targets = append(targets, last)
+		}
+	}
+	g.announced = hubs
+	return targets
+}
+
+// hubs returns the keepers that all relays exchange state with. Relays with the same endpoints
+// choose the same ones.
+func (g *Gossip) hubs() []pool.Endpoint {
 	endpoints, _ := g.pool.Snapshot()
 	endpoints = slices.DeleteFunc(endpoints, func(e pool.Endpoint) bool { return e.Stage == pool.Combined })
-	if len(endpoints) == 0 {
-		return pool.Endpoint{}, false
-	}
 	slices.SortFunc(endpoints, func(a, b pool.Endpoint) int { return cmp.Compare(hash(a.Address), hash(b.Address)) })
-	return endpoints[round%min(hubCount, len(endpoints))], true
+	return endpoints[:min(hubCount, len(endpoints))]
 }
 
 func hash(address ident.Address) uint64 {
@@ -160,20 +182,24 @@
 	return sum.Sum64()
 }
 
-func (g *Gossip) exchange(ctx context.Context, hub pool.Endpoint) {
+// exchange sends this relay's state to a hub and applies what the hub returns. It reports whether
+// the hub responded.
+func (g *Gossip) exchange(ctx context.Context, hub pool.Endpoint) (responded bool) {
 	out := &gossip.Message{Sender: g.self, Digest: g.digest(), History: g.pool.History(), Sounds: g.relay.crashes.Sounds(time.Now())}
 	response, err := g.keepers.Exchange(ctx, hub.Address, out)
 	if err != nil {
 		g.Log.Info("gossip exchange with a keeper failed", "endpoint", hub.Name, "error", err)
-		return
+		return false
 	}
 	g.apply(&response, hub)
+	g.closeGap(ctx, response.History, hub)
 	if !g.fill(out, response.Digest) {
-		return
+		return true
 	}
 	if _, err := g.keepers.Exchange(ctx, hub.Address, out); err != nil {
 		g.Log.Info("sending changes to a keeper failed", "endpoint", hub.Name, "error", err)
 	}
+	return true
 }
 
 func (g *Gossip) digest() gossip.Digest {
@@ -186,7 +212,7 @@
 
 // fill adds to a message what the keeper lacks; it reports whether it lacks anything.
 func (g *Gossip) fill(out *gossip.Message, theirs gossip.Digest) bool {
-	out.Digest = g.digest()
+	out.Digest, out.History = g.digest(), g.pool.History()
 	if out.Digest.Table > theirs.Table {
 		out.Table = g.relay.Table().Document
 	}
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -111,28 +111,67 @@
 // pinVersion finds the software version that began the stream which a caller takes up again. The
 // stream may go on at that version only.
 func (s *stream) pinVersion(ctx context.Context) *fault.Refusal {
-	attempt, version, responses := s.request.Resumes, ident.SoftwareVersion(""), 0
+	attempt, version := s.request.Resumes, ident.SoftwareVersion("")
+	var search originSearch
 	if attempt != "" {
 		version = s.origins.book.Version(attempt, time.Now())
 	}
-	if version == "" {
-		version, responses = s.findOrigin(ctx, attempt)
+	if version == "" && attempt != "" {
+		version = s.findOrigin(ctx, attempt, &search)
 	}
-	if single, known := s.config.Pool.SingleVersion(s.service.Name, maxTakeUpDelay); version == "" && known && responses > 0 {
-		version = single
+	current := true
+	if version == "" {
+		version, current = s.singleVersion(ctx)
 	}
 	s.pinned.Store(&version)
-	s.Log.Info("a stream is taken up", "request", s.request.Attempt, "resumes", attempt, "version", version, "keepers", responses)
-	if version == "" {
-		return fault.New(fault.NoEndpoint, "the software version that began the stream is not known").WithRetryAfter(s.retryAfterJitter(minRetryAfter))
+	s.Log.Info("a stream is taken up", "request", s.request.Attempt, "resumes", attempt, "version", version,
+		"keepers", search.responses, "keepers-failed", search.failures, "current", current)
+	switch {
+	case version == "":
+		return s.refuseUnknownVersion(search.failures > 0 || !current)
+	case !s.config.Pool.RunsVersion(s.service.Name, version):
+		return fault.New(fault.VersionEnded, "no endpoint runs the software version that began the stream")
 	}
 	return nil
 }
 
-// findOrigin asks the keepers that may hold the origin of an attempt. It returns the first
-// version found, and the number of keepers that responded until then. A caller that names no
-// attempt has no origin; the responses then show only that this relay is not cut off.
-func (r *Relay) findOrigin(ctx context.Context, attempt ident.AttemptID) (version ident.SoftwareVersion, responses int) {
+// singleVersion returns the software version of all streams that may be taken up now, if the
+// service had no other in that time. Current is false if the hubs were needed and most of them did
+// not respond: another relay may have begun streams at a version that this one does not know.
+func (s *stream) singleVersion(ctx context.Context) (version ident.SoftwareVersion, current bool) {
+	if _, _, possible := s.config.Pool.NextSingleVersion(s.service.Name, maxTakeUpDelay); !possible {
+		return "", true
+	}
+	if s.config.Refresh == nil || !s.config.Refresh(ctx) {
+		return "", false
+	}
+	version, _ = s.config.Pool.SingleVersion(s.service.Name, maxTakeUpDelay)
+	return version, true
+}
+
+// refuseUnknownVersion refuses to go on with a stream of an unknown software version. It asks the
+// caller to return only if that can help in time: when keepers have not responded, or once the
+// service has had a single version for long enough.
+func (s *stream) refuseUnknownVersion(unanswered bool) *fault.Refusal {
+	refusal := fault.New(fault.VersionUnknown, "the software version that began the stream is not known")
+	if unanswered {
+		return refusal.WithRetryAfter(s.retryAfterJitter(minRetryAfter))
+	}
+	_, at, possible := s.config.Pool.NextSingleVersion(s.service.Name, maxTakeUpDelay)
+	if wait := time.Until(at); possible && wait < s.timeLeft() {
+		return refusal.WithRetryAfter(max(wait, 0) + s.retryAfterJitter(minRetryAfter))
+	}
+	return refusal
+}
+
+// originSearch counts the keepers that were asked for an origin.
+type originSearch struct {
+	responses, failures int
+}
+
+// findOrigin asks the keepers that may hold the origin of an attempt, and returns the first version
+// found.
+func (r *Relay) findOrigin(ctx context.Context, attempt ident.AttemptID, search *originSearch) ident.SoftwareVersion {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	keepers := r.keepersFor(string(attempt), originCopies)
@@ -151,14 +190,15 @@
 	for range keepers {
 		select {
 		case <-failed:
+			search.failures++
 		case response := <-found:
-			responses++
+			search.responses++
 			if response.Version != "" {
-				return response.Version, responses
+				return response.Version
 			}
 		}
 	}
-	return "", responses
+	return ""
 }
 
 // beginVersion pins the stream to the software version of its first event.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,6 +53,12 @@
 	Quotas quota.Bounds
 	// RelayCount returns how many relays share the retry limits and the quotas.
 	RelayCount func() int
+	// Refresh exchanges state with the hubs. It reports whether most of them have responded; nil
+	// means that there are none.
+	Refresh func(context.Context) bool
+	// EndpointChanges returns the changes of the endpoints' records after a revision, and the
+	// revision up to which these are all. It may be nil.
+	EndpointChanges func(ctx context.Context, since pool.Revision) ([]pool.Change, pool.Revision, error)
 }
 
 // Relay serves callers' requests. It is safe for concurrent use.
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -48,7 +48,10 @@
 	relay     *relay.Relay
 	endpoints *platform.EndpointClient
 	gossip    *relay.Gossip
-	callers   *http.Server
+	store     *platform.Store
+	// endpointReader applies the store's records to the pool.
+	endpointReader *platform.EndpointReader
+	callers        *http.Server
 	// draining is set at the first signal to stop.
 	draining atomic.Bool
 	// shutdownSettings is the shutdown section of the settings, as last reloaded.
@@ -68,8 +71,19 @@
 		Retries:    retryLimits(settings),
 		Quotas:     quotaBounds(settings),
 		RelayCount: func() int { return s.gossip.RelayCount() },
+		Refresh:    func(ctx context.Context) bool { return s.gossip.Refresh(ctx) },
+		EndpointChanges: func(ctx context.Context, since pool.Revision) ([]pool.Change, pool.Revision, error) {
+			return s.endpointReader.ChangesSince(ctx, s.store, since)
+		},
 	})
 	s.gossip = relay.NewGossip(s.relay, s.pool, keepers, string(settings.Location.Instance))
+	s.endpointReader = &platform.EndpointReader{Common: p.Common, Pool: s.pool, NextWatchTimeout: s.gossip.NextWatchTimeout, OnChange: s.gossip.Announce}
+	s.store = platform.NewStore(platform.StoreConfig{
+		Address: settings.Platform.Address,
+		HTTP:    socket.NewClient(),
+		Timeout: storeTimeout,
+		Observe: func(call string, size ident.ByteCount) { s.Meter.CountControlMessage("platform-"+call, size) },
+	})
 	s.callers = newServer(platform.NewCallerHandler(s.relay, s.draining.Load), adminHeaderTimeout)
 	return s
 }
@@ -112,14 +126,8 @@
 
 // startWatchers starts the tasks that keep routes and endpoints up to date.
 func (s *relayServer) startWatchers() {
-	client := platform.NewStore(platform.StoreConfig{
-		Address: s.settings.Platform.Address,
-		HTTP:    socket.NewClient(),
-		Timeout: storeTimeout,
-		Observe: func(call string, size ident.ByteCount) { s.Meter.CountControlMessage("platform-"+call, size) },
-	})
-	configs := store.NewWatcher(s.Common, client, platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.gossip.NextWatchTimeout})
-	endpoints := store.NewWatcher(s.Common, client, platform.EndpointKind, &platform.EndpointReader{Common: s.Common, Pool: s.pool, NextWatchTimeout: s.gossip.NextWatchTimeout, OnChange: s.gossip.Announce})
+	configs := store.NewWatcher(s.Common, s.store, platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.gossip.NextWatchTimeout})
+	endpoints := store.NewWatcher(s.Common, s.store, platform.EndpointKind, s.endpointReader)
 	s.tasks.Go(func() { configs.Run(s.ctx) })
 	s.tasks.Go(func() { endpoints.Run(s.ctx) })
 	s.tasks.Go(func() { s.gossip.Run(s.ctx) })
