Stand-in and soak: workspaces, quotas, revocations, stated limits and two software versions

Cause: the stand-in's endpoints knew no workspaces, stated no limits and ran one version; only the handlers of single tests did. Change: platform/double plays workspaces: all configurations have a steady one, one with a quota of tokens and one whose keys roll with the versions; endpoints record the workspace and whether a key came along, and count tokens by workspace. The soak checks that no key and no caller's own workspace reaches an endpoint, that revoked and unknown keys are refused and stay so, that quotas hold over all relays, that endpoints with a limit get no more, and that a stream is of one version. New faults: an endpoint states a limit, a configuration that cannot be understood.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -17,6 +17,9 @@
 	attempt string
 	path    string
 	relay   string
+	// key is the caller's key, of the workspace.
+	key       string
+	workspace string
 	double.Response
 }
 
@@ -41,10 +44,14 @@
 func (c *callers) start(ctx context.Context) {
 	ctx, c.cancel = context.WithCancel(ctx)
 	for i := range c.count {
-		c.group.Go(func() { c.sendLoop(ctx, i) })
+		c.group.Go(func() { c.sendLoop(ctx, i, double.SteadyKey, double.SteadyWorkspace) })
+	}
+	for i := range meteredCallers {
+		c.group.Go(func() { c.sendLoop(ctx, c.count+i, double.MeteredKey, double.MeteredWorkspace) })
 	}
 	for _, r := range c.relays {
 		c.group.Go(func() { c.pollVersion(ctx, r) })
+		c.group.Go(func() { c.pollKeys(ctx, r) })
 	}
 }
 
@@ -55,7 +62,7 @@
 
 // sendLoop sends one request after another. It keeps its connections until the relay
 // closes them.
-func (c *callers) sendLoop(ctx context.Context, index int) {
+func (c *callers) sendLoop(ctx context.Context, index int, key, workspace string) {
 	client := socket.NewClient()
 	defer client.CloseIdleConnections()
 	for sequence := 0; ctx.Err() == nil; sequence++ {
@@ -63,9 +70,10 @@
 			attempt: fmt.Sprintf("a-%d-%d", index, sequence),
 			path:    paths[(index+sequence)%len(paths)],
 			relay:   c.relays[(index+sequence/16)%len(c.relays)].listenAddress(),
+			key:     key, workspace: workspace,
 		}
 		callCtx, cancel := context.WithTimeout(context.Background(), callerTimeout+time.Second)
-		e.Response = double.Call(callCtx, client, e.relay, e.path+"x", e.attempt, callerTimeout)
+		e.Response = double.Call(callCtx, client, e.relay, e.path+"x", e.attempt, e.key, callerTimeout)
 		cancel()
 		c.record(e)
 		time.Sleep(30 * time.Millisecond)
@@ -76,6 +84,10 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.exchanges = append(c.exchanges, e)
+	if e.workspace == double.MeteredWorkspace {
+		// These callers ask for more than their quota.
+		return
+	}
 	c.total++
 	switch {
 	case e.Status == http.StatusOK && e.Complete:
@@ -111,6 +123,7 @@
 			c.checkResponse(e)
 		}
 	}
+	c.checkWorkspaces()
 }
 
 // meansNotExecuted reports whether a status guarantees that no endpoint executed the
@@ -126,11 +139,10 @@
 func (c *callers) checkResponse(e exchange) {
 	want := double.ResponseBody(e.attempt)
 	if e.path == double.StreamPath || e.path == double.ResumePath {
-		var events strings.Builder
-		for id := 1; id <= double.EventsPerStream; id++ {
-			events.WriteString(double.StreamEvent(e.attempt, id))
+		// All events are of one software version, whichever it is.
+		if want = streamOf(e.attempt, "v1"); !strings.HasPrefix(want, e.Body) {
+			want = streamOf(e.attempt, "v2")
 		}
-		want = events.String()
 	}
 	switch {
 	case !e.Signed:
@@ -140,6 +152,14 @@
 	}
 }
 
+func streamOf(attempt, version string) string {
+	var events strings.Builder
+	for id := 1; id <= double.EventsPerStream; id++ {
+		events.WriteString(double.StreamEvent(attempt, version, id))
+	}
+	return events.String()
+}
+
 // pollVersion checks that the configuration version that a relay uses never decreases
 // within the lifetime of its process. The route of a version exists in that version only.
 func (c *callers) pollVersion(ctx context.Context, r *relayProcess) {
@@ -157,7 +177,7 @@
 		for _, requested := range []int{version, version - 1} {
 			attempt := fmt.Sprintf("p-%s-%d-%d", r.name, sequence, requested)
 			callCtx, cancel := context.WithTimeout(context.Background(), callerTimeout)
-			response := double.Call(callCtx, client, r.listenAddress(), double.VersionPath(requested)+"x", attempt, callerTimeout)
+			response := double.Call(callCtx, client, r.listenAddress(), double.VersionPath(requested)+"x", attempt, double.SteadyKey, callerTimeout)
 			cancel()
 			if response.Status != http.StatusOK || c.incarnationOf(r) != incarnation {
 				continue
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"crocusstep/platform/double"
 )
 
 // fault is a kind of fault that is injected into the running processes.
@@ -81,6 +83,7 @@
 	{name: "change the configuration", inject: func(f *fleet, _ *rand.Rand, _ time.Duration) error {
 		f.mutex.Lock()
 		f.version++
+		f.versionAt = time.Now()
 		version := f.version
 		f.mutex.Unlock()
 		return f.store.PutConfiguration(version)
@@ -96,6 +99,44 @@
 		f.store.Restore(c)
 		return f.writeAgain(rng)
 	}},
+	{name: "an endpoint states a limit", inject: func(f *fleet, rng *rand.Rand, _ time.Duration) error {
+		f.limit(f.processAt(f.randomEndpoint(rng)), 2+rng.IntN(4))
+		return nil
+	}},
+	{name: "store a configuration that cannot be understood", affectsTiming: true, inject: func(f *fleet, _ *rand.Rand, duration time.Duration) error {
+		f.mutex.Lock()
+		version := f.version
+		f.mutex.Unlock()
+		if err := f.store.PutUnusableConfiguration(version + 1); err != nil {
+			return err
+		}
+		time.Sleep(duration)
+		f.mutex.Lock()
+		version = f.version
+		f.mutex.Unlock()
+		return f.store.PutConfiguration(version)
+	}},
+}
+
+// limitSpan is how long an endpoint states a limit; arrivals count from limitWindow on.
+const (
+	limitSpan   = 2 * limitWindow
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+)
+
+// limit makes an endpoint state a limit, and checks what it receives from all relays together.
+func (f *fleet) limit(e *double.Endpoint, perSecond int) {
+	began := time.Now()
+	e.SetLimit(float64(perSecond))
+	time.Sleep(limitSpan)
+	received := f.recorder.ArrivalsAt(e.Name, began.Add(limitSpan-limitWindow))
+	e.SetLimit(0)
+	allowed := int(limitExcess*float64(perSecond)*limitWindow.Seconds()) + limitSlack
+	if received > allowed && f.undisturbedSince(began.Add(-quietInterval)) {
+		f.reportViolation("%s states a limit of %d a second and received %d requests in %s, %d allowed", e.Name, perSecond, received, limitWindow, allowed)
+	}
 }
 
 // writeAgain does what operators, endpoints and the platform do after a restore of the
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -68,8 +68,9 @@
 	// lastStartMillis is the start time of the newest endpoint process in Unix
 	// milliseconds. It grows with each, so that no two have the same.
 	lastStartMillis int64
-	// version is the newest version of the configuration.
-	version int
+	// version is the newest version of the configuration, stored at versionAt.
+	version   int
+	versionAt time.Time
 	// claimed holds the processes and addresses in use by a fault.
 	claimed map[string]bool
 	// violations holds the guarantees that did not hold.
@@ -151,7 +152,9 @@
 
 func (f *fleet) newEndpoint(service, stage string) *double.Endpoint {
 	f.lastStartMillis++
-	return &double.Endpoint{Name: fmt.Sprintf("i-%d", f.lastStartMillis), Service: service, Stage: stage, StartMillis: f.lastStartMillis, Recorder: f.recorder}
+	// Both software versions run at all times.
+	version := fmt.Sprintf("v%d", 1+f.lastStartMillis%2)
+	return &double.Endpoint{Version: version, Name: fmt.Sprintf("i-%d", f.lastStartMillis), Service: service, Stage: stage, StartMillis: f.lastStartMillis, Recorder: f.recorder}
 }
 
 // processAt returns the process that currently serves an endpoint's address.
@@ -181,6 +184,7 @@
 peers: {keeper-port: %d}
 availability-zones: [{name: %s, region: region-a}]
 retries: {ratio: 0.2, slack: 50, window: 10s}
+quotas: {window: %s, excess: %g, slack: %d}
 stop: {grace: %ds}
-`, r.name, zone, r.host, r.listenAddress(), r.readinessAddress(), r.host, storePort, keeperPort, zone, gracePeriodSeconds))
+`, r.name, zone, r.host, r.listenAddress(), r.readinessAddress(), r.host, storePort, keeperPort, zone, quotaWindow, quotaExcess, quotaSlack, gracePeriodSeconds))
 }
