A request whose body does not come ends with its refusal

Cause: after the time for a body the relay took the read deadline away, and net/http then waited for the rest of the body without one: the caller got a closed connection in place of its 408, if at all, and the connection and its goroutine stayed until the caller left. The same held for the 401 before the body. Change: the deadline stays after an error, and has passed for a caller without a key; an expired deadline is told from a caller that left. TestBodyDoesNotCome replaces TestUnknownCallerBeforeBody: besides the 401 within 0.1 s it asks for the 408 of a known caller and for the end of both connections; before the change both cases never ended (deadlock in virtual time).

--- a/mutant/workspace.go
+++ b/mutant/workspace.go
@@ -33,9 +33,23 @@
 	{
 		guarantee: "a caller without a key is refused before its body has come",
 		file:      "platform/caller_handler.go",
-		original:  "\t\t\tw.Header().Set(\"Connection\", \"close\")\n\t\t\treturn nil, refusal\n",
-		mutated:   "\t\t\treturn nil, refusal\n",
-		pkg:       "platform", test: "TestUnknownCallerBeforeBody",
+		original:  "\t\t\tw.Header().Set(\"Connection\", \"close\")\n\t\t\t_ =",
+		mutated:   "\t\t\t_ =",
+		pkg:       "platform", test: "TestBodyDoesNotCome",
+	},
+	{
+		guarantee: "a caller without a key whose body does not come holds no connection",
+		file:      "platform/caller_handler.go",
+		original:  "\t\t\t_ = http.NewResponseController(w).SetReadDeadline(request.Arrived)\n",
+		mutated:   "",
+		pkg:       "platform", test: "TestBodyDoesNotCome",
+	},
+	{
+		guarantee: "a request whose body does not come is refused and holds no connection",
+		file:      "platform/caller_handler.go",
+		original:  "\tif err == nil {\n\t\t// After",
+		mutated:   "\tif true {\n\t\t// After",
+		pkg:       "platform", test: "TestBodyDoesNotCome",
 	},
 	{
 		guarantee: "a waiting request whose key was revoked is not sent",
