Quotas: restarts of granters don't add up, and relays start without a share

Cause: each restart of a granter let one request overdraw its empty bucket; a replaced granter's bucket began as if no other had granted before; restarted relays knew too low a number of relays for some seconds and took too large shares and leases.

--- a/quota/account.go
+++ b/quota/account.go
@@ -50,10 +50,12 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.share.update(now, limit, relays)
+	maxLease := limit.maxLease(relays)
 	if now.Sub(a.leaseGrantedAt) >= LeaseTTL {
 		a.lease = 0
 	}
-	if maxLease := limit.maxLease(relays); amount <= maxLease {
+	a.lease = min(a.lease, maxLease)
+	if amount <= maxLease {
 		a.decayUse(now)
 		a.use += amount / Units(trendSpan.Seconds())
 		extra = min(a.use*Units(extraSpan.Seconds()), maxLease)
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -13,8 +13,10 @@
 	level Units
 	// at is when level was computed.
 	at time.Time
-	// began is when the bucket was created, or its content became unknown.
+	// began is since when no other process has granted units instead.
 	began time.Time
+	// usedAt is the time of the last request.
+	usedAt time.Time
 	// taken holds the units of each slot of the window, and one slot more for those that are
 	// partly in it. Number n is at n modulo the length.
 	taken [slots + 1]Units
@@ -25,9 +27,9 @@
 	promised time.Time
 }
 
-// newBucket returns an empty bucket: another process may just have granted what it could hold.
-func newBucket(t terms, now time.Time) *bucket {
-	return &bucket{terms: t, at: now, began: now, origin: now}
+// newBucket returns an empty bucket whose earlier content is unknown.
+func newBucket(t terms, began, now time.Time) *bucket {
+	return &bucket{terms: t, at: now, began: began, origin: now}
 }
 
 // restarted reports whether the bucket has been in use for less than its window, so that another
@@ -69,12 +71,17 @@
 	b.level = min(b.level, t.capacity)
 }
 
-// wait returns the time until units can be taken, zero if they can now. A request may be larger
-// than the capacity: it overdraws a bucket that is not overdrawn already.
+// wait returns the time until units can be taken, zero if they can now. The last request may
+// overdraw the bucket, as it may be larger than the capacity. After a restart a request must fit,
+// so that restarts do not add up.
 func (b *bucket) wait(now time.Time, need Units) time.Duration {
 	wait := time.Duration(0)
-	if b.level < 0 {
-		wait = max(1, seconds(-b.level/b.terms.perSecond))
+	floor := Units(0)
+	if b.restarted(now) {
+		floor = min(need, b.terms.capacity)
+	}
+	if b.level < floor {
+		wait = max(1, seconds((floor-b.level)/b.terms.perSecond))
 	}
 	sum := need
 	for _, taken := range b.taken {
--- a/quota/grants.go
+++ b/quota/grants.go
@@ -50,7 +50,7 @@
 	keys  map[Key]*grants
 }
 
-// grants are the buckets of a key.
+// grants are the buckets of a key. A bucket is nil before its first use.
 type grants struct {
 	limit              Limit
 	version            int64
@@ -58,11 +58,11 @@
 	usedAt             time.Time
 }
 
-func (g *grants) bucket(emergency bool) *bucket {
+func (g *grants) bucket(emergency bool) **bucket {
 	if emergency {
-		return g.emergency
+		return &g.emergency
 	}
-	return g.granted
+	return &g.granted
 }
 
 // NewGrants returns the grants of a process that starts now.
@@ -72,13 +72,13 @@
 
 // Take grants the units that a request needs if the quota allows it.
 func (g *Grants[Key]) Take(now time.Time, key Key, r Request) Response {
-	if !r.Limit.valid() || !(r.Need > 0) || !(r.Extra >= 0) {
+	if !r.Limit.valid() || !(r.Need > 0) || !(r.Extra >= 0) || r.ViewAge < 0 {
 		return Response{Wait: LeaseTTL, RetryAfter: LeaseTTL}
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	k := g.update(now, key, r)
-	b := k.bucket(r.Emergency)
+	b := g.updateBucket(now, k, r)
 	granted, wait := b.take(now, r.Need, r.Extra)
 	response := Response{Granted: granted, Wait: wait, Level: b.level, Version: k.version, Restarted: b.restarted(now)}
 	if wait > 0 {
@@ -87,48 +87,73 @@
 	return response
 }
 
-// update returns the buckets of a key under the newest limit.
+// update returns the grants of a key under the newest limit.
 func (g *Grants[Key]) update(now time.Time, key Key, r Request) *grants {
 	k, known := g.keys[key]
 	if !known {
 		maps.DeleteFunc(g.keys, func(_ Key, k *grants) bool { return now.Sub(k.usedAt) > grantsTTL })
-		k = &grants{
-			limit: r.Limit, version: r.Version,
-			granted: newBucket(r.Limit.granted(), now), emergency: newBucket(r.Limit.emergency(), now),
-		}
-		k.restart(now, min(r.ViewAge, now.Sub(g.began)), r.Changed)
+		k = &grants{limit: r.Limit, version: r.Version}
 		g.keys[key] = k
 	}
 	k.usedAt = now
 	if r.Version > k.version || r.Version == k.version && r.Limit != k.limit {
 		k.limit, k.version = r.Limit, r.Version
-		k.granted.setTerms(r.Limit.granted(), now)
-		k.emergency.setTerms(r.Limit.emergency(), now)
-	}
-	if r.Changed && !r.Emergency && now.Add(-r.ViewAge).Sub(k.granted.began) > maxOverlap {
-		k.granted.update(now)
-		k.restart(now, r.ViewAge, true)
+		for _, emergency := range []bool{false, true} {
+			if b := *k.bucket(emergency); b != nil {
+				b.update(now)
+				b.setTerms(k.limit.terms(emergency), now)
+			}
+		}
 	}
 	return k
 }
 
-// restart limits the granter's bucket to what it has received for an age, as another granter may
-// have been in use before, and for maxOverlap more if the granter has changed.
-func (g *grants) restart(now time.Time, age time.Duration, changed bool) {
-	b := g.granted
-	received := b.terms.perSecond * Units((age - maxOverlap).Seconds())
-	if !changed {
+// updateBucket returns the bucket for a request. Its level is at most what it has received since
+// the relay knows this granter: another one may have been in use before.
+func (g *Grants[Key]) updateBucket(now time.Time, k *grants, r Request) *bucket {
+	b := k.bucket(r.Emergency)
+	changedAt := now.Add(-r.ViewAge)
+	switch {
+	case *b == nil:
+		*b = newBucket(k.limit.terms(r.Emergency), later(g.began, changedAt), now)
+		(*b).level = min((*b).terms.capacity, (*b).terms.received(now.Sub(g.began)), (*b).terms.receivedSince(r))
+	case r.Changed && changedAt.After((*b).usedAt) && now.Sub((*b).usedAt) > maxOverlap:
+		(*b).update(now)
+		(*b).began, (*b).level = changedAt, min((*b).level, (*b).terms.receivedSince(r))
+	}
+	(*b).usedAt = now
+	return *b
+}
+
+// received returns what a bucket receives in a time, without its capacity.
+func (t terms) received(span time.Duration) Units { return t.perSecond * Units(span.Seconds()) }
+
+// receivedSince returns what a bucket has received since the relay knows its granter. If that
+// replaced another one, some relays have used the other one for maxOverlap more.
+func (t terms) receivedSince(r Request) Units {
+	received := t.received(r.ViewAge - maxOverlap)
+	if !r.Changed {
 		received = max(0, received)
 	}
-	b.began = now.Add(-age)
-	b.level = min(received, b.terms.capacity)
+	return received
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // GiveBack returns units that were granted some time ago and not used.
 func (g *Grants[Key]) GiveBack(now time.Time, key Key, amount Units, age time.Duration, emergency bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if k, known := g.keys[key]; known && amount > 0 {
-		k.bucket(emergency).giveBack(now, amount, age)
+	k, known := g.keys[key]
+	if !known || !(amount > 0) {
+		return
+	}
+	if b := *k.bucket(emergency); b != nil {
+		b.giveBack(now, amount, age)
 	}
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -81,9 +81,13 @@
 	window    time.Duration
 }
 
-// granted returns the terms of the granter's bucket. In a window, a full bucket grants windowMax.
-// A granter that begins with an empty one and its predecessor grant no more together.
-func (l Limit) granted() terms {
+// terms returns the terms of a granter's bucket. In a window, a full bucket grants windowMax. A
+// granter that begins with an empty one and its predecessor grant no more together.
+func (l Limit) terms(emergency bool) terms {
+	if emergency {
+		total := emergencyPart * l.Slack
+		return terms{perSecond: max(total/2/Units(l.Window.Seconds()), minPerSecond), capacity: total / 2, windowMax: total, window: l.Window}
+	}
 	steady := steadyBurstPart * l.Burst
 	extra := grantPart * l.Slack
 	return terms{
@@ -94,12 +98,6 @@
 	}
 }
 
-// emergency returns the terms of the bucket for relays that do not reach the granter.
-func (l Limit) emergency() terms {
-	total := emergencyPart * l.Slack
-	return terms{perSecond: max(total/Units(l.Window.Seconds()), minPerSecond), windowMax: total, window: l.Window}
-}
-
 // minPerSecond keeps waits finite where the slack is zero.
 const minPerSecond = 1e-6
 
--- a/relay/quota.go
+++ b/relay/quota.go
@@ -35,7 +35,7 @@
 	limit := e.quotas.bounds.Load().NewLimit(quota.Units(q.PerSecond), quota.Units(q.Burst))
 	account := e.quotas.account(e.workspace.Name)
 	now := time.Now()
-	charge, need, extra := account.TryCharge(now, limit, e.config.RelayCount(), amount)
+	charge, need, extra := account.TryCharge(now, limit, e.quotaRelayCount(now), amount)
 	if need == 0 {
 		e.setCharge(charge, e.quotas.lessor(e.workspace.Name, charge))
 		return nil
@@ -49,6 +49,15 @@
 	return e.askQuota(ctx, account, request)
 }
 
+// quotaRelayCount returns the number of relays that share the slack of quotas. It is not known
+// for a while after the start of the process: if all have been restarted, keepers report few.
+func (r *Relay) quotaRelayCount(now time.Time) int {
+	if now.Sub(r.quotas.began) < relayCountWindow {
+		return max(unknownRelayCount, r.config.RelayCount())
+	}
+	return r.config.RelayCount()
+}
+
 // askQuota asks the granter of the workspace's quota, or another one if it does not respond.
 func (e *exchange) askQuota(ctx context.Context, account *quota.Account, request keeper.QuotaRequest) *fault.Refusal {
 	view := e.quotas.view(e.workspace.Name, e.config.Pool)
@@ -59,6 +68,7 @@
 	if err != nil || response.Granted == 0 && response.Restarted {
 		asked = time.Now()
 		request.Emergency, request.Extra = true, 0
+		request.ViewAge, request.Changed = asked.Sub(view.deputySince), view.deputyChanged
 		granter = view.deputy
 		if emergency, deputyErr := e.callGranter(ctx, granter, request); deputyErr == nil && (err != nil || emergency.Granted > 0) {
 			response, err = emergency, nil
--- a/relay/quotas.go
+++ b/relay/quotas.go
@@ -19,6 +19,8 @@
 // quotas is this relay's part of the quotas of workspaces, and what it knows of their granters.
 type quotas struct {
 	bounds atomic.Pointer[quota.Bounds]
+	// began is when the process started.
+	began time.Time
 
 	mutex    sync.Mutex
 	accounts map[ident.WorkspaceName]*quota.Account
@@ -40,9 +42,10 @@
 	// records of endpoints only: a granter that does not respond to this relay may respond to
 	// others.
 	granter, deputy ident.Address
-	// since is when the relay learned of the granter. Changed is set if it replaced another one.
-	since   time.Time
-	changed bool
+	// since and deputySince are when the relay learned of them. Changed and deputyChanged are set
+	// if they replaced other ones.
+	since, deputySince     time.Time
+	changed, deputyChanged bool
 	// lessor granted the units that the account holds in advance.
 	lessor ident.Address
 }
@@ -55,6 +58,7 @@
 
 func newQuotas(bounds quota.Bounds) *quotas {
 	q := &quotas{
+		began:    time.Now(),
 		accounts: map[ident.WorkspaceName]*quota.Account{}, views: map[ident.WorkspaceName]*granterView{},
 		unresponsiveUntil: map[ident.Address]time.Time{}, unused: map[ident.Address][]unusedQuota{},
 	}
@@ -103,7 +107,9 @@
 		if granter != v.granter {
 			v.granter, v.since, v.changed = granter, q.changedAt, true
 		}
-		v.deputy = deputy
+		if deputy != v.deputy {
+			v.deputy, v.deputySince, v.deputyChanged = deputy, q.changedAt, true
+		}
 	}
 }
 
@@ -118,11 +124,11 @@
 func (q *quotas) viewLocked(workspace ident.WorkspaceName) *granterView {
 	v, found := q.views[workspace]
 	if !found {
-		v = &granterView{since: q.changedAt}
+		v = &granterView{since: q.changedAt, deputySince: q.changedAt}
 		v.granter, v.deputy = rendezvous(q.keepers, workspace)
-		if before, _ := rendezvous(q.previous, workspace); before != "" && before != v.granter {
-			v.changed = true
-		}
+		before, deputyBefore := rendezvous(q.previous, workspace)
+		v.changed = before != "" && before != v.granter
+		v.deputyChanged = deputyBefore != "" && deputyBefore != v.deputy
 		q.views[workspace] = v
 	}
 	return v
@@ -189,15 +195,3 @@
 
 // SetQuotas changes what is tolerated beyond quotas.
 func (r *Relay) SetQuotas(bounds quota.Bounds) { r.quotas.bounds.Store(&bounds) }
-
-// prune removes the accounts of workspaces that no document has any more.
-func (q *quotas) prune(exists func(ident.WorkspaceName) bool) {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	for workspace := range q.accounts {
-		if !exists(workspace) {
-			delete(q.accounts, workspace)
-			delete(q.views, workspace)
-		}
-	}
-}
