--- /dev/null
+++ b/mutant/quota.go
@@ -0,0 +1,96 @@
+package main
+
+// quotaMutants holds one mutant for each mechanism behind the quotas of workspaces.
+var quotaMutants = []mutant{
+	{
+		guarantee: "relays divide their share of the slack",
+		file:      "quota/share.go",
+		original:  "limit.sharePerSecond() / Units(max(1, relays))",
+		mutated:   "limit.sharePerSecond()",
+		pkg:       "quota", test: "TestAnyHistory|TestFleet",
+	},
+	{
+		guarantee: "a new granter's bucket holds what it received since its start only",
+		file:      "quota/grants.go",
+		original:  "(*b).level = min((*b).terms.capacity, (*b).terms.received(now.Sub(g.began)), (*b).terms.receivedSince(r))",
+		mutated:   "(*b).level = (*b).terms.capacity",
+		pkg:       "quota", test: "TestRestart",
+	},
+	{
+		guarantee: "a granter that replaced another one waits until no relay uses that one",
+		file:      "quota/grants.go",
+		original:  "received := t.received(r.ViewAge - maxOverlap)",
+		mutated:   "received := t.received(r.ViewAge + 4*maxOverlap)",
+		pkg:       "quota", test: "TestAnyHistory|TestFleet|TestRestart",
+	},
+	{
+		guarantee: "what is given back can't be used beyond the window's limit",
+		file:      "quota/bucket.go",
+		original:  "sum > b.terms.windowMax && i <= slots+1",
+		mutated:   "false && i <= slots+1",
+		pkg:       "quota", test: "TestBucket",
+	},
+	{
+		guarantee: "a lower limit empties the bucket",
+		file:      "quota/bucket.go",
+		original:  "	b.level = min(b.level, t.capacity)",
+		mutated:   "	_ = t",
+		pkg:       "quota", test: "TestBucket",
+	},
+	{
+		guarantee: "leases expire",
+		file:      "quota/account.go",
+		original:  "now.Sub(a.leaseGrantedAt) >= LeaseTTL",
+		mutated:   "false",
+		pkg:       "quota", test: "TestAccount",
+	},
+	{
+		guarantee: "a request that no endpoint ran gives its charge back",
+		file:      "relay/exchange.go",
+		original:  "	defer e.returnUnusedQuota()\n",
+		mutated:   "",
+		pkg:       "relay", test: "TestQuotaCharge",
+	},
+	{
+		guarantee: "a request that may have run keeps its charge",
+		file:      "relay/quota.go",
+		original:  "e.charge.Total == 0 || e.executions > 0 || e.prefilled",
+		mutated:   "e.charge.Total == 0",
+		pkg:       "relay", test: "TestQuotaCharge",
+	},
+	{
+		guarantee: "quotas are enforced",
+		file:      "relay/exchange.go",
+		original:  "if refusal := e.chargeQuota(ctx); refusal != nil {",
+		mutated:   "if refusal := e.chargeQuota(ctx); false {",
+		pkg:       "relay", test: "TestOverQuota",
+	},
+	{
+		guarantee: "invalid token counts are no free ride",
+		file:      "relay/quota.go",
+		original:  "if q.CountsTokens && e.request.InvalidTokenCounts {",
+		mutated:   "if false {",
+		pkg:       "relay", test: "TestTokenCountsOfQuotas",
+	},
+	{
+		guarantee: "relays that do not reach the granter use the emergency bucket of another one",
+		file:      "relay/quota.go",
+		original:  "request.Emergency, request.Extra = true, 0",
+		mutated:   "request.Emergency, request.Extra = false, 0",
+		pkg:       "relay", test: "TestQuotaGranterFails",
+	},
+	{
+		guarantee: "a denial is remembered",
+		file:      "relay/quota.go",
+		original:  "if wait, retryAfter := account.Denied(now); wait > 0 {",
+		mutated:   "if wait, retryAfter := account.Denied(now); false {",
+		pkg:       "relay", test: "TestOverQuota",
+	},
+	{
+		guarantee: "token counts that are no numbers are recognized",
+		file:      "platform/caller_handler.go",
+		original:  "!(count >= 1 && count <= maxTokenCount)",
+		mutated:   "count < 0",
+		pkg:       "platform", test: "TestInvalidTokenCounts",
+	},
+}
--- a/quota/account.go
+++ b/quota/account.go
@@ -12,6 +12,9 @@
 	// extraSpan is the time for whose expected use units are asked for in advance: half of
 	// LeaseTTL, so that few of them expire.
 	extraSpan = LeaseTTL / 2
+	// maxBackoff limits how long a relay does not ask the granter although units are available:
+	// the granter's bucket holds those of more than a second.
+	maxBackoff = 500 * time.Millisecond
 )
 
 // Account is one relay's part of a workspace's quota. It is safe for concurrent use.
@@ -25,8 +28,7 @@
 	// use is the recent use of requests that a lease can hold, a second.
 	use   Units
 	useAt time.Time
-	// deniedUntil is when the granter can grant anything again, retryAfter when denied requests
-	// fit.
+	// deniedUntil is when the granter is asked again, retryAt when the last denied request fits.
 	deniedUntil, retryAt time.Time
 	// used is the use since the last call of TakeUsed.
 	used Units
@@ -88,15 +90,19 @@
 	return Charge{Total: amount, Granted: amount, GrantedAt: askedAt, Emergency: emergency}
 }
 
-// Deny records that a granter denied a request.
-func (a *Account) Deny(now time.Time, response Response) {
+// Deny records that a granter denied a request. Backoff is a number from zero to one that spreads
+// the next requests of relays, as far as others were denied before.
+func (a *Account) Deny(now time.Time, response Response, backoff float64) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.deniedUntil, a.retryAt = now.Add(response.Wait), now.Add(max(response.Wait, response.RetryAfter))
+	retryAfter := max(response.Wait, response.RetryAfter)
+	spread := min(retryAfter-response.Wait, maxBackoff)
+	a.deniedUntil = now.Add(response.Wait + time.Duration(backoff*float64(spread)))
+	a.retryAt = now.Add(retryAfter)
 }
 
-// Denied returns the times until a granter can grant anything, and until the last denied request
-// fits. It returns zero if the granter is to be asked.
+// Denied returns the times until the granter is asked again, and until the last denied request
+// fits. They are zero if it is to be asked now.
 func (a *Account) Denied(now time.Time) (wait, retryAfter time.Duration) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// waitMargin is added to waits, which are rounded: a request must fit at their end.
+const waitMargin = time.Microsecond
+
 // slots is the number of parts of a bucket's window.
 const slots = 32
 
@@ -81,7 +84,7 @@
 		floor = min(need, b.terms.capacity)
 	}
 	if b.level < floor {
-		wait = max(1, seconds((floor-b.level)/b.terms.perSecond))
+		wait = seconds((floor-b.level)/b.terms.perSecond) + waitMargin
 	}
 	sum := need
 	for _, taken := range b.taken {
--- a/relay/quota.go
+++ b/relay/quota.go
@@ -92,7 +92,7 @@
 	case request.Emergency:
 		return fault.New(fault.Overloaded, "the keeper that grants the quota does not respond").WithRetryAfter(e.retryAfterJitter(max(minRetryAfter, response.Wait)))
 	}
-	account.Deny(time.Now(), response)
+	account.Deny(time.Now(), response, rand.Float64())
 	return e.refuseOverQuota(request.Need, response.RetryAfter)
 }
 
