--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -68,6 +68,8 @@
 	slowdown float64
 	// speed is what relays with learned costs ask for.
 	speed engineSpeed
+	// lapses counts prompts that could not be fetched from the engine.
+	lapses lapses
 	// prefillUntil is when the last granted prefill is expected to end.
 	prefillUntil time.Time
 	// prefillGrantedAt is when the last prefill slot was granted.
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -137,6 +137,8 @@
 	// Speed is set if the relay wants the engine's speed. The schedule then follows that speed,
 	// too.
 	Speed bool `json:"speed,omitempty"`
+	// Lapsed is set if a prompt that was prefilled here could not be fetched. No slot is requested.
+	Lapsed bool `json:"lapsed,omitempty"`
 }
 
 // PrefillTiming is the duration of a prefill without queueing and network time.
@@ -156,6 +158,8 @@
 	Down bool `json:"down,omitempty"`
 	// Speed is that of the engine if the request wants it, else nil.
 	Speed *cost.Speed `json:"speed,omitempty"`
+	// Lapsing is set if prompts prefilled here cannot be fetched for now.
+	Lapsing bool `json:"lapsing,omitempty"`
 }
 
 // StageRequest requests a change of an engine's stage.
--- a/keeper/prefill.go
+++ b/keeper/prefill.go
@@ -34,6 +34,11 @@
 	if request.Local {
 		return k.scheduleLocalPrefill(request)
 	}
+	if request.Lapsed {
+		k.lapses.add(time.Now())
+		k.Log.Info("a prompt that was prefilled here could not be fetched", "request", request.Attempt, "lapses", k.lapses.count)
+		return PrefillResponse{}
+	}
 	k.updateSlowdown(request.LastTiming)
 	k.speed.addPrefill(request.LastTiming, time.Now())
 	slowdown, speed := k.slowdown, k.speedFor(request.Speed)
@@ -45,6 +50,9 @@
 		return PrefillResponse{Down: true}
 	}
 	now := time.Now()
+	if request.Speed && k.lapses.lapsing(now) {
+		return PrefillResponse{Lapsing: true, Slowdown: slowdown, Speed: speed}
+	}
 	if k.report.Waiting == 0 && k.report.Active == 0 && now.Sub(k.prefillGrantedAt) > prefillReportDelay {
 		k.prefillUntil = now
 	}
--- a/mutant/cost.go
+++ b/mutant/cost.go
@@ -55,7 +55,7 @@
 		guarantee: "a slow engine's streams are stalled for no longer than those of a usual one",
 		file:      "relay/learned.go",
 		original:  "max(1, view.RelativeStep(m.Name, processOf(m)))",
-		mutated:   "1",
+		mutated:   "min(1, view.RelativeStep(m.Name, processOf(m)))",
 		pkg:       "relay", test: "TestSlowEngineStallsLess",
 	},
 	{
@@ -65,4 +65,18 @@
 		mutated:   "if false {",
 		pkg:       "pool", test: "TestSlowEnginesAreExplored",
 	},
+	{
+		guarantee: "all relays hear of an engine whose prompts cannot be fetched",
+		file:      "relay/serve_stream.go",
+		original:  "\t\ts.reportLapse(cached.Endpoint)\n",
+		mutated:   "",
+		pkg:       "relay", test: "TestLapseIsReported",
+	},
+	{
+		guarantee: "an engine whose prompts cannot be fetched is avoided",
+		file:      "keeper/prefill.go",
+		original:  "if request.Speed && k.lapses.lapsing(now) {",
+		mutated:   "if false {",
+		pkg:       "keeper", test: "TestLapsingEngineIsAvoided",
+	},
 }
--- a/pool/cost_rank.go
+++ b/pool/cost_rank.go
@@ -48,13 +48,14 @@
 
 // PrefillCost returns the expected end of a prefill at a member, with the price of the distance to
 // the decode zone, and its uncertainty: what the keeper reported, less the time since, and this
-// process's own requests.
+// process's own requests. As the keeper is asked before the prompt is sent, the uncertainty is that
+// of the time until its response.
 func (t Topology) PrefillCost(m Member, decodeZone ident.ZoneName, now time.Time, c RequestCost) (expected, uncertainty time.Duration) {
 	work := c.PrefillWork(m)
-	age := loadTTL
+	age := t.RoundTrip(m.Zone)
 	delay := time.Duration(c.slowdown(m) * float64(time.Duration(m.PromptTokens)*PrefillPerToken))
 	if !m.Load.ReportedAt.IsZero() {
-		age = min(loadTTL, now.Sub(m.Load.ReportedAt))
+		age = min(age, now.Sub(m.Load.ReportedAt))
 		delay = max(0, m.Load.PrefillBacklog-now.Sub(m.Load.ReportedAt))
 	}
 	distance := t.RoundTrip(m.Zone) + t.transferPenalty(m.Zone, decodeZone)
--- a/relay/learned.go
+++ b/relay/learned.go
@@ -157,6 +157,21 @@
 	learned.addBusy(pool.Prefill, share)
 }
 
+// reportLapse tells the keeper of a prefill endpoint that a prompt could not be fetched from it.
+func (s *stream) reportLapse(e pool.Endpoint) {
+	if !s.config.LearnedCosts || s.keeperUnreachable(e.Name) {
+		return
+	}
+	request := keeper.PrefillRequest{Attempt: s.request.Attempt, Lapsed: true}
+	s.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if _, err := s.config.Keepers.SchedulePrefill(ctx, e.Address, request); err != nil {
+			s.Log.Info("a keeper was not told of a prompt that could not be fetched", "request", request.Attempt, "endpoint", e.Name, "error", err)
+		}
+	})
+}
+
 func processOf(m pool.Member) cost.Process {
 	return cost.Process{StartMillis: m.StartMillis, Version: m.Version}
 }
--- a/relay/learned_test.go
+++ b/relay/learned_test.go
@@ -25,6 +25,8 @@
 	prefills []keeper.PrefillRequest
 	reserves []keeper.ReserveRequest
 	granted  []ident.EndpointName
+	// lapsed counts the reports of prompts that could not be fetched.
+	lapsed int
 }
 
 func endpointAt(address ident.Address) ident.EndpointName {
@@ -32,6 +34,10 @@
 }
 
 func (k *measuredKeepers) SchedulePrefill(_ context.Context, address ident.Address, request keeper.PrefillRequest) (keeper.PrefillResponse, error) {
+	if request.Lapsed {
+		k.lapsed++
+		return keeper.PrefillResponse{}, nil
+	}
 	k.prefills = append(k.prefills, request)
 	name := endpointAt(address)
 	response := keeper.PrefillResponse{Backlog: k.backlogs[name], Slowdown: 1, Granted: k.backlogs[name] <= request.MaxWait}
@@ -131,3 +137,17 @@
 		assert.Equal(t, s.nominalStall(member("d1")), s.maxStall()/2)
 	})
 }
+
+// TestLapseIsReported lets the handle of a prompt lapse: the keeper of the engine that prefilled it is
+// told, if learned costs are switched on.
+func TestLapseIsReported(t *testing.T) {
+	for _, learned := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			k := &measuredKeepers{fakeBackend: &fakeBackend{nextDecode: rejects}}
+			r := newMeasuredRelay(t, k, learned)
+			_, refusal := send(t.Context(), r, "/read/x")
+			assert.Assert(t, refusal == nil, "%v", refusal)
+			assert.Equal(t, k.lapsed > 0, learned)
+		})
+	}
+}
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -145,6 +145,11 @@
 		s.config.Pool.UpdateLoad(m.Name, pool.Load{PrefillBacklog: downBackoff, PrefillSlowdown: m.Load.PrefillSlowdown, ReportedAt: time.Now()})
 		return prefillSlot{}
 	}
+	if response.Lapsing {
+		s.Log.Info("an engine is avoided as its prompts cannot be fetched", "request", s.request.Attempt, "endpoint", m.Name)
+		s.config.Pool.UpdateLoad(m.Name, pool.Load{PrefillBacklog: downBackoff, PrefillSlowdown: response.Slowdown, ReportedAt: time.Now()})
+		return prefillSlot{}
+	}
 	load := pool.Load{PrefillBacklog: response.Backlog, PrefillSlowdown: response.Slowdown, ReportedAt: time.Now()}
 	if response.Granted {
 		load.PrefillBacklog += time.Duration(response.Slowdown * float64(pool.PrefillTime(s.request.Prompt.Tokens)))
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -245,6 +245,7 @@
 		s.config.Pool.Begin(cached.Endpoint, 0)(pool.Failed, 0)
 		// The next handle there would lapse as well.
 		s.tried[cached.Endpoint.Name] = true
+		s.reportLapse(cached.Endpoint)
 	}
 	s.Log.Info("an endpoint did not run a request", "request", s.request.Attempt, "endpoint", res.member.Name,
 		"status", response.Status, "granted", res.confirmed, "read-apart", cached != nil)
