--- /dev/null
+++ b/admit/book.go
@@ -0,0 +1,208 @@
+package admit
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"crocusstep/ident"
+)
+
+const (
+	// demandWindow is the time over which the arrivals of more urgent requests are
+	// averaged: at an engine that is full, memory for one more becomes free some times in
+	// it, so that the rate follows a burst while it lasts.
+	demandWindow = 2 * time.Second
+	// usageWindow is the time over which shares and the frequency of service are
+	// averaged: some runs of an engine, and the time in which callers that are refused
+	// come back.
+	usageWindow = 8 * time.Second
+	// agingShare is the part of the frequency of all at which a priority is served before
+	// more urgent ones: twice the least part that callers accept, a quarter.
+	agingShare = 0.5
+	// debtLevelsPerDoubling is the number of levels of debt in a factor of two. Shares at one
+	// engine are of some requests each, and smaller differences are chance.
+	debtLevelsPerDoubling = 2
+	// maxDebt is the highest level, at eight times the share.
+	maxDebt = 6
+	// maxEntries limits the entries of a book; what is beyond them has no debt, and is not
+	// waited for.
+	maxEntries = 256
+	// forgotten is the count below which an entry is dropped.
+	forgotten = 0.01
+)
+
+// cell counts the requests that are alike in all that ranks them.
+type cell struct {
+	priority  int
+	timing    Timing
+	workspace ident.WorkspaceName
+}
+
+// usage is what one workspace used lately.
+type usage struct {
+	weight float64
+	// tokens counts those granted, by expectation until a request has ended.
+	tokens average
+	// asks counts the requests.
+	asks average
+}
+
+// service is how often the requests of one priority were served lately.
+type service struct{ asks, grants average }
+
+// Book holds what one engine's keeper needs to rank requests: who asked, and who used how much
+// lately. All of it decays. The zero value is not usable; it is not safe for concurrent use.
+type Book struct {
+	demand     map[cell]*average
+	usages     map[ident.WorkspaceName]*usage
+	services   map[int]*service
+	tokens     average
+	grants     average
+	nextPruned time.Time
+}
+
+// NewBook returns a book without entries.
+func NewBook() *Book {
+	return &Book{demand: map[cell]*average{}, usages: map[ident.WorkspaceName]*usage{}, services: map[int]*service{}}
+}
+
+// Ask records that a request for memory arrived.
+func (b *Book) Ask(now time.Time, o Order, t Timing) {
+	b.prune(now)
+	key := cell{priority: o.Priority, timing: t, workspace: o.Workspace}
+	if _, known := b.demand[key]; !known && len(b.demand) < maxEntries {
+		b.demand[key] = &average{}
+	}
+	if a := b.demand[key]; a != nil {
+		a.add(now, 1, demandWindow)
+	}
+	b.service(o.Priority).asks.add(now, 1, usageWindow)
+	if u := b.usage(o); u != nil {
+		u.weight = o.weight()
+		u.asks.add(now, 1, usageWindow)
+	}
+}
+
+// Grant charges a workspace the expected tokens of a request that is admitted.
+func (b *Book) Grant(now time.Time, o Order, tokens ident.TokenCount) {
+	b.service(o.Priority).grants.add(now, 1, usageWindow)
+	b.tokens.add(now, float64(tokens), usageWindow)
+	b.grants.add(now, 1, usageWindow)
+	if u := b.usage(o); u != nil {
+		u.tokens.add(now, float64(tokens), usageWindow)
+	}
+}
+
+// Correct replaces the tokens charged at a grant by those used, of which there are more by the
+// given difference, once the request has ended.
+func (b *Book) Correct(now, grantedAt time.Time, o Order, difference ident.TokenCount) {
+	left := float64(difference) * decay(now.Sub(grantedAt), usageWindow)
+	b.tokens.add(now, left, usageWindow)
+	if u := b.usage(o); u != nil {
+		u.tokens.add(now, left, usageWindow)
+	}
+}
+
+// Rank returns the current rank of a request.
+func (b *Book) Rank(now time.Time, o Order, t Timing) Rank {
+	return Rank{Timing: t, Aged: b.aged(now, o.Priority), Priority: o.Priority, Debt: b.Debt(now, o.Workspace)}
+}
+
+// RateAhead returns the requests a second that arrive and precede a rank.
+func (b *Book) RateAhead(now time.Time, r Rank) float64 {
+	share, aged := b.share(now), map[int]bool{}
+	for priority := range b.services {
+		aged[priority] = b.aged(now, priority)
+	}
+	sum := 0.0
+	for key, a := range b.demand {
+		other := Rank{Timing: key.timing, Aged: aged[key.priority], Priority: key.priority, Debt: share.debt(b.usages[key.workspace])}
+		if other.Compare(r) < 0 {
+			sum += a.at(now, demandWindow)
+		}
+	}
+	return sum / demandWindow.Seconds()
+}
+
+// Debt returns the level of what a workspace used beyond its share of what all workspaces that
+// ask used. One request is not held against it.
+func (b *Book) Debt(now time.Time, workspace ident.WorkspaceName) int {
+	return b.share(now).debt(b.usages[workspace])
+}
+
+// share is what a workspace may have used without a debt.
+type share struct {
+	now time.Time
+	// perWeight is in tokens, zero if none was used.
+	perWeight float64
+	// request is the mean of the tokens charged for one request.
+	request float64
+}
+
+func (b *Book) share(now time.Time) share {
+	weights, tokens := 0.0, 0.0
+	for _, u := range b.usages {
+		weights += u.weight
+		tokens += max(0, u.tokens.at(now, usageWindow))
+	}
+	return share{now: now, perWeight: tokens / max(weights, math.SmallestNonzeroFloat64), request: max(0, b.tokens.at(now, usageWindow)) / max(1, b.grants.at(now, usageWindow))}
+}
+
+// debt returns the level of debt, zero for a workspace without an entry.
+func (s share) debt(u *usage) int {
+	if u == nil || s.perWeight <= 0 {
+		return 0
+	}
+	excess := (u.tokens.at(s.now, usageWindow) - s.request) / u.weight
+	if excess <= s.perWeight {
+		return 0
+	}
+	return int(min(maxDebt, debtLevelsPerDoubling*math.Log2(excess/s.perWeight)))
+}
+
+// aged reports whether a priority is served far less often than all requests, although it is
+// not the most urgent.
+func (b *Book) aged(now time.Time, priority int) bool {
+	own := b.services[priority]
+	if own == nil {
+		return false
+	}
+	asks, grants, urgent := 0.0, 0.0, true
+	for p, s := range b.services {
+		asks += s.asks.at(now, usageWindow)
+		grants += s.grants.at(now, usageWindow)
+		urgent = urgent && priority <= p
+	}
+	return !urgent && own.grants.at(now, usageWindow)*asks < agingShare*grants*own.asks.at(now, usageWindow)
+}
+
+func (b *Book) service(priority int) *service {
+	s := b.services[priority]
+	if s == nil {
+		s = &service{}
+		b.services[priority] = s
+	}
+	return s
+}
+
+// usage returns the entry of a workspace, or nil if there is none or the book is full.
+func (b *Book) usage(o Order) *usage {
+	u := b.usages[o.Workspace]
+	if u == nil && len(b.usages) < maxEntries {
+		u = &usage{weight: o.weight()}
+		b.usages[o.Workspace] = u
+	}
+	return u
+}
+
+// prune drops the entries that have decayed, once in a window.
+func (b *Book) prune(now time.Time) {
+	if now.Before(b.nextPruned) {
+		return
+	}
+	b.nextPruned = now.Add(demandWindow)
+	maps.DeleteFunc(b.demand, func(_ cell, a *average) bool { return a.at(now, demandWindow) < forgotten })
+	maps.DeleteFunc(b.usages, func(_ ident.WorkspaceName, u *usage) bool { return u.asks.at(now, usageWindow) < forgotten })
+	maps.DeleteFunc(b.services, func(_ int, s *service) bool { return s.asks.at(now, usageWindow) < forgotten })
+}
--- a/keeper/engine_state.go
+++ b/keeper/engine_state.go
@@ -91,7 +91,7 @@
 		if !ok {
 			continue
 		}
-		r.started = true
+		r.started, r.held = true, running.Held
 		k.measureStep(r, running.Held, polledAt)
 	}
 	for attempt, r := range k.reservations {
@@ -99,7 +99,7 @@
 			continue
 		}
 		if r.started || polledAt.Sub(r.grantedAt) > reservationTTL {
-			delete(k.reservations, attempt)
+			k.dropReservation(attempt)
 		}
 	}
 	k.report, k.reportedAt = report, polledAt
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -1,12 +1,12 @@
 package keeper
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"crocusstep/admit"
 	"crocusstep/common"
 	"crocusstep/ident"
 	"crocusstep/memory"
@@ -56,8 +56,10 @@
 	// reservations holds each granted reservation until its request ends or has not
 	// started within reservationTTL.
 	reservations map[ident.AttemptID]*reservation
-	// waiting is sorted by compareUrgency.
-	waiting  []*waiter
+	// waiting is sorted by rank as of the last arrival or admission.
+	waiting []*waiter
+	// book ranks requests; only those with an order are in it.
+	book     *admit.Book
 	stepTime stepEstimator
 	mean     MeanRequest
 	// slowdown is the ratio of measured to nominal prefill time.
@@ -82,6 +84,8 @@
 	// time begins.
 	sampleTokens ident.TokenCount
 	sampledAt    time.Time
+	// held is the tokens held at the last report, zero before the request started.
+	held ident.TokenCount
 }
 
 type waiter struct {
@@ -92,7 +96,7 @@
 // NewKeeper returns a keeper without reservations.
 func NewKeeper(c *common.Common, e Engine) *Keeper {
 	return &Keeper{
-		Common: c, engine: e, permits: rate.NewGrants[limitedProcess](), origins: origin.NewBook(),
+		Common: c, engine: e, permits: rate.NewGrants[limitedProcess](), origins: origin.NewBook(), book: admit.NewBook(),
 		reservations: map[ident.AttemptID]*reservation{}, slowdown: 1, wake: make(chan struct{}, 1),
 	}
 }
@@ -144,7 +148,8 @@
 		return ReserveResponse{Down: true}
 	}
 	k.mean.add(request)
-	if len(k.waiting) == 0 && k.fits(request) {
+	k.recordAsk(request)
+	if k.isFirst(request) && k.fits(request) && !k.yields(request) {
 		k.grant(request)
 		response := k.response(request, true)
 		measuring := k.stepTime.count < minStepSamples
@@ -161,7 +166,7 @@
 	}
 	w := &waiter{request: request, granted: make(chan struct{})}
 	k.waiting = append(k.waiting, w)
-	slices.SortStableFunc(k.waiting, func(a, b *waiter) int { return compareUrgency(a.request, b.request) })
+	k.sortWaiting()
 	k.mutex.Unlock()
 	k.wakeUp()
 	return k.await(ctx, w)
@@ -192,10 +197,6 @@
 	return useful <= 0 || expected > waitErrorFactor*useful
 }
 
-// compareUrgency orders requests by urgency; equal ones stay in order of arrival.
-// Shortest job first would serve more requests in a burst, but starve large ones.
-func compareUrgency(a, b ReserveRequest) int { return cmp.Compare(a.Urgency, b.Urgency) }
-
 func (k *Keeper) await(ctx context.Context, w *waiter) ReserveResponse {
 	timer := time.NewTimer(w.request.MaxWait)
 	defer timer.Stop()
@@ -209,7 +210,7 @@
 	k.waiting = slices.DeleteFunc(k.waiting, func(other *waiter) bool { return other == w })
 	_, granted := k.reservations[w.request.Attempt]
 	if granted && ctx.Err() != nil {
-		delete(k.reservations, w.request.Attempt)
+		k.dropReservation(w.request.Attempt)
 		granted = false
 	}
 	if !granted && k.report.Leaving {
@@ -223,7 +224,7 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if r, ok := k.reservations[attempt]; ok && !r.started {
-		delete(k.reservations, attempt)
+		k.dropReservation(attempt)
 	}
 	k.admitLocked()
 }
@@ -235,7 +236,8 @@
 }
 
 // admitLocked grants reservations in order. A request that does not fit blocks those
-// behind it, so that large requests are not starved.
+// behind it, so that large requests are not starved: shortest job first would serve more
+// requests in a burst.
 func (k *Keeper) admitLocked() {
 	if k.report.Leaving {
 		k.denyWaiting()
@@ -244,7 +246,8 @@
 	if k.down || !k.serves(pool.Decode) {
 		return
 	}
-	for len(k.waiting) > 0 && k.fits(k.waiting[0].request) {
+	k.sortWaiting()
+	for len(k.waiting) > 0 && k.fits(k.waiting[0].request) && !k.yields(k.waiting[0].request) {
 		w := k.waiting[0]
 		k.waiting = k.waiting[1:]
 		k.grant(w.request)
@@ -262,6 +265,7 @@
 
 func (k *Keeper) grant(request ReserveRequest) {
 	k.reservations[request.Attempt] = &reservation{request: request, grantedAt: time.Now()}
+	k.recordGrant(request)
 }
 
 func (k *Keeper) policy(request ReserveRequest) memory.Policy {
@@ -275,12 +279,17 @@
 // expectedWait estimates the wait of one more request behind those that wait.
 func (k *Keeper) expectedWait(request ReserveRequest) time.Duration {
 	next := request.run()
+	rank := k.rank(request)
 	for _, w := range k.waiting {
-		if compareUrgency(w.request, request) <= 0 {
+		if k.rank(w.request).Compare(rank) <= 0 {
 			next.Held += w.request.initialTokens() + w.request.run().Remaining/2
 		}
 	}
-	return time.Duration(k.policy(request).StepsUntilFit(k.runs(), next)) * k.stepTime.estimate(float64(len(k.report.Requests)))
+	return time.Duration(k.policy(request).StepsUntilFit(k.runs(), next)) * k.currentStepTime()
+}
+
+func (k *Keeper) currentStepTime() time.Duration {
+	return k.stepTime.estimate(float64(len(k.report.Requests)))
 }
 
 func (k *Keeper) response(request ReserveRequest, granted bool) ReserveResponse {
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"crocusstep/admit"
 	"crocusstep/common"
 	"crocusstep/ident"
 	"crocusstep/memory"
@@ -76,7 +77,7 @@
 	return NewKeeper(common.NewCommon(slog.New(slog.NewTextHandler(io.Discard, nil)), m), e)
 }
 
-func newRequest(name string, urgency int, wait time.Duration) ReserveRequest {
+func newRequest(name string, urgency admit.Timing, wait time.Duration) ReserveRequest {
 	return ReserveRequest{Attempt: ident.AttemptID(name), Prompt: 4000, Output: memory.LengthEstimate{Median: 1000, Spread: 0.5, Limit: 1500}, Slots: 64, MaxWait: wait, Urgency: urgency}
 }
 
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"crocusstep/admit"
 	"crocusstep/ident"
 	"crocusstep/memory"
 	"crocusstep/pool"
@@ -43,7 +44,9 @@
 	// MaxWait is the longest useful wait for the reservation.
 	MaxWait time.Duration `json:"wait-ns"`
 	// Urgency orders waiting requests, lowest value first.
-	Urgency int `json:"urgency"`
+	Urgency admit.Timing `json:"urgency"`
+	// Order is nil if the requests to the service differ by urgency alone.
+	Order *admit.Order `json:"order,omitempty"`
 }
 
 // initialTokens returns the tokens that the request holds when decoding starts.
@@ -128,6 +131,10 @@
 	MaxStall time.Duration `json:"stall-ns,omitempty"`
 	// LastTiming is the newest prefill that the relay measured at this engine.
 	LastTiming PrefillTiming `json:"last"`
+	// Urgency and Order are those of the reservation; Order is nil if the requests to the
+	// service differ by urgency alone.
+	Urgency admit.Timing `json:"urgency,omitempty"`
+	Order   *admit.Order `json:"order,omitempty"`
 }
 
 // PrefillTiming is the duration of a prefill without queueing and network time.
--- a/keeper/server.go
+++ b/keeper/server.go
@@ -16,7 +16,7 @@
 	router := httprouter.New()
 	router.HandlerFunc(http.MethodPost, ReservePath, handle(func(ctx context.Context, request ReserveRequest) ReserveResponse {
 		response := k.Reserve(ctx, request)
-		k.Log.Info("place asked for", "request", request.Attempt, "granted", response.Granted, "prompt", request.Prompt,
+		k.Log.With(k.orderFields(request.Order)...).Info("place asked for", "request", request.Attempt, "granted", response.Granted, "prompt", request.Prompt,
 			"output", request.Output.Median, "spread", request.Output.Spread, "urgency", request.Urgency,
 			"free", response.Headroom, "used", response.Used, "running", response.Running, "waiting", response.Waiting,
 			"expected-wait", response.ExpectedWait, "report-age", response.ReportAge, "step", response.StepTime, "down", response.Down)
@@ -24,7 +24,7 @@
 	}))
 	router.HandlerFunc(http.MethodPost, PrefillPath, handle(func(ctx context.Context, request PrefillRequest) PrefillResponse {
 		response := k.SchedulePrefill(ctx, request)
-		k.Log.Info("turn asked for", "request", request.Attempt, "granted", response.Granted, "tokens", request.Tokens,
+		k.Log.With(k.orderFields(request.Order)...).Info("turn asked for", "request", request.Attempt, "granted", response.Granted, "tokens", request.Tokens,
 			"ahead", response.Backlog, "wait", request.MaxWait, "pace", response.Slowdown, "own", request.Local,
 			"stall", request.MaxStall, "down", response.Down)
 		return response
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"crocusstep/admit"
 	"crocusstep/client"
 	"crocusstep/fault"
 	"crocusstep/ident"
@@ -36,6 +37,8 @@
 	tableVersion table.Version
 	// urgent is set if no route to the service is more urgent.
 	urgent bool
+	// order is nil if the requests to the service differ by neither priority nor workspace.
+	order  *admit.Order
 	writer http.ResponseWriter
 	// tried holds the endpoints that are not used again.
 	tried map[ident.EndpointName]bool
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"crocusstep/admit"
 	"crocusstep/common"
 	"crocusstep/crash"
 	"crocusstep/fault"
@@ -152,6 +153,7 @@
 		service:      t.Services[service],
 		tableVersion: t.Version,
 		urgent:       t.MostUrgent(route, service),
+		order:        orderOf(t, route, service, workspace),
 		writer:       w,
 		tried:        map[ident.EndpointName]bool{},
 		earlierWait:  r.waitEstimator.PriorWait(route.Name, request.Timeout),
@@ -163,6 +165,18 @@
 	return refusal
 }
 
+// orderOf returns what orders a request among others to the service, or nil if nothing does.
+func orderOf(t *table.Table, route table.Route, service ident.ServiceName, workspace *table.Workspace) *admit.Order {
+	if !t.Ordered(service) {
+		return nil
+	}
+	o := &admit.Order{Priority: route.Priority}
+	if workspace != nil {
+		o.Workspace, o.Weight = workspace.Name, t.Weight(workspace)
+	}
+	return o
+}
+
 // identify returns the workspace of the caller, nil if it is unknown, and completes the request's
 // headers.
 func identify(t *table.Table, request *Request) *table.Workspace {
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"crocusstep/admit"
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/keeper"
@@ -76,38 +77,25 @@
 		}
 		shortest = response.ExpectedWait
 	}
-	s.Log.Info("no place in time", "request", s.request.Attempt, "window", window, "expected-wait", shortest, "spent", s.earlierWait)
+	s.Log.With(orderFields(s.order)...).Info("no place in time", "request", s.request.Attempt, "window", window, "expected-wait", shortest, "spent", s.earlierWait)
 	return nil, fault.New(fault.TargetUnreachable, "the expected wait for memory is %s", shortest.Round(time.Millisecond)).
 		WithRetryAfter(s.retryAfterWait(shortest))
 }
 
-// Urgencies of requests that wait for memory; the lowest is served first.
-const (
-	// Streams that have started, whose callers see a gap.
-	resumedUrgency = iota
-	// Requests that can still meet their latency target. If returning callers preceded
-	// them, all would miss it in a burst.
-	inTimeUrgency
-	// Requests of callers that were refused before.
-	returningUrgency
-	// Requests that can no longer meet their latency target.
-	lateUrgency
-)
-
 // waitWindow returns how long waiting for memory is useful, and the urgency.
-func (s *stream) waitWindow() (time.Duration, int) {
+func (s *stream) waitWindow() (time.Duration, admit.Timing) {
 	switch {
 	case s.started:
-		return min(resumeWait, s.timeLeft()/2), resumedUrgency
+		return min(resumeWait, s.timeLeft()/2), admit.Begun
 	case s.earlierWait > returningAfter:
-		return min(returningWait, s.timeLeft()/2), returningUrgency
+		return min(returningWait, s.timeLeft()/2), admit.Returning
 	}
 	prefill := pool.PrefillTime(s.request.Prompt.Tokens)
 	latest := s.request.Arrived.Add(s.route.TargetLatency - prefill - transferAllowance)
 	if left := time.Until(latest); left > 0 {
-		return left, inTimeUrgency
+		return left, admit.InTime
 	}
-	return min(lateWait, s.timeLeft()/2), lateUrgency
+	return min(lateWait, s.timeLeft()/2), admit.Late
 }
 
 func (s *stream) decodeCandidates() []pool.Member {
@@ -119,7 +107,7 @@
 }
 
 // tryReserve takes a permit of the endpoint and asks its keeper for memory.
-func (s *stream) tryReserve(ctx context.Context, m pool.Member, wait time.Duration, urgency int) (keeper.ReserveResponse, *reservation) {
+func (s *stream) tryReserve(ctx context.Context, m pool.Member, wait time.Duration, urgency admit.Timing) (keeper.ReserveResponse, *reservation) {
 	if permitWait, acquired := s.acquirePermit(ctx, m, wait); !acquired {
 		return keeper.ReserveResponse{ExpectedWait: permitWait}, nil
 	}
@@ -132,7 +120,7 @@
 
 // tryReserveMemory asks a keeper for memory. If the keeper is unreachable, its endpoint is
 // used within this relay's own limit.
-func (s *stream) tryReserveMemory(ctx context.Context, m pool.Member, wait time.Duration, urgency int) (keeper.ReserveResponse, *reservation) {
+func (s *stream) tryReserveMemory(ctx context.Context, m pool.Member, wait time.Duration, urgency admit.Timing) (keeper.ReserveResponse, *reservation) {
 	if s.keeperUnreachable(m.Name) {
 		return s.reserveUnchecked(m)
 	}
@@ -145,6 +133,7 @@
 		Slots:     m.Slots,
 		MaxWait:   wait,
 		Urgency:   urgency,
+		Order:     s.order,
 	})
 	if err != nil {
 		if !s.keeperFailed(ctx, m, err) {
@@ -215,3 +204,11 @@
 	defer r.mutex.Unlock()
 	r.unreachableUntil[name] = time.Now().Add(keeperBackoff)
 }
+
+// orderFields returns what a log line says of a request's order; nothing without one.
+func orderFields(o *admit.Order) []any {
+	if o == nil {
+		return nil
+	}
+	return []any{"priority", o.Priority, "workspace", o.Workspace}
+}
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"crocusstep/admit"
 	"crocusstep/client"
 	"crocusstep/fault"
 	"crocusstep/ident"
@@ -259,7 +260,7 @@
 	}
 	s.tried[s.endpoint] = true
 	for _, m := range s.decodeCandidates() {
-		if _, res := s.tryReserve(ctx, m, 0, resumedUrgency); res != nil {
+		if _, res := s.tryReserve(ctx, m, 0, admit.Begun); res != nil {
 			return res
 		}
 	}
--- a/relay/serve_stream_test.go
+++ b/relay/serve_stream_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"crocusstep/admit"
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/pool"
@@ -409,13 +410,13 @@
 		waited      time.Duration
 		earlierWait time.Duration
 		started     bool
-		urgency     int
+		urgency     admit.Timing
 		maxWait     time.Duration
 	}{
-		{testName: "a new request waits while it can meet its latency target", urgency: inTimeUrgency, maxWait: 900 * time.Millisecond},
-		{testName: "a request that has waited too long is late", waited: time.Second, urgency: lateUrgency, maxWait: lateWait},
-		{testName: "a returning caller comes after requests in time", earlierWait: 2 * time.Second, urgency: returningUrgency, maxWait: returningWait},
-		{testName: "a started stream goes first", started: true, urgency: resumedUrgency, maxWait: resumeWait},
+		{testName: "a new request waits while it can meet its latency target", urgency: admit.InTime, maxWait: 900 * time.Millisecond},
+		{testName: "a request that has waited too long is late", waited: time.Second, urgency: admit.Late, maxWait: lateWait},
+		{testName: "a returning caller comes after requests in time", earlierWait: 2 * time.Second, urgency: admit.Returning, maxWait: returningWait},
+		{testName: "a started stream goes first", started: true, urgency: admit.Begun, maxWait: resumeWait},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"crocusstep/admit"
 )
 
 const (
@@ -104,7 +106,7 @@
 		if m.Suspended {
 			break
 		}
-		if _, next = s.tryReserve(ctx, m, 0, resumedUrgency); next != nil || ctx.Err() != nil {
+		if _, next = s.tryReserve(ctx, m, 0, admit.Begun); next != nil || ctx.Err() != nil {
 			break
 		}
 	}
--- a/table/table.go
+++ b/table/table.go
@@ -108,6 +108,10 @@
 	routes map[string][]Route
 	// priorities holds the priority of the most urgent route to each service.
 	priorities map[ident.ServiceName]int
+	// ordered holds the services whose requests differ by priority or workspace.
+	ordered map[ident.ServiceName]bool
+	// weighted is set if the quotas of all workspaces can be compared.
+	weighted bool
 	callers    map[KeyDigest]*Workspace
 }
 
@@ -129,6 +133,7 @@
 		t.Services[s.Name] = s
 	}
 	t.indexCallers()
+	t.indexOrder()
 	for _, r := range d.Routes {
 		t.routes[r.Host] = append(t.routes[r.Host], r)
 		priority := t.highestPriority(r)
