--- a/admit/book.go
+++ b/admit/book.go
@@ -35,6 +35,7 @@
 // cell counts the requests that are alike in all that ranks them.
 type cell struct {
 	priority  int
+	inner     int
 	timing    Timing
 	workspace ident.WorkspaceName
 }
@@ -70,7 +71,7 @@
 // Ask records that a request for memory arrived.
 func (b *Book) Ask(now time.Time, o Order, t Timing) {
 	b.prune(now)
-	key := cell{priority: o.Priority, timing: t, workspace: o.Workspace}
+	key := cell{priority: o.Priority, inner: o.Inner, timing: t, workspace: o.Workspace}
 	if _, known := b.demand[key]; !known && len(b.demand) < maxEntries {
 		b.demand[key] = &average{}
 	}
@@ -106,7 +107,7 @@
 
 // Rank returns the current rank of a request.
 func (b *Book) Rank(now time.Time, o Order, t Timing) Rank {
-	return Rank{Timing: t, Aged: b.aged(now, o.Priority), Priority: o.Priority, Debt: b.Debt(now, o.Workspace)}
+	return Rank{Timing: t, Aged: b.aged(now, o.Priority), Priority: o.Priority, Debt: b.Debt(now, o.Workspace), Inner: o.Inner}
 }
 
 // RateAhead returns the requests a second that arrive and precede a rank.
@@ -117,7 +118,7 @@
 	}
 	sum := 0.0
 	for key, a := range b.demand {
-		other := Rank{Timing: key.timing, Aged: aged[key.priority], Priority: key.priority, Debt: share.debt(b.usages[key.workspace])}
+		other := Rank{Timing: key.timing, Aged: aged[key.priority], Priority: key.priority, Debt: share.debt(b.usages[key.workspace]), Inner: key.inner}
 		if other.Compare(r) < 0 {
 			sum += a.at(now, demandWindow)
 		}
--- a/admit/order.go
+++ b/admit/order.go
@@ -30,6 +30,8 @@
 type Order struct {
 	// Priority is that of the workspace or route; zero is the most urgent.
 	Priority int `json:"priority,omitempty"`
+	// Inner is the priority of the route, where Priority is that of the workspace.
+	Inner int `json:"inner,omitempty"`
 	// Workspace is empty if the caller needs none.
 	Workspace ident.WorkspaceName `json:"workspace,omitempty"`
 	// Weight is the workspace's part of what is shared, relative to the other ones; zero
@@ -53,10 +55,12 @@
 	Priority int
 	// Debt is the level of what the workspace used beyond its share.
 	Debt int
+	// Inner is the priority among requests that are equal in all else.
+	Inner int
 }
 
 // Compare orders ranks, the one that is served first is the lowest. Streams that have begun
-// come first, then aged requests, then priority, time left and debt.
+// come first, then aged requests, then priority, time left, debt and the route's priority.
 func (r Rank) Compare(other Rank) int {
 	return cmp.Or(
 		compareFirst(r.Timing == Begun, other.Timing == Begun),
@@ -64,6 +68,7 @@
 		cmp.Compare(r.Priority, other.Priority),
 		cmp.Compare(r.Timing, other.Timing),
 		cmp.Compare(r.Debt, other.Debt),
+		cmp.Compare(r.Inner, other.Inner),
 	)
 }
 
@@ -78,9 +83,25 @@
 	return 1
 }
 
+// lookAhead is the number of more urgent requests that a less urgent one may delay before it
+// yields: in the time in which memory for so many becomes free, it gets its turn anyhow or its
+// caller is told to come back.
+const lookAhead = 4
+
 // Yields reports whether a request that fits must leave its memory to more urgent ones, which
-// arrive at the given rate a second: if admitting it delays the next of them, and one more
-// likely than not arrives within that delay.
-func Yields(rate float64, delay time.Duration) bool {
-	return rate*delay.Seconds() > math.Ln2
+// arrive at the given rate a second: if one of them then waits longer than it would without
+// the request, and arrives before its memory is free. FitsIn returns the time until the next
+// of them fits behind some others, with the request admitted or not.
+func Yields(rate float64, fitsIn func(behind int, admitted bool) time.Duration) bool {
+	if !(rate > 0) {
+		return false
+	}
+	for n := range lookAhead {
+		arrives := time.Duration(float64(n+1) / rate * float64(time.Second))
+		wait := fitsIn(n, true)
+		if wait > arrives && wait > fitsIn(n, false) {
+			return true
+		}
+	}
+	return false
 }
--- a/keeper/order.go
+++ b/keeper/order.go
@@ -49,18 +49,18 @@
 	if rank.Timing == admit.Begun || rank.Aged {
 		return false
 	}
-	rate := k.book.RateAhead(time.Now(), rank)
-	return rate > 0 && admit.Yields(rate, k.delayOfNext(request))
-}
-
-// delayOfNext returns how much longer the next request of mean size waits if another one is
-// admitted before.
-func (k *Keeper) delayOfNext(request ReserveRequest) time.Duration {
 	runs, next := k.runs(), k.mean.request(request.Slots).run()
-	policy := k.policy(request)
-	before := policy.StepsUntilFit(runs, next)
-	after := policy.StepsUntilFit(append(runs, request.run()), next)
-	return time.Duration(max(0, after-before)) * k.currentStepTime()
+	policy, step := k.policy(request), k.currentStepTime()
+	return admit.Yields(k.book.RateAhead(time.Now(), rank), func(behind int, admitted bool) time.Duration {
+		before := slices.Clone(runs)
+		if admitted {
+			before = append(before, request.run())
+		}
+		for range behind {
+			before = append(before, next)
+		}
+		return time.Duration(policy.StepsUntilFit(before, next)) * step
+	})
 }
 
 // recordAsk records the arrival of a request with an order.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -153,7 +153,7 @@
 		service:      t.Services[service],
 		tableVersion: t.Version,
 		urgent:       t.MostUrgent(route, service),
-		order:        orderOf(t, route, service, workspace),
+		order:        orderOf(t, request, route, service, workspace),
 		writer:       w,
 		tried:        map[ident.EndpointName]bool{},
 		earlierWait:  r.waitEstimator.PriorWait(route.Name, request.Timeout),
@@ -166,13 +166,14 @@
 }
 
 // orderOf returns what orders a request among others to the service, or nil if nothing does.
-func orderOf(t *table.Table, route table.Route, service ident.ServiceName, workspace *table.Workspace) *admit.Order {
+func orderOf(t *table.Table, request *Request, route table.Route, service ident.ServiceName, workspace *table.Workspace) *admit.Order {
 	if !t.Ordered(service) {
 		return nil
 	}
 	o := &admit.Order{Priority: route.Priority}
 	if workspace != nil {
-		o.Workspace, o.Weight = workspace.Name, t.Weight(workspace)
+		own, _ := t.Match(request.Host, request.Path)
+		o.Workspace, o.Weight, o.Inner = workspace.Name, t.Weight(workspace), own.Priority
 	}
 	return o
 }
