--- a/admit/book.go
+++ b/admit/book.go
@@ -20,11 +20,11 @@
 	// agingShare is the part of the frequency of all at which a priority is served before
 	// more urgent ones: twice the least part that callers accept, a quarter.
 	agingShare = 0.5
-	// debtLevelsPerDoubling is the number of levels of debt in a factor of two. Shares at one
-	// engine are of some requests each, and smaller differences are chance.
+	// debtLevelsPerDoubling is the number of levels of debt in a factor of two beyond the
+	// share, which is of some requests at one engine: smaller differences are chance.
 	debtLevelsPerDoubling = 2
 	// maxDebt is the highest level, at eight times the share.
-	maxDebt = 6
+	maxDebt = 7
 	// maxEntries limits the entries of a book; what is beyond them has no debt, and is not
 	// waited for.
 	maxEntries = 256
@@ -40,6 +40,9 @@
 	workspace ident.WorkspaceName
 }
 
+// arrivals counts requests and sums up their useful waits in seconds.
+type arrivals struct{ asks, windows average }
+
 // usage is what one workspace used lately.
 type usage struct {
 	weight float64
@@ -55,28 +58,31 @@
 // Book holds what one engine's keeper needs to rank requests: who asked, and who used how much
 // lately. All of it decays. The zero value is not usable; it is not safe for concurrent use.
 type Book struct {
-	demand     map[cell]*average
+	demand     map[cell]*arrivals
 	usages     map[ident.WorkspaceName]*usage
 	services   map[int]*service
-	tokens     average
-	grants     average
 	nextPruned time.Time
 }
 
 // NewBook returns a book without entries.
 func NewBook() *Book {
-	return &Book{demand: map[cell]*average{}, usages: map[ident.WorkspaceName]*usage{}, services: map[int]*service{}}
+	return &Book{demand: map[cell]*arrivals{}, usages: map[ident.WorkspaceName]*usage{}, services: map[int]*service{}}
 }
 
-// Ask records that a request for memory arrived.
+// Ask records that a request for memory arrived. It counts at the first keeper that is asked:
+// these are spread over all, so that each counts its part of the demand.
 func (b *Book) Ask(now time.Time, o Order, t Timing) {
+	if o.Again {
+		return
+	}
 	b.prune(now)
 	key := cell{priority: o.Priority, inner: o.Inner, timing: t, workspace: o.Workspace}
 	if _, known := b.demand[key]; !known && len(b.demand) < maxEntries {
-		b.demand[key] = &average{}
+		b.demand[key] = &arrivals{}
 	}
 	if a := b.demand[key]; a != nil {
-		a.add(now, 1, demandWindow)
+		a.asks.add(now, 1, demandWindow)
+		a.windows.add(now, o.Window.Seconds(), demandWindow)
 	}
 	b.service(o.Priority).asks.add(now, 1, usageWindow)
 	if u := b.usage(o); u != nil {
@@ -88,8 +94,6 @@
 // Grant charges a workspace the expected tokens of a request that is admitted.
 func (b *Book) Grant(now time.Time, o Order, tokens ident.TokenCount) {
 	b.service(o.Priority).grants.add(now, 1, usageWindow)
-	b.tokens.add(now, float64(tokens), usageWindow)
-	b.grants.add(now, 1, usageWindow)
 	if u := b.usage(o); u != nil {
 		u.tokens.add(now, float64(tokens), usageWindow)
 	}
@@ -99,7 +103,6 @@
 // given difference, once the request has ended.
 func (b *Book) Correct(now, grantedAt time.Time, o Order, difference ident.TokenCount) {
 	left := float64(difference) * decay(now.Sub(grantedAt), usageWindow)
-	b.tokens.add(now, left, usageWindow)
 	if u := b.usage(o); u != nil {
 		u.tokens.add(now, left, usageWindow)
 	}
@@ -110,24 +113,28 @@
 	return Rank{Timing: t, Aged: b.aged(now, o.Priority), Priority: o.Priority, Debt: b.Debt(now, o.Workspace), Inner: o.Inner}
 }
 
-// RateAhead returns the requests a second that arrive and precede a rank.
-func (b *Book) RateAhead(now time.Time, r Rank) float64 {
+// Ahead returns the arrival of requests that precede a rank.
+func (b *Book) Ahead(now time.Time, r Rank) Demand {
 	share, aged := b.share(now), map[int]bool{}
 	for priority := range b.services {
 		aged[priority] = b.aged(now, priority)
 	}
-	sum := 0.0
+	asks, windows := 0.0, 0.0
 	for key, a := range b.demand {
 		other := Rank{Timing: key.timing, Aged: aged[key.priority], Priority: key.priority, Debt: share.debt(b.usages[key.workspace]), Inner: key.inner}
 		if other.Compare(r) < 0 {
-			sum += a.at(now, demandWindow)
+			asks += a.asks.at(now, demandWindow)
+			windows += a.windows.at(now, demandWindow)
 		}
 	}
-	return sum / demandWindow.Seconds()
+	if asks <= 0 {
+		return Demand{}
+	}
+	return Demand{Rate: asks / demandWindow.Seconds(), Window: time.Duration(windows / asks * float64(time.Second))}
 }
 
 // Debt returns the level of what a workspace used beyond its share of what all workspaces that
-// ask used. One request is not held against it.
+// ask used.
 func (b *Book) Debt(now time.Time, workspace ident.WorkspaceName) int {
 	return b.share(now).debt(b.usages[workspace])
 }
@@ -137,8 +144,6 @@
 	now time.Time
 	// perWeight is in tokens, zero if none was used.
 	perWeight float64
-	// request is the mean of the tokens charged for one request.
-	request float64
 }
 
 func (b *Book) share(now time.Time) share {
@@ -147,7 +152,7 @@
 		weights += u.weight
 		tokens += max(0, u.tokens.at(now, usageWindow))
 	}
-	return share{now: now, perWeight: tokens / max(weights, math.SmallestNonzeroFloat64), request: max(0, b.tokens.at(now, usageWindow)) / max(1, b.grants.at(now, usageWindow))}
+	return share{now: now, perWeight: tokens / max(weights, math.SmallestNonzeroFloat64)}
 }
 
 // debt returns the level of debt, zero for a workspace without an entry.
@@ -155,11 +160,11 @@
 	if u == nil || s.perWeight <= 0 {
 		return 0
 	}
-	excess := (u.tokens.at(s.now, usageWindow) - s.request) / u.weight
-	if excess <= s.perWeight {
+	excess := u.tokens.at(s.now, usageWindow) / u.weight / s.perWeight
+	if excess <= 1 {
 		return 0
 	}
-	return int(min(maxDebt, debtLevelsPerDoubling*math.Log2(excess/s.perWeight)))
+	return int(min(maxDebt, 1+debtLevelsPerDoubling*math.Log2(excess)))
 }
 
 // aged reports whether a priority is served far less often than all requests, although it is
@@ -203,7 +208,7 @@
 		return
 	}
 	b.nextPruned = now.Add(demandWindow)
-	maps.DeleteFunc(b.demand, func(_ cell, a *average) bool { return a.at(now, demandWindow) < forgotten })
+	maps.DeleteFunc(b.demand, func(_ cell, a *arrivals) bool { return a.asks.at(now, demandWindow) < forgotten })
 	maps.DeleteFunc(b.usages, func(_ ident.WorkspaceName, u *usage) bool { return u.asks.at(now, usageWindow) < forgotten })
 	maps.DeleteFunc(b.services, func(_ int, s *service) bool { return s.asks.at(now, usageWindow) < forgotten })
 }
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -55,6 +55,7 @@
 		return next, nil
 	}
 	window, urgency := s.waitWindow()
+	s.order = s.order.With(window)
 	deadline := time.Now().Add(window)
 	best, shortest := pool.Member{}, time.Duration(-1)
 	members := s.decodeCandidates()
@@ -66,6 +67,7 @@
 		if res != nil || ctx.Err() != nil {
 			return res, ctx.Err()
 		}
+		s.order = s.order.AskedAgain()
 		if !response.Down && (shortest < 0 || response.ExpectedWait < shortest) {
 			best, shortest = m, response.ExpectedWait
 		}
