Keeper: requests wait by priority, time left and what their workspace used

Cause: the order of waiting for memory knew urgency alone. Change: package admit ranks requests; a keeper's book holds demand, shares and frequency of service; a request that fits yields to more urgent ones that would find no memory on arrival; a priority that is served less than half as often as all precedes. The workspace's priority goes before, the route's own orders what is equal in all else. Only services whose routes differ by priority, or documents with workspaces, send an order; without one the sequence of grants is that of before (test).

--- a/admit/book.go
+++ b/admit/book.go
@@ -20,6 +20,8 @@
 	// agingShare is the part of the frequency of all at which a priority is served before
 	// more urgent ones: twice the least part that callers accept, a quarter.
 	agingShare = 0.5
+	// maxCredit limits what a priority may catch up on, in requests.
+	maxCredit = 2
 	// debtLevelsPerDoubling is the number of levels of debt in a factor of two beyond the
 	// share, which is of some requests at one engine: smaller differences are chance.
 	debtLevelsPerDoubling = 2
@@ -40,9 +42,6 @@
 	workspace ident.WorkspaceName
 }
 
-// arrivals counts requests and sums up their useful waits in seconds.
-type arrivals struct{ asks, windows average }
-
 // usage is what one workspace used lately.
 type usage struct {
 	weight float64
@@ -53,12 +52,17 @@
 }
 
 // service is how often the requests of one priority were served lately.
-type service struct{ asks, grants average }
+type service struct {
+	asks, grants average
+	// credit is the number of requests by which the priority was served less often than
+	// agingShare allows, within maxCredit.
+	credit float64
+}
 
 // Book holds what one engine's keeper needs to rank requests: who asked, and who used how much
 // lately. All of it decays. The zero value is not usable; it is not safe for concurrent use.
 type Book struct {
-	demand     map[cell]*arrivals
+	demand     map[cell]*average
 	usages     map[ident.WorkspaceName]*usage
 	services   map[int]*service
 	nextPruned time.Time
@@ -66,7 +70,7 @@
 
 // NewBook returns a book without entries.
 func NewBook() *Book {
-	return &Book{demand: map[cell]*arrivals{}, usages: map[ident.WorkspaceName]*usage{}, services: map[int]*service{}}
+	return &Book{demand: map[cell]*average{}, usages: map[ident.WorkspaceName]*usage{}, services: map[int]*service{}}
 }
 
 // Ask records that a request for memory arrived. It counts at the first keeper that is asked:
@@ -78,13 +82,14 @@
 	b.prune(now)
 	key := cell{priority: o.Priority, inner: o.Inner, timing: t, workspace: o.Workspace}
 	if _, known := b.demand[key]; !known && len(b.demand) < maxEntries {
-		b.demand[key] = &arrivals{}
+		b.demand[key] = &average{}
 	}
 	if a := b.demand[key]; a != nil {
-		a.asks.add(now, 1, demandWindow)
-		a.windows.add(now, o.Window.Seconds(), demandWindow)
+		a.add(now, 1, demandWindow)
 	}
-	b.service(o.Priority).asks.add(now, 1, usageWindow)
+	own := b.service(o.Priority)
+	own.asks.add(now, 1, usageWindow)
+	own.credit = min(maxCredit, own.credit+agingShare*b.frequency(now))
 	if u := b.usage(o); u != nil {
 		u.weight = o.weight()
 		u.asks.add(now, 1, usageWindow)
@@ -93,7 +98,9 @@
 
 // Grant charges a workspace the expected tokens of a request that is admitted.
 func (b *Book) Grant(now time.Time, o Order, tokens ident.TokenCount) {
-	b.service(o.Priority).grants.add(now, 1, usageWindow)
+	own := b.service(o.Priority)
+	own.grants.add(now, 1, usageWindow)
+	own.credit = max(-1, own.credit-1)
 	if u := b.usage(o); u != nil {
 		u.tokens.add(now, float64(tokens), usageWindow)
 	}
@@ -110,27 +117,23 @@
 
 // Rank returns the current rank of a request.
 func (b *Book) Rank(now time.Time, o Order, t Timing) Rank {
-	return Rank{Timing: t, Aged: b.aged(now, o.Priority), Priority: o.Priority, Debt: b.Debt(now, o.Workspace), Inner: o.Inner}
+	return Rank{Timing: t, Aged: b.aged(o.Priority), Priority: o.Priority, Debt: b.Debt(now, o.Workspace), Inner: o.Inner}
 }
 
-// Ahead returns the arrival of requests that precede a rank.
-func (b *Book) Ahead(now time.Time, r Rank) Demand {
+// RateAhead returns the requests a second that arrive and precede a rank.
+func (b *Book) RateAhead(now time.Time, r Rank) float64 {
 	share, aged := b.share(now), map[int]bool{}
 	for priority := range b.services {
-		aged[priority] = b.aged(now, priority)
+		aged[priority] = b.aged(priority)
 	}
-	asks, windows := 0.0, 0.0
+	asks := 0.0
 	for key, a := range b.demand {
 		other := Rank{Timing: key.timing, Aged: aged[key.priority], Priority: key.priority, Debt: share.debt(b.usages[key.workspace]), Inner: key.inner}
 		if other.Compare(r) < 0 {
-			asks += a.asks.at(now, demandWindow)
-			windows += a.windows.at(now, demandWindow)
+			asks += a.at(now, demandWindow)
 		}
 	}
-	if asks <= 0 {
-		return Demand{}
-	}
-	return Demand{Rate: asks / demandWindow.Seconds(), Window: time.Duration(windows / asks * float64(time.Second))}
+	return asks / demandWindow.Seconds()
 }
 
 // Debt returns the level of what a workspace used beyond its share of what all workspaces that
@@ -167,27 +170,39 @@
 	return int(min(maxDebt, 1+debtLevelsPerDoubling*math.Log2(excess)))
 }
 
-// aged reports whether a priority is served far less often than all requests, although it is
-// not the most urgent.
-func (b *Book) aged(now time.Time, priority int) bool {
+// aged reports whether a priority is served far less often than all requests, by one request
+// or more, although it is not the most urgent.
+func (b *Book) aged(priority int) bool {
 	own := b.services[priority]
-	if own == nil {
+	if own == nil || own.credit < 1 {
 		return false
 	}
-	asks, grants, urgent := 0.0, 0.0, true
-	for p, s := range b.services {
+	for p := range b.services {
+		if p < priority {
+			return true
+		}
+	}
+	return false
+}
+
+// frequency returns the part of all requests that were granted memory.
+func (b *Book) frequency(now time.Time) float64 {
+	asks, grants := 0.0, 0.0
+	for _, s := range b.services {
 		asks += s.asks.at(now, usageWindow)
 		grants += s.grants.at(now, usageWindow)
-		urgent = urgent && priority <= p
 	}
-	return !urgent && own.grants.at(now, usageWindow)*asks < agingShare*grants*own.asks.at(now, usageWindow)
+	return min(1, grants/max(1, asks))
 }
 
+// service returns the entry of a priority; one beyond the limit is not kept.
 func (b *Book) service(priority int) *service {
 	s := b.services[priority]
 	if s == nil {
 		s = &service{}
-		b.services[priority] = s
+		if len(b.services) < maxEntries {
+			b.services[priority] = s
+		}
 	}
 	return s
 }
@@ -208,7 +223,7 @@
 		return
 	}
 	b.nextPruned = now.Add(demandWindow)
-	maps.DeleteFunc(b.demand, func(_ cell, a *arrivals) bool { return a.asks.at(now, demandWindow) < forgotten })
+	maps.DeleteFunc(b.demand, func(_ cell, a *average) bool { return a.at(now, demandWindow) < forgotten })
 	maps.DeleteFunc(b.usages, func(_ ident.WorkspaceName, u *usage) bool { return u.asks.at(now, usageWindow) < forgotten })
 	maps.DeleteFunc(b.services, func(_ int, s *service) bool { return s.asks.at(now, usageWindow) < forgotten })
 }
--- a/admit/order.go
+++ b/admit/order.go
@@ -37,30 +37,22 @@
 	// Weight is the workspace's part of what is shared, relative to the other ones; zero
 	// counts as 1.
 	Weight float64 `json:"weight,omitempty"`
-	// Window is the longest useful wait for memory, at all engines together.
-	Window time.Duration `json:"window-ns,omitempty"`
 	// Again is set if another engine's keeper was asked before.
 	Again bool `json:"again,omitempty"`
 }
 
-// With returns the order, which may be nil, of a request whose keepers are asked from now on
-// with a window in all.
-func (o *Order) With(window time.Duration) *Order {
-	if o == nil {
-		return nil
-	}
-	next := *o
-	next.Window, next.Again = window, false
-	return &next
-}
+// AskedFirst returns the order, which may be nil, for the first keeper that is asked.
+func (o *Order) AskedFirst() *Order { return o.asked(false) }
 
 // AskedAgain returns the order, which may be nil, for the next keeper that is asked.
-func (o *Order) AskedAgain() *Order {
+func (o *Order) AskedAgain() *Order { return o.asked(true) }
+
+func (o *Order) asked(again bool) *Order {
 	if o == nil {
 		return nil
 	}
 	next := *o
-	next.Again = true
+	next.Again = again
 	return &next
 }
 
@@ -97,14 +89,6 @@
 	)
 }
 
-// Demand is the arrival of requests that precede another one.
-type Demand struct {
-	// Rate is in requests a second.
-	Rate float64
-	// Window is their mean useful wait for memory.
-	Window time.Duration
-}
-
 // compareFirst puts true before false.
 func compareFirst(a, b bool) int {
 	switch {
@@ -120,18 +104,18 @@
 // yields: about as many as an engine runs at once, in whose time all memory becomes free once.
 const lookAhead = 8
 
-// Yields reports whether a request that fits must leave its memory to more urgent ones: if the
-// memory for one of them then becomes free too late for it, and would not without the request.
-// FitsIn returns the time until the next of them fits behind some others, with the request
-// admitted or not.
-func (d Demand) Yields(fitsIn func(behind int, admitted bool) time.Duration) bool {
-	if !(d.Rate > 0) {
+// Yields reports whether a request that fits must leave its memory to more urgent ones, of
+// which rate arrive a second: if the memory for one of them then becomes free only after its
+// arrival, and would earlier without the request. FitsIn returns the time until the next of
+// them fits behind some others, with the request admitted or not.
+func Yields(rate float64, fitsIn func(behind int, admitted bool) time.Duration) bool {
+	if !(rate > 0) {
 		return false
 	}
 	for n := 1; n <= lookAhead; n *= 2 {
-		latest := d.Window + time.Duration(float64(n)/d.Rate*float64(time.Second))
+		arrives := time.Duration(float64(n) / rate * float64(time.Second))
 		wait := fitsIn(n-1, true)
-		if wait > latest && wait > fitsIn(n-1, false) {
+		if wait > arrives && wait > fitsIn(n-1, false) {
 			return true
 		}
 	}
--- a/keeper/load_test.go
+++ b/keeper/load_test.go
@@ -42,6 +42,7 @@
 	inTimeWindow   = 560 * time.Millisecond
 	returnWindow   = 1200 * time.Millisecond
 	loadTime       = 12 * time.Second
+	loadSeeds      = 3
 )
 
 // loadKind is what a test counts separately.
@@ -186,7 +187,7 @@
 
 func (l *load) reserve(ctx context.Context, r *loadRequest, relay int, window time.Duration) bool {
 	deadline := time.Now().Add(window)
-	r.reserve.Order = r.reserve.Order.With(window)
+	r.reserve.Order = r.reserve.Order.AskedFirst()
 	best, shortest := -1, time.Duration(0)
 	for _, i := range l.candidates(relay)[:loadTries] {
 		response := l.ask(ctx, r, relay, i, 0)
@@ -234,8 +235,16 @@
 	return order
 }
 
-// runLoad serves the load and returns its requests.
-func runLoad(t *testing.T, seed uint64, ordered, hot bool, lost int) (requests []*loadRequest) {
+// runLoad serves the load with some seeds and returns its requests.
+func runLoad(t *testing.T, ordered, hot bool, lost int) (requests []*loadRequest) {
+	t.Helper()
+	for seed := range uint64(loadSeeds) {
+		requests = append(requests, runLoadOnce(t, seed, ordered, hot, lost)...)
+	}
+	return requests
+}
+
+func runLoadOnce(t *testing.T, seed uint64, ordered, hot bool, lost int) (requests []*loadRequest) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		l := &load{ordered: ordered, random: rand.New(rand.NewPCG(seed, 0))}
@@ -304,9 +313,9 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			const seed = 1
-			before := runLoad(t, seed, false, true, s.lost)
-			requests := runLoad(t, seed, true, true, s.lost)
+			t.Parallel()
+			before := runLoad(t, false, true, s.lost)
+			requests := runLoad(t, true, true, s.lost)
 			_, overall := rates(requests, all)
 			for _, k := range []loadKind{
 				{name: "all", matches: all},
@@ -350,10 +359,10 @@
 // times their usual and without: the others, whose demand is within their shares, are served as
 // often.
 func TestHotWorkspaceTakesItsShareOnly(t *testing.T) {
-	const seed = 2
+	t.Parallel()
 	usual := func(r *loadRequest) bool { return !hotWorkspaces[r.workspace] }
-	_, without := rates(runLoad(t, seed, true, false, 0), usual)
-	hot := runLoad(t, seed, true, true, 0)
+	_, without := rates(runLoad(t, true, false, 0), usual)
+	hot := runLoad(t, true, true, 0)
 	_, with := rates(hot, usual)
 	t.Logf("usual workspaces: served %.3f without, %.3f with hot ones", without, with)
 	assert.Assert(t, with >= 0.95*without, "served %.3f without, %.3f with hot workspaces", without, with)
--- a/keeper/order.go
+++ b/keeper/order.go
@@ -49,13 +49,13 @@
 	if rank.Timing == admit.Begun || rank.Aged {
 		return false
 	}
-	ahead := k.book.Ahead(time.Now(), rank)
-	if ahead.Rate == 0 {
+	rate := k.book.RateAhead(time.Now(), rank)
+	if rate == 0 {
 		return false
 	}
 	runs, next := k.runs(), k.mean.request(request.Slots).run()
 	policy, step := k.policy(request), k.currentStepTime()
-	return ahead.Yields(func(behind int, admitted bool) time.Duration {
+	return admit.Yields(rate, func(behind int, admitted bool) time.Duration {
 		before := slices.Clone(runs)
 		if admitted {
 			before = append(before, request.run())
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -55,7 +55,7 @@
 		return next, nil
 	}
 	window, urgency := s.waitWindow()
-	s.order = s.order.With(window)
+	s.order = s.order.AskedFirst()
 	deadline := time.Now().Add(window)
 	best, shortest := pool.Member{}, time.Duration(-1)
 	members := s.decodeCandidates()
--- a/table/table.go
+++ b/table/table.go
@@ -112,7 +112,7 @@
 	ordered map[ident.ServiceName]bool
 	// weighted is set if the quotas of all workspaces can be compared.
 	weighted bool
-	callers    map[KeyDigest]*Workspace
+	callers  map[KeyDigest]*Workspace
 }
 
 // Document is the serialized form of a table, in which processes exchange it.
