--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -8,10 +8,12 @@
 
 	"crocusstep/admit"
 	"crocusstep/common"
+	"crocusstep/cost"
 	"crocusstep/ident"
 	"crocusstep/memory"
 	"crocusstep/origin"
 	"crocusstep/pool"
+	"crocusstep/quota"
 	"crocusstep/rate"
 )
 
@@ -45,6 +47,8 @@
 	engine Engine
 	// permits grants permits of the limits that endpoints state.
 	permits *rate.Grants[limitedProcess]
+	// quotas grants units of the quotas of workspaces.
+	quotas *quota.Grants[ident.WorkspaceName]
 	// origins holds the software versions that began streams, of any engines.
 	origins *origin.Book
 
@@ -64,6 +68,8 @@
 	mean     MeanRequest
 	// slowdown is the ratio of measured to nominal prefill time.
 	slowdown float64
+	// speed is what relays with learned costs ask for.
+	speed engineSpeed
 	// prefillUntil is when the last granted prefill is expected to end.
 	prefillUntil time.Time
 	// prefillGrantedAt is when the last prefill slot was granted.
@@ -96,7 +102,7 @@
 // NewKeeper returns a keeper without reservations.
 func NewKeeper(c *common.Common, e Engine) *Keeper {
 	return &Keeper{
-		Common: c, engine: e, permits: rate.NewGrants[limitedProcess](), origins: origin.NewBook(), book: admit.NewBook(),
+		Common: c, engine: e, permits: rate.NewGrants[limitedProcess](), quotas: quota.NewGrants[ident.WorkspaceName](time.Now()), origins: origin.NewBook(), book: admit.NewBook(),
 		reservations: map[ident.AttemptID]*reservation{}, slowdown: 1, wake: make(chan struct{}, 1),
 	}
 }
@@ -309,5 +315,17 @@
 		Used:         k.used(),
 		StepTime:     k.stepTime.measured(k.maxRequests(request.Slots)),
 		MeanRequest:  k.mean,
+		Speed:        k.speedFor(request.Speed),
 	}
 }
+
+// speedFor returns the engine's speed if a relay wants it, else nil.
+func (k *Keeper) speedFor(wanted bool) *cost.Speed {
+	if !wanted {
+		return nil
+	}
+	speed := k.speed.speed(time.Now())
+	k.Meter.RecordEngineSpeed("prefill-slowdown", speed.Slowdown)
+	k.Meter.RecordEngineSpeed("decode-step-seconds", speed.Step.Seconds())
+	return speed
+}
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"crocusstep/admit"
+	"crocusstep/cost"
 	"crocusstep/ident"
 	"crocusstep/memory"
 	"crocusstep/pool"
@@ -23,6 +24,7 @@
 	GossipPath  = "/news"
 	PermitPath  = "/permit"
 	OriginPath  = "/origin"
+	QuotaPath   = "/quota"
 )
 
 // maxMessageBytes limits a message to or from a keeper. A configuration may have 1 MB, and
@@ -47,6 +49,8 @@
 	Urgency admit.Timing `json:"urgency"`
 	// Order is nil if the requests to the service differ by urgency alone.
 	Order *admit.Order `json:"order,omitempty"`
+	// Speed is set if the relay wants the engine's speed.
+	Speed bool `json:"speed,omitempty"`
 }
 
 // initialTokens returns the tokens that the request holds when decoding starts.
@@ -79,6 +83,8 @@
 	StepTime time.Duration `json:"step-ns"`
 	// MeanRequest averages the reservations requested from this keeper.
 	MeanRequest MeanRequest `json:"load"`
+	// Speed is that of the engine if the request wants it, else nil.
+	Speed *cost.Speed `json:"speed,omitempty"`
 }
 
 // LoadRequest asks for the load without a reservation.
@@ -131,6 +137,9 @@
 	MaxStall time.Duration `json:"stall-ns,omitempty"`
 	// LastTiming is the newest prefill that the relay measured at this engine.
 	LastTiming PrefillTiming `json:"last"`
+	// Speed is set if the relay wants the engine's speed. The schedule then follows that speed,
+	// too.
+	Speed bool `json:"speed,omitempty"`
 	// Urgency and Order are those of the reservation; Order is nil if the requests to the
 	// service differ by urgency alone.
 	Urgency admit.Timing `json:"urgency,omitempty"`
@@ -152,6 +161,8 @@
 	Slowdown float64 `json:"pace"`
 	// Down is set if the engine does not report or does not prefill.
 	Down bool `json:"down,omitempty"`
+	// Speed is that of the engine if the request wants it, else nil.
+	Speed *cost.Speed `json:"speed,omitempty"`
 }
 
 // StageRequest requests a change of an engine's stage.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -13,6 +13,7 @@
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/pool"
+	"crocusstep/quota"
 	"crocusstep/table"
 )
 
@@ -35,6 +36,8 @@
 	service   table.Service
 	// tableVersion is that of the table that routed the request.
 	tableVersion table.Version
+	// keysVersion is that of the newest table that allowed the caller.
+	keysVersion table.Version
 	// urgent is set if no route to the service is more urgent.
 	urgent bool
 	// order is nil if the requests to the service differ by neither priority nor workspace.
@@ -51,6 +54,11 @@
 	// the endpoints that may have executed the request.
 	sends      int
 	executions int
+	// prefilled is set once an endpoint may have prefilled the prompt.
+	prefilled bool
+	// charge is what the request took of the workspace's quota, by a grant of granter.
+	charge  quota.Charge
+	granter ident.Address
 	// started is set once a part of the response has been sent to the caller.
 	started bool
 	status  int
@@ -84,6 +92,10 @@
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
 	e.retryLimiter(e.service.Name).RecordRequest(e.request.Arrived)
+	if refusal := e.chargeQuota(ctx); refusal != nil {
+		return refusal
+	}
+	defer e.returnUnusedQuota()
 	if refusal := e.admit(); refusal != nil {
 		return refusal
 	}
@@ -165,7 +177,7 @@
 			final.Code = fault.EndpointFailed
 		}
 	}
-	if final.Outcome == fault.NotExecuted && !impliesNotExecuted(final.Status()) && final.Code != fault.Cancelled {
+	if final.Outcome == fault.NotExecuted && !impliesNotExecuted(final.Status()) && final.Code != fault.Cancelled && final.Code != fault.UnknownCaller {
 		final.Code = fault.EndpointBusy
 		final.RetryAfter = max(final.RetryAfter, e.retryAfterJitter(minRetryAfter))
 	}
@@ -200,10 +212,16 @@
 	if e.request.Prompt != nil {
 		prompt = *e.request.Prompt
 	}
-	e.Log.Info("request ended", "request", e.request.Attempt, "route", e.route.Name, "service", e.service.Name,
+	attributes := []any{
+		"request", e.request.Attempt, "route", e.route.Name, "service", e.service.Name,
 		"table", e.tableVersion, "endpoints", e.config.Pool.Revision(), "endpoint", e.endpoint, "outcome", outcome,
 		"status", e.status, "sends", e.sends, "ran", e.executions, "first", firstLatency, "whole", responseTime, "spent", e.earlierWait,
 		"prompt", prompt.Tokens, "estimate", prompt.EstimatedOutput, "longest-pause", e.longestGap, "tokens-made", e.generated.Load(),
 		"resumes", e.request.Resumes, "versions", e.versions, "framing", e.framing, "unfinished", e.unfinished,
-		"retry-after", wait, "note", note)
+		"retry-after", wait, "note", note,
+	}
+	if e.workspace != nil && e.workspace.Quota != nil {
+		attributes = append(attributes, "workspace", e.workspace.Name, "charge", e.charge.Total, "granted", e.charge.Granted)
+	}
+	e.Log.Info("request ended", attributes...)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"crocusstep/admit"
 	"crocusstep/common"
 	"crocusstep/crash"
 	"crocusstep/fault"
@@ -17,6 +15,7 @@
 	"crocusstep/keeper"
 	"crocusstep/memory"
 	"crocusstep/pool"
+	"crocusstep/quota"
 	"crocusstep/retry"
 	"crocusstep/table"
 )
@@ -39,6 +38,7 @@
 	ChangeStage(ctx context.Context, endpoint ident.Address, request keeper.StageRequest) (keeper.StageResponse, error)
 	Origin(ctx context.Context, endpoint ident.Address, request keeper.OriginRequest) (keeper.OriginResponse, error)
 	Permit(ctx context.Context, endpoint ident.Address, request keeper.PermitRequest) (keeper.PermitResponse, error)
+	Quota(ctx context.Context, endpoint ident.Address, request keeper.QuotaRequest) (quota.Response, error)
 }
 
 // Config configures a Relay.
@@ -49,8 +49,19 @@
 	Keepers   Keepers
 	// Retries holds the retry limits that all relays share.
 	Retries retry.Limits
-	// RelayCount returns how many relays share the retry limits.
+	// Quotas holds what is tolerated beyond the quotas of workspaces.
+	Quotas quota.Bounds
+	// RelayCount returns how many relays share the retry limits and the quotas.
 	RelayCount func() int
+	// LearnedCosts sends requests where they are likely to cost least, by what was learned of
+	// outputs and of the engines' speed.
+	LearnedCosts bool
+	// Refresh exchanges state with the hubs. It reports whether most of them have responded; nil
+	// means that there are none.
+	Refresh func(context.Context) bool
+	// EndpointChanges returns the changes of the endpoints' records after a revision, and the
+	// revision up to which these are all. It may be nil.
+	EndpointChanges func(ctx context.Context, since pool.Revision) ([]pool.Change, pool.Revision, error)
 }
 
 // Relay serves callers' requests. It is safe for concurrent use.
@@ -65,6 +76,8 @@
 	origins     *originLog
 	// waitEstimator distinguishes returning callers from new ones.
 	waitEstimator *retry.WaitEstimator
+	quotas        *quotas
+	learned       *learnedCosts
 	tasks         common.Tasks
 
 	mutex sync.Mutex
@@ -90,8 +103,10 @@
 		crashes:          crash.NewTracker(),
 		partCrashed:      make(chan struct{}, 1),
 		origins:          newOriginLog(),
+		quotas:           newQuotas(config.Quotas),
 		retryLimiters:    map[ident.ServiceName]*retry.Limiter{},
 		waitEstimator:    retry.NewWaitEstimator(),
+		learned:          newLearnedCosts(),
 		unreachableUntil: map[ident.EndpointName]time.Time{},
 		loads:            map[ident.ServiceName]*serviceLoad{},
 		prefillTimings:   map[ident.EndpointName]keeper.PrefillTiming{},
@@ -109,6 +124,7 @@
 			return false
 		}
 		if r.table.CompareAndSwap(current, next) {
+			r.logKeys(current, next)
 			return true
 		}
 	}
@@ -136,14 +152,11 @@
 	if t == nil || !r.config.Pool.Loaded() {
 		return r.RecordRefusal(request.Attempt, fault.New(fault.DocumentsNotLoaded, "no routes are known yet").WithRetryAfter(r.retryAfterJitter(minRetryAfter)))
 	}
-	workspace := identify(t, request)
-	route, found := t.MatchCaller(request.Host, request.Path, workspace)
-	if !found {
-		return r.RecordRefusal(request.Attempt, fault.New(fault.UnknownRoute, "no route matches in version %d", t.Version))
-	}
-	if t.KeysRequired() && workspace == nil && !route.Open {
-		return r.RecordRefusal(request.Attempt, fault.New(fault.UnknownCaller, "no workspace has the key in version %d", t.Version))
+	route, workspace, refusal := match(t, request)
+	if refusal != nil {
+		return r.RecordRefusal(request.Attempt, refusal)
 	}
+	request.setWorkspace(t, workspace)
 	service := route.Pick(rand.Float64())
 	e := &exchange{
 		Relay:        r,
@@ -152,6 +165,7 @@
 		workspace:    workspace,
 		service:      t.Services[service],
 		tableVersion: t.Version,
+		keysVersion:  t.Version,
 		urgent:       t.MostUrgent(route, service),
 		order:        orderOf(t, request, route, service, workspace),
 		writer:       w,
@@ -160,38 +174,11 @@
 		deadline:     request.Arrived.Add(min(request.Timeout, route.Timeout) - deadlineMargin),
 	}
 	e.service.Name = service
-	refusal := e.serve(ctx)
+	refusal = e.serve(ctx)
 	e.log(refusal)
 	return refusal
 }
 
-// orderOf returns what orders a request among others to the service, or nil if nothing does.
-func orderOf(t *table.Table, request *Request, route table.Route, service ident.ServiceName, workspace *table.Workspace) *admit.Order {
-	if !t.Ordered(service) {
-		return nil
-	}
-	o := &admit.Order{Priority: route.Priority}
-	if workspace != nil {
-		own, _ := t.Match(request.Host, request.Path)
-		o.Workspace, o.Weight, o.Inner = workspace.Name, t.Weight(workspace), own.Priority
-	}
-	return o
-}
-
-// identify returns the workspace of the caller, nil if it is unknown, and completes the request's
-// headers.
-func identify(t *table.Table, request *Request) *table.Workspace {
-	if !t.KeysRequired() {
-		maps.Copy(request.Header, request.IdentityHeaders)
-		return nil
-	}
-	workspace := t.Caller(request.Key)
-	if workspace != nil {
-		request.Workspace = workspace.Name
-	}
-	return workspace
-}
-
 // RecordRefusal counts and logs a refusal that precedes routing, and returns it.
 func (r *Relay) RecordRefusal(attempt ident.AttemptID, refusal *fault.Refusal) *fault.Refusal {
 	r.Meter.CountRequest("", string(refusal.Code), false)
--- a/relay/request.go
+++ b/relay/request.go
@@ -24,7 +24,8 @@
 	Target string
 	Path   string
 	Host   string
-	// Header is forwarded; it holds neither hop-by-hop headers nor the router's own.
+	// Header is forwarded; it holds neither hop-by-hop headers, nor the router's own, nor those
+	// that identify the caller.
 	Header  http.Header
 	Body    []byte
 	HasBody bool
@@ -37,11 +38,16 @@
 	Resumes ident.AttemptID
 	// Prompt is nil if the request carries no token counts.
 	Prompt *Prompt
+	// InvalidTokenCounts is set if the request carries token counts that are not two positive
+	// numbers.
+	InvalidTokenCounts bool
 	// Key is the digest of the caller's key, zero if the request has none.
 	Key table.KeyDigest
-	// IdentityHeaders are those of Header that identify the caller. They are forwarded only if
-	// callers need no keys.
+	// IdentityHeaders are the caller's own headers that identify it, which Header lacks. They are
+	// forwarded only if ForwardsIdentity is set.
 	IdentityHeaders http.Header
+	// ForwardsIdentity is set if callers need no keys.
+	ForwardsIdentity bool
 	// Workspace is whose request it is, empty if that is unknown.
 	Workspace ident.WorkspaceName
 	// digest is empty until it is needed.
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"crocusstep/keeper"
 	"crocusstep/platform"
 	"crocusstep/pool"
+	"crocusstep/quota"
 	"crocusstep/relay"
 	"crocusstep/retry"
 	"crocusstep/socket"
@@ -23,16 +23,6 @@
 )
 
 const (
-	// watchTimeout is the longest wait of a watch in a relay that watches the store
-	// continuously. A lost watch is noticed after it and storeTimeout: together less
-	// than the 4 s within which a change must be known after an outage.
-	watchTimeout = 2400 * time.Millisecond
-	// relaxedWatchTimeout is that of the other relays, which receive changes by gossip
-	// from the relays that watch continuously.
-	relaxedWatchTimeout = 8 * time.Second
-	// relaxedWatchPause is the time that gossip through the keepers takes to reach
-	// the other relays.
-	relaxedWatchPause = 1200 * time.Millisecond
 	// storeTimeout bounds a call to the store, which responds in 4 ms, and in up to 60
 	// times that when it is slow.
 	storeTimeout = 800 * time.Millisecond
@@ -58,7 +48,10 @@
 	relay     *relay.Relay
 	endpoints *platform.EndpointClient
 	gossip    *relay.Gossip
-	callers   *http.Server
+	store     *platform.Store
+	// endpointReader applies the store's records to the pool.
+	endpointReader *platform.EndpointReader
+	callers        *http.Server
 	// draining is set at the first signal to stop.
 	draining atomic.Bool
 	// shutdownSettings is the shutdown section of the settings, as last reloaded.
@@ -76,9 +69,23 @@
 		Endpoints:  s.endpoints,
 		Keepers:    keepers,
 		Retries:    retryLimits(settings),
+		Quotas:     quotaBounds(settings),
 		RelayCount: func() int { return s.gossip.RelayCount() },
+
+		LearnedCosts: settings.Routing.LearnedCosts,
+		Refresh:      func(ctx context.Context) bool { return s.gossip.Refresh(ctx) },
+		EndpointChanges: func(ctx context.Context, since pool.Revision) ([]pool.Change, pool.Revision, error) {
+			return s.endpointReader.ChangesSince(ctx, s.store, since)
+		},
 	})
 	s.gossip = relay.NewGossip(s.relay, s.pool, keepers, string(settings.Location.Instance))
+	s.endpointReader = &platform.EndpointReader{Common: p.Common, Pool: s.pool, NextWatchTimeout: s.gossip.NextWatchTimeout, OnChange: s.gossip.Announce}
+	s.store = platform.NewStore(platform.StoreConfig{
+		Address: settings.Platform.Address,
+		HTTP:    socket.NewClient(),
+		Timeout: storeTimeout,
+		Observe: func(call string, size ident.ByteCount) { s.Meter.CountControlMessage("platform-"+call, size) },
+	})
 	s.callers = newServer(platform.NewCallerHandler(s.relay, s.draining.Load), adminHeaderTimeout)
 	return s
 }
@@ -87,6 +94,10 @@
 	return retry.Limits{Ratio: settings.Retries.Ratio, Slack: settings.Retries.Slack, Window: settings.Retries.Window.Std()}
 }
 
+func quotaBounds(settings conf.Relay) quota.Bounds {
+	return quota.Bounds{Window: settings.Quotas.Window.Std(), Excess: settings.Quotas.Excess, Slack: quota.Units(settings.Quotas.Slack)}
+}
+
 func newTopology(settings conf.Relay) pool.Topology {
 	topology := pool.Topology{Zone: settings.Location.Zone, Regions: map[ident.ZoneName]ident.RegionName{}}
 	for _, z := range settings.Zones {
@@ -117,35 +128,17 @@
 
 // startWatchers starts the tasks that keep routes and endpoints up to date.
 func (s *relayServer) startWatchers() {
-	client := platform.NewStore(platform.StoreConfig{
-		Address: s.settings.Platform.Address,
-		HTTP:    socket.NewClient(),
-		Timeout: storeTimeout,
-		Observe: func(call string, size ident.ByteCount) { s.Meter.CountControlMessage("platform-"+call, size) },
-	})
-	configs := store.NewWatcher(s.Common, client, platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.nextWatchTimeout})
-	endpoints := store.NewWatcher(s.Common, client, platform.EndpointKind, &platform.EndpointReader{Common: s.Common, Pool: s.pool, NextWatchTimeout: s.nextWatchTimeout, OnChange: s.gossip.Announce})
+	configs := store.NewWatcher(s.Common, s.store, platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.gossip.NextWatchTimeout})
+	endpoints := store.NewWatcher(s.Common, s.store, platform.EndpointKind, s.endpointReader)
 	s.tasks.Go(func() { configs.Run(s.ctx) })
 	s.tasks.Go(func() { endpoints.Run(s.ctx) })
 	s.tasks.Go(func() { s.gossip.Run(s.ctx) })
 	s.tasks.Go(func() { s.relay.Balance(s.ctx, s.gossip.IsLeader) })
 	s.tasks.Go(func() { s.relay.SendOrigins(s.ctx) })
+	s.tasks.Go(func() { s.relay.ReturnQuotas(s.ctx) })
 	s.tasks.Go(func() { s.cleanUp(endpoints) })
 }
 
-// nextWatchTimeout returns a random wait for the next watch, so that the watches
-// of different relays end at different times and some relay soon notices when all
-// lose the store together. Relays that receive changes from others pause between
-// two watches, so that several changes cost one call.
-func (s *relayServer) nextWatchTimeout(ctx context.Context) time.Duration {
-	limit := watchTimeout
-	if !s.gossip.IsWatcher() {
-		common.Sleep(ctx, relaxedWatchPause)
-		limit = relaxedWatchTimeout
-	}
-	return limit/2 + rand.N(limit/2)
-}
-
 func (s *relayServer) applyTable(d *table.Document) {
 	if s.relay.SetTable(d) {
 		s.Log.Info("routes in force", "table", d.Version, "routes", len(d.Routes), "services", len(d.Services))
@@ -183,8 +176,8 @@
 }
 
 // watchSettings reloads the settings file at SIGHUP and when a poll finds it
-// changed. Only the retry limits and the shutdown times are applied; all else
-// needs a restart.
+// changed. Only the retry limits, the tolerances of quotas and the shutdown times are
+// applied; all else needs a restart.
 func (s *relayServer) watchSettings(file string) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
@@ -211,8 +204,10 @@
 			continue
 		}
 		s.relay.SetRetries(retryLimits(settings))
+		s.relay.SetQuotas(quotaBounds(settings))
 		s.shutdownSettings.Store(&settings.Shutdown)
-		s.Log.Info("settings reloaded", "retry-ratio", settings.Retries.Ratio, "retry-slack", settings.Retries.Slack, "grace", settings.Shutdown.GracePeriod)
+		s.Log.Info("settings reloaded", "retry-ratio", settings.Retries.Ratio, "retry-slack", settings.Retries.Slack,
+			"quota-excess", settings.Quotas.Excess, "quota-slack", settings.Quotas.Slack, "grace", settings.Shutdown.GracePeriod)
 	}
 }
 
--- a/table/table.go
+++ b/table/table.go
@@ -106,13 +106,14 @@
 	Limits   Limits
 	// routes holds the routes of each host, longest prefix first.
 	routes map[string][]Route
-	// priorities holds the priority of the most urgent route to each service.
+	// priorities holds the priority of the most urgent caller and route to each service.
 	priorities map[ident.ServiceName]int
 	// ordered holds the services whose requests differ by priority or workspace.
 	ordered map[ident.ServiceName]bool
 	// weighted is set if the quotas of all workspaces can be compared.
 	weighted bool
-	callers  map[KeyDigest]*Workspace
+	// callers holds the workspace of each key.
+	callers map[KeyDigest]*Workspace
 }
 
 // Document is the serialized form of a table, in which processes exchange it.
@@ -134,9 +135,10 @@
 	}
 	t.indexCallers()
 	t.indexOrder()
+	callers := newCallerPriorities(d)
 	for _, r := range d.Routes {
 		t.routes[r.Host] = append(t.routes[r.Host], r)
-		priority := t.highestPriority(r)
+		priority := callers.on(r)
 		for _, s := range r.WeightedServices {
 			if highest, known := t.priorities[s.Service]; !known || priority < highest {
 				t.priorities[s.Service] = priority
@@ -155,7 +157,7 @@
 	return w.prioritize(r), found
 }
 
-// MostUrgent reports whether no route to a service is more urgent than r.
+// MostUrgent reports whether no caller has a more urgent route to a service than r.
 func (t *Table) MostUrgent(r Route, service ident.ServiceName) bool {
 	return r.Priority <= t.priorities[service]
 }
