--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"crocusstep/admit"
 	"crocusstep/cost"
 	"crocusstep/ident"
 	"crocusstep/memory"
@@ -45,7 +46,9 @@
 	// MaxWait is the longest useful wait for the reservation.
 	MaxWait time.Duration `json:"wait-ns"`
 	// Urgency orders waiting requests, lowest value first.
-	Urgency int `json:"urgency"`
+	Urgency admit.Timing `json:"urgency"`
+	// Order is nil if the requests to the service differ by urgency alone.
+	Order *admit.Order `json:"order,omitempty"`
 	// Speed is set if the relay wants the engine's speed.
 	Speed bool `json:"speed,omitempty"`
 }
@@ -139,6 +142,10 @@
 	Speed bool `json:"speed,omitempty"`
 	// Lapsed is set if a prompt that was prefilled here could not be fetched. No slot is requested.
 	Lapsed bool `json:"lapsed,omitempty"`
+	// Urgency and Order are those of the reservation; Order is nil if the requests to the
+	// service differ by urgency alone.
+	Urgency admit.Timing `json:"urgency,omitempty"`
+	Order   *admit.Order `json:"order,omitempty"`
 }
 
 // PrefillTiming is the duration of a prefill without queueing and network time.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -167,6 +167,7 @@
 		tableVersion: t.Version,
 		keysVersion:  t.Version,
 		urgent:       t.MostUrgent(route, service),
+		order:        orderOf(t, request, route, service, workspace),
 		writer:       w,
 		tried:        map[ident.EndpointName]bool{},
 		earlierWait:  r.waitEstimator.PriorWait(route.Name, request.Timeout),
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"crocusstep/admit"
 	"crocusstep/client"
 	"crocusstep/fault"
 	"crocusstep/ident"
@@ -266,7 +267,7 @@
 		if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 {
 			return nil
 		}
-		if _, res := s.tryReserve(ctx, m, 0, resumedUrgency); res != nil {
+		if _, res := s.tryReserve(ctx, m, 0, admit.Begun); res != nil {
 			return res
 		}
 	}
