--- a/mutant/main.go
+++ b/mutant/main.go
@@ -41,7 +41,7 @@
 // main tests all mutants, or those of the packages that the command line names.
 func main() {
 	var selected []mutant
-	for _, m := range slices.Concat(ownInterfaceMutants, usersPlatformMutants, workspaceMutants) {
+	for _, m := range slices.Concat(ownInterfaceMutants, usersPlatformMutants, workspaceMutants, originMutants) {
 		if len(os.Args) < 2 || slices.Contains(os.Args[1:], m.pkg) {
 			selected = append(selected, m)
 		}
