--- a/mutant/admit.go
+++ b/mutant/admit.go
@@ -55,7 +55,7 @@
 		guarantee: "without priorities and workspaces nothing is ordered",
 		file:      "table/order.go",
 		original:  "known && priority != r.Priority",
-		mutated:   "known",
+		mutated:   "known && priority >= 0",
 		pkg:       "table", test: "TestOrdered",
 	},
 }
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -341,9 +341,9 @@
 	},
 	{
 		guarantee: "requests that can meet their target have priority",
-		file:      "keeper/keeper.go",
-		original:  "cmp.Compare(a.Urgency, b.Urgency)",
-		mutated:   "cmp.Compare(a.Slots, b.Slots)",
+		file:      "admit/order.go",
+		original:  "\t\tcmp.Compare(r.Timing, other.Timing),\n",
+		mutated:   "",
 		pkg:       "keeper", test: "TestKeeper",
 	},
 	{
