--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -140,6 +140,8 @@
 	// Speed is set if the relay wants the engine's speed. The schedule then follows that speed,
 	// too.
 	Speed bool `json:"speed,omitempty"`
+	// Lapsed is set if a prompt that was prefilled here could not be fetched. No slot is requested.
+	Lapsed bool `json:"lapsed,omitempty"`
 	// Urgency and Order are those of the reservation; Order is nil if the requests to the
 	// service differ by urgency alone.
 	Urgency admit.Timing `json:"urgency,omitempty"`
@@ -163,6 +165,8 @@
 	Down bool `json:"down,omitempty"`
 	// Speed is that of the engine if the request wants it, else nil.
 	Speed *cost.Speed `json:"speed,omitempty"`
+	// Lapsing is set if prompts prefilled here cannot be fetched for now.
+	Lapsing bool `json:"lapsing,omitempty"`
 }
 
 // StageRequest requests a change of an engine's stage.
