Metrics of what workspaces use of their quotas

Cause: an operator saw who used a quota up in log lines only; Account.TakeUsed had no caller. The first 16 workspaces that use something have names, all others are counted together. What is given back is subtracted from later use. Test: TestQuotaUseIsMetered (32 workspaces, 17 names, nothing lost).

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -42,6 +42,7 @@
 	responseTime        metric.Float64Histogram
 	prefillTokens       metric.Int64Counter
 	wastedPrefillTokens metric.Int64Counter
+	quotaUse            metric.Int64Counter
 	costError           metric.Float64Histogram
 	engineSpeed         metric.Float64Gauge
 	controlMessages     metric.Int64Counter
@@ -67,6 +68,7 @@
 		interTokenLatency:   b.histogram("between.tokens", "Time between two tokens.", interTokenBuckets),
 		responseTime:        b.histogram("whole.answer", "Time to the whole answer.", responseTimeBuckets),
 		prefillTokens:       b.counter("prefill.tokens", "Prompt tokens sent to prefill endpoints."),
+		quotaUse:            b.counter("quota.used", "Tokens or requests that workspaces used of their quotas; the largest by name."),
 		wastedPrefillTokens: b.counter("wasted.prefill.tokens", "Prefilled tokens whose result no caller got."),
 		costError:           b.ratios("cost.error", "Actual cost as a multiple of the predicted one, by kind of cost.", costErrorBuckets),
 		engineSpeed:         b.gauge("engine.speed", "Learned speed of this keeper's engine: slowdown of prefills, seconds of a decode step."),
@@ -117,6 +119,12 @@
 	m.wastedPrefillTokens.Add(context.Background(), int64(tokens), m.serviceOption(service))
 }
 
+// CountQuotaUse counts what a workspace used of its quota, in the quota's units. The workspaces are
+// few.
+func (m *Meter) CountQuotaUse(workspace ident.WorkspaceName, units float64) {
+	m.quotaUse.Add(context.Background(), int64(units), metric.WithAttributes(attribute.String("workspace", string(workspace))))
+}
+
 // RecordCostError records an actual cost as a multiple of the predicted one. The kind is one of few
 // constants.
 func (m *Meter) RecordCostError(service ident.ServiceName, kind string, ratio float64) {
--- a/quota/account.go
+++ b/quota/account.go
@@ -119,11 +119,12 @@
 	return charge.Granted
 }
 
-// TakeUsed returns the use since the last call.
+// TakeUsed returns the use since the last call. What was given back beyond it is subtracted from
+// the next one.
 func (a *Account) TakeUsed() Units {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	used := a.used
-	a.used = 0
+	used := max(0, a.used)
+	a.used -= used
 	return used
 }
--- a/relay/quota.go
+++ b/relay/quota.go
@@ -143,8 +143,11 @@
 
 // ReturnQuotas returns unused parts of quotas to their granters until the context ends.
 func (r *Relay) ReturnQuotas(ctx context.Context) {
-	for ctx.Err() == nil {
+	for round := 1; ctx.Err() == nil; round++ {
 		common.Sleep(ctx, unusedQuotaInterval)
+		if round%quotaMeterRounds == 0 {
+			r.meterQuotas()
+		}
 		r.quotas.refresh(r.config.Pool)
 		for granter, list := range r.quotas.takeUnused() {
 			request := keeper.QuotaRequest{}
--- a/relay/quota_test.go
+++ b/relay/quota_test.go
@@ -418,3 +418,27 @@
 	}
 	return nil
 }
+
+// TestQuotaUseIsMetered has more workspaces than metrics name: the largest of those that begin
+// together have names, nothing is lost, and what was given back is not counted.
+func TestQuotaUseIsMetered(t *testing.T) {
+	q := newQuotas(quota.Bounds{Window: 8 * time.Second})
+	now := time.Now()
+	total := quota.Units(0)
+	for i := range 2 * maxMeteredWorkspaces {
+		units := quota.Units(i + 1)
+		q.account(ident.WorkspaceName(fmt.Sprint(i))).ApplyGrant(now, units, quota.Response{Granted: units}, false)
+		total += units
+	}
+	a := q.account("returned")
+	a.GiveBack(a.ApplyGrant(now, 1000, quota.Response{Granted: 1000}, false))
+	used := q.takeUsed()
+	assert.Equal(t, len(used), maxMeteredWorkspaces+1)
+	assert.Equal(t, used["31"], quota.Units(32))
+	sum := quota.Units(0)
+	for _, units := range used {
+		sum += units
+	}
+	assert.Equal(t, sum, total)
+	assert.Equal(t, len(q.takeUsed()), 0)
+}
--- a/relay/quotas.go
+++ b/relay/quotas.go
@@ -34,6 +34,8 @@
 	unresponsiveUntil map[ident.Address]time.Time
 	// unused holds what is to be returned to each granter.
 	unused map[ident.Address][]unusedQuota
+	// metered holds the workspaces that metrics name, maxMeteredWorkspaces at most.
+	metered map[ident.WorkspaceName]bool
 }
 
 // granterView is what a relay knows of the granter of a workspace.
@@ -61,6 +63,7 @@
 		began:    time.Now(),
 		accounts: map[ident.WorkspaceName]*quota.Account{}, views: map[ident.WorkspaceName]*granterView{},
 		unresponsiveUntil: map[ident.Address]time.Time{}, unused: map[ident.Address][]unusedQuota{},
+		metered: map[ident.WorkspaceName]bool{},
 	}
 	q.bounds.Store(&bounds)
 	return q
