pool: hubs remember the software versions of the endpoints

Since histories say what they cover, a hub lists the versions of all endpoints for each message: 218 microseconds at 3,000 endpoints, 167 times a second at 300 relays. Change: the list is kept until the revision of the endpoints or their number changes.

--- a/pool/history.go
+++ b/pool/history.go
@@ -53,13 +53,7 @@
 		return nil
 	}
 	h := &History{Age: min(now.Sub(p.covered.since), maxHistoryAge), From: p.covered.from, To: p.revision}
-	running := map[ServiceVersion]bool{}
-	for _, m := range p.members {
-		if v := (ServiceVersion{m.endpoint.Service, m.endpoint.Version}); !running[v] {
-			running[v] = true
-			h.Running = append(h.Running, v)
-		}
-	}
+	h.Running = p.running.of(p.members, p.revision)
 	for service, versions := range p.versions {
 		for version, last := range versions {
 			if age := now.Sub(last); age < maxHistoryAge {
@@ -72,6 +66,32 @@
 	return h
 }
 
+// runningVersions remembers the software versions of the members, which hubs send with each
+// message.
+type runningVersions struct {
+	// versions are those of count members at a revision. The slice is not changed.
+	versions []ServiceVersion
+	revision Revision
+	count    int
+}
+
+// of returns the software versions of the members at a revision. Between two revisions members only
+// lapse.
+func (r *runningVersions) of(members map[ident.EndpointName]*member, at Revision) []ServiceVersion {
+	if r.revision == at && r.count == len(members) && r.versions != nil {
+		return r.versions
+	}
+	*r = runningVersions{revision: at, count: len(members)}
+	seen := map[ServiceVersion]bool{}
+	for _, m := range members {
+		if v := (ServiceVersion{m.endpoint.Service, m.endpoint.Version}); !seen[v] {
+			seen[v] = true
+			r.versions = append(r.versions, v)
+		}
+	}
+	return r.versions
+}
+
 // AdoptHistory adds what another process knows, if this one knows the endpoints. The past counts as
 // known only if the other's history reaches to this process's own first state: what ran between
 // them may have begun streams, too.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -132,6 +132,7 @@
 	covered coverage
 	// versions holds the software versions of processes that have ended.
 	versions versionHistory
+	running  runningVersions
 	// changeLog holds the changes after baseRevision, in order.
 	changeLog    []loggedChange
 	baseRevision Revision
