review: relays that know different crashes never tell each other

Cause: gossip exchanges crashes only where their numbers differ (gossip.Digest.Crashes). After a request has crashed a worker at each of four relays at once, all know one crash, none the same, and no relay or hub asks for the others.

Done: review/2 sends a request that crashes workers four times at once, to other relays each time, every 5 s.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,8 +22,9 @@
 
 // cases maps the name of each case to its function.
 var cases = map[string]func(ctx context.Context, d *deployment, trouble bool) (broken bool, err error){
-	"take-up": runTakeUp,
-	"poison":  runPoison,
+	"take-up":          runTakeUp,
+	"poison-unshared":  runUnshared,
+	"poison-forgotten": runForgotten,
 }
 
 func main() {
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// poisonSpan is how long the request that crashes workers comes again.
-	poisonSpan = 95 * time.Second
 	// filingDeadline is the clients' deadline and the route's timeout.
 	filingDeadline = 5 * time.Second
 	// downTime is how long a crashed worker is away.
@@ -25,8 +23,16 @@
 	maxCrashRetries = 3
 	// filingGap is the time between two sound requests.
 	filingGap = 22 * time.Millisecond
-	// comesAgain is the time after which the request that crashes workers comes again.
-	comesAgain = 300 * time.Millisecond
+	// repeatSpan is how long the request that crashes workers comes again, repeatGap the time
+	// after which it does.
+	repeatSpan = 95 * time.Second
+	repeatGap  = 300 * time.Millisecond
+	// abuseSpan, abuseSize and abuseGap are those of a caller that sends it several times at once.
+	abuseSpan = 22 * time.Second
+	abuseSize = 4
+	abuseGap  = 5 * time.Second
+	// quietTime is the time before sound requests are sent beside it.
+	quietTime = time.Second
 )
 
 // crashes counts the crashes of workers by one request.
@@ -35,9 +41,20 @@
 	at    []time.Time
 }
 
-// runPoison sends a request that crashes each worker that begins to run it, again and again, beside
-// sound requests.
-func runPoison(ctx context.Context, d *deployment, trouble bool) (broken bool, err error) {
+// runForgotten sends a request that crashes each worker that begins to run it, again and again for
+// longer than a minute, beside sound requests.
+func runForgotten(ctx context.Context, d *deployment, trouble bool) (broken bool, err error) {
+	return d.runPoison(ctx, trouble, repeatSpan, 0, d.repeat)
+}
+
+// runUnshared sends a request that crashes each worker that begins to run it several times at once,
+// each time to other relays, beside sound requests.
+func runUnshared(ctx context.Context, d *deployment, trouble bool) (broken bool, err error) {
+	return d.runPoison(ctx, trouble, abuseSpan, quietTime, d.abuse)
+}
+
+// runPoison lets a caller send a request that crashes workers. Sound requests begin after a delay.
+func (d *deployment) runPoison(ctx context.Context, trouble bool, span, delay time.Duration, send func(context.Context, []byte)) (broken bool, err error) {
 	if err := d.store.Put("config", "main", map[string]any{
 		"version": 3,
 		"routes": []any{map[string]any{
@@ -70,18 +87,21 @@
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
-	ctx, cancel := context.WithTimeout(ctx, poisonSpan)
+	spanCtx, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
-	var filings filings
+	f := &filings{answers: map[string]int{}}
 	var group sync.WaitGroup
-	group.Go(func() { d.file(ctx, &filings) })
+	group.Go(func() {
+		time.Sleep(delay)
+		d.file(spanCtx, f)
+	})
 	body := []byte("a filing that " + poison)
 	if !trouble {
 		body = []byte("a filing that is sound")
 	}
-	d.repeat(ctx, body)
+	send(spanCtx, body)
 	group.Wait()
-	return d.checkPoison(&c, &filings), nil
+	return d.checkPoison(&c, f), nil
 }
 
 // crash returns what a worker does with a request that crashes it: it ends, and a new process
@@ -106,28 +126,47 @@
 	}
 }
 
-// repeat sends the same request until the context ends, to one relay after the other.
+// sendAgain sends the repeated request once. It returns nil if there was no answer.
+func (d *deployment) sendAgain(ctx context.Context, r *relay, body []byte, deadline time.Time) *http.Response {
+	attempt := newAttempt()
+	response, err := send(ctx, r, "/file/2f", attempt, body, deadline, nil)
+	if err != nil {
+		d.add("the repeated request: %s at %s fails: %v", attempt, r.name, err)
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	d.add("the repeated request: %s at %s is answered %d, Retry-After %q", attempt, r.name, response.StatusCode, response.Header.Get("Retry-After"))
+	return response
+}
+
+// repeat sends the same request until the context ends, to one relay after the other. It asks again
+// after a refusal as it is told.
 func (d *deployment) repeat(ctx context.Context, body []byte) {
 	for sent := 0; ctx.Err() == nil; {
-		for deadline := time.Now().Add(filingDeadline); ctx.Err() == nil && time.Now().Before(deadline); {
-			r := d.relays[sent%len(d.relays)]
-			sent++
-			attempt := newAttempt()
-			response, err := send(ctx, r, "/file/2f", attempt, body, deadline, nil)
-			if err != nil {
-				d.add("the repeated request: %s at %s fails: %v", attempt, r.name, err)
-				break
-			}
-			_, _ = io.Copy(io.Discard, response.Body)
-			_ = response.Body.Close()
-			d.add("the repeated request: %s at %s is answered %d, Retry-After %q", attempt, r.name, response.StatusCode, response.Header.Get("Retry-After"))
-			if response.StatusCode != http.StatusServiceUnavailable {
-				// It is no promise, so this caller does not retry.
+		for deadline := time.Now().Add(filingDeadline); ctx.Err() == nil && time.Now().Before(deadline); sent++ {
+			response := d.sendAgain(ctx, d.relays[sent%len(d.relays)], body, deadline)
+			if response == nil || response.StatusCode != http.StatusServiceUnavailable {
+				// It is no promise, so that this caller does not retry.
+				sent++
 				break
 			}
 			time.Sleep(retryDelay(response, deadline))
 		}
-		time.Sleep(comesAgain)
+		time.Sleep(repeatGap)
+	}
+}
+
+// abuse sends the same request several times at once, and again after a while, until the context
+// ends. Each time it goes to another relay.
+func (d *deployment) abuse(ctx context.Context, body []byte) {
+	for sent := 0; ctx.Err() == nil; {
+		deadline := time.Now().Add(filingDeadline)
+		for range abuseSize {
+			d.sendAgain(ctx, d.relays[sent%len(d.relays)], body, deadline)
+			sent++
+		}
+		time.Sleep(abuseGap)
 	}
 }
 
@@ -139,7 +178,6 @@
 
 // file sends sound requests until the context ends.
 func (d *deployment) file(ctx context.Context, f *filings) {
-	f.answers = map[string]int{}
 	var group sync.WaitGroup
 	for sent := 0; ctx.Err() == nil; sent++ {
 		group.Go(func() {
