review: a stream taken up after its route has moved joins two services

Cause: a relay routes a take-up by the present table alone, and asks only whether the service found there has had a single software version lately. That the route led to another service while the stream may have begun is not asked.

Done: review/1 moves a resumable route to another model service under a stream and kills the relay that forwards it; the client takes the stream up within a deadline of 14 s. The earlier cases become 2 to 4.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 
 // cases maps the name of each case to its function.
 var cases = map[string]func(ctx context.Context, d *deployment, trouble bool) (broken bool, err error){
+	"take-up-moved":    runMoved,
 	"take-up":          runTakeUp,
 	"poison-unshared":  runUnshared,
 	"poison-forgotten": runForgotten,
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -69,7 +69,7 @@
 	}); err != nil {
 		return false, err
 	}
-	if _, err := d.addEngines("v1"); err != nil {
+	if _, err := d.addEngines("reader", "v1"); err != nil {
 		return false, err
 	}
 	var c crashes
--- a/review/stand/takeup.go
+++ b/review/stand/takeup.go
@@ -13,8 +13,15 @@
 const (
 	// draftDeadline is how long the client waits, and the route's timeout.
 	draftDeadline = 30 * time.Second
-	draftPieces   = 48
-	draftGap      = 250 * time.Millisecond
+	// sheetDeadline is the deadline and the timeout of the sheets.
+	sheetDeadline = 14 * time.Second
+	// standbyTime is how long both services are there before the stream, moveDelay the time from
+	// its start to the change of the configuration, and killDelay that to the end of the relay.
+	standbyTime = 17 * time.Second
+	moveDelay   = time.Second
+	killDelay   = 3 * time.Second
+	draftPieces = 48
+	draftGap    = 250 * time.Millisecond
 	// drainTime is drainMs, lingerTime how much longer a leaving worker serves.
 	drainTime  = 2500 * time.Millisecond
 	lingerTime = 500 * time.Millisecond
@@ -25,20 +32,10 @@
 // runTakeUp replaces all workers of a model service by newer ones while a client reads a stream
 // that lasts longer than its worker. The client takes the stream up again.
 func runTakeUp(ctx context.Context, d *deployment, trouble bool) (broken bool, err error) {
-	if err := d.store.Put("config", "main", map[string]any{
-		"version": 3,
-		"routes": []any{map[string]any{
-			"name": "r-draft", "host": host, "pathPrefix": "/draft/", "kind": "streaming", "timeoutMs": draftDeadline.Milliseconds(),
-			"targetLatencyMs": 900, "gapTargetMs": 300, "priority": 1, "service": "reader", "maxAttempts": 2, "sticky": true, "resumable": true,
-		}},
-		"services": []any{map[string]any{"name": "reader", "maxConns": 370, "engine": map[string]any{
-			"slots": 64, "kvTokenCapacity": kvTokens, "kvHoldS": 0.5, "stride": 61,
-		}}},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	}); err != nil {
+	if err := d.configureDraft(3, "reader", draftDeadline); err != nil {
 		return false, err
 	}
-	old, err := d.addEngines("v1")
+	old, err := d.addEngines("reader", "v1")
 	if err != nil {
 		return false, err
 	}
@@ -68,10 +65,69 @@
 	return s.check(), nil
 }
 
+// runMoved moves a route to another model service while a client reads a stream, and kills the
+// relay that forwards it. The client takes the stream up again.
+func runMoved(ctx context.Context, d *deployment, trouble bool) (broken bool, err error) {
+	if err := d.configureDraft(3, "reader", sheetDeadline); err != nil {
+		return false, err
+	}
+	for service, version := range map[string]string{"reader": "v1", "reader-next": "v2"} {
+		if _, err := d.addEngines(service, version); err != nil {
+			return false, err
+		}
+	}
+	for range 5 {
+		if err := d.addRelay(); err != nil {
+			return false, err
+		}
+	}
+	if err := d.awaitReady(); err != nil {
+		return false, err
+	}
+	d.add("both services stand ready for %s", standbyTime)
+	time.Sleep(standbyTime)
+	moved := make(chan error, 1)
+	go func() {
+		if !trouble {
+			moved <- nil
+			return
+		}
+		time.Sleep(moveDelay)
+		d.add("config_change: the route moves to reader-next")
+		moved <- d.configureDraft(5, "reader-next", sheetDeadline)
+		time.Sleep(killDelay)
+		d.add("node_kill: %s is killed", d.relays[0].name)
+		_ = d.relays[0].command.Process.Kill()
+	}()
+	s := &draft{deployment: d, deadline: time.Now().Add(sheetDeadline)}
+	s.read(ctx)
+	if err := <-moved; err != nil {
+		return false, err
+	}
+	return s.check(), nil
+}
+
+// configureDraft stores a configuration with a resumable route to a model service.
+func (d *deployment) configureDraft(version int, service string, timeout time.Duration) error {
+	engine := map[string]any{"slots": 64, "kvTokenCapacity": kvTokens, "kvHoldS": 0.5, "stride": 61}
+	return d.store.Put("config", "main", map[string]any{
+		"version": version,
+		"routes": []any{map[string]any{
+			"name": "r-draft", "host": host, "pathPrefix": "/draft/", "kind": "streaming", "timeoutMs": timeout.Milliseconds(),
+			"targetLatencyMs": 900, "gapTargetMs": 300, "priority": 1, "service": service, "maxAttempts": 2, "sticky": true, "resumable": true,
+		}},
+		"services": []any{
+			map[string]any{"name": "reader", "maxConns": 370, "engine": engine},
+			map[string]any{"name": "reader-next", "maxConns": 370, "engine": engine},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
 // addEngines starts two prefill and two decode workers of a software version.
-func (d *deployment) addEngines(version string) (list []*worker, err error) {
+func (d *deployment) addEngines(service, version string) (list []*worker, err error) {
 	for _, stage := range []string{"prefill", "decode", "prefill", "decode"} {
-		w := &worker{service: "reader", stage: stage, version: version, pieces: draftPieces, pieceGap: draftGap}
+		w := &worker{service: service, stage: stage, version: version, pieces: draftPieces, pieceGap: draftGap}
 		if err := d.addWorker(w); err != nil {
 			return nil, err
 		}
@@ -84,7 +140,7 @@
 // drainTime and a little longer, and exit.
 func (d *deployment) release(old []*worker) error {
 	d.add("release: workers of v2 start")
-	if _, err := d.addEngines("v2"); err != nil {
+	if _, err := d.addEngines("reader", "v2"); err != nil {
 		return err
 	}
 	time.Sleep(time.Second)
