Relay: say who ended a response that is not complete

Cause: the log of a cut stream did not tell whether the endpoint, the caller, the deadline or the relay ended it, so that the hypotheses of docs/incidents/lost.md could not be told apart. Change: `request ended` has `ended-by`, and crocusstep_requests_unfinished_total counts by it.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -36,6 +36,7 @@
 	serviceOptions sync.Map
 
 	requests            metric.Int64Counter
+	unfinished          metric.Int64Counter
 	withinTarget        metric.Int64Counter
 	timeToFirstToken    metric.Float64Histogram
 	interTokenLatency   metric.Float64Histogram
@@ -63,6 +64,7 @@
 	m = &Meter{
 		registry:            registry,
 		requests:            b.counter("requests", "Requests of callers by service and outcome."),
+		unfinished:          b.counter("requests.unfinished", "Requests that ended without a complete response, by service and by who ended them."),
 		withinTarget:        b.counter("requests.within.target", "Requests answered within all targets of their service."),
 		timeToFirstToken:    b.histogram("first.token", "Time to the first token.", timeToFirstTokenBuckets),
 		interTokenLatency:   b.histogram("between.tokens", "Time between two tokens.", interTokenBuckets),
@@ -93,6 +95,11 @@
 	}
 }
 
+// CountUnfinished counts a request that ended without a complete response, by who ended it.
+func (m *Meter) CountUnfinished(service ident.ServiceName, endedBy string) {
+	m.unfinished.Add(context.Background(), 1, m.serviceOption(service), metric.WithAttributes(attribute.String("ended-by", endedBy)))
+}
+
 // RecordTimeToFirstToken records the time from a request's arrival to its first token.
 func (m *Meter) RecordTimeToFirstToken(service ident.ServiceName, duration time.Duration) {
 	m.timeToFirstToken.Record(context.Background(), duration.Seconds(), m.serviceOption(service))
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -86,11 +86,17 @@
 	probing bool
 	// prepaidSends is the number of sends that count against the retry limits already.
 	prepaidSends int
+	// leftSilent is set while the request is at no endpoint because the relay has left one that was
+	// silent.
+	leftSilent bool
+	// ending is empty if the response is complete.
+	ending ending
 }
 
-func (e *exchange) serve(ctx context.Context) *fault.Refusal {
+func (e *exchange) serve(ctx context.Context) (refusal *fault.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
+	defer func() { e.ending = e.findEnding(ctx, refusal) }()
 	e.retryLimiter(e.service.Name).RecordRequest(e.request.Arrived)
 	if refusal := e.chargeQuota(ctx); refusal != nil {
 		return refusal
@@ -207,6 +213,9 @@
 	}
 	responseTime := time.Since(e.request.Arrived)
 	e.Meter.CountRequest(e.service.Name, outcome, refusal == nil && e.earlierWait+firstLatency <= e.route.TargetLatency)
+	if e.ending != "" {
+		e.Meter.CountUnfinished(e.service.Name, string(e.ending))
+	}
 	e.Meter.RecordResponseTime(e.service.Name, responseTime)
 	prompt := Prompt{}
 	if e.request.Prompt != nil {
@@ -218,7 +227,7 @@
 		"status", e.status, "sends", e.sends, "ran", e.executions, "first", firstLatency, "whole", responseTime, "spent", e.earlierWait,
 		"prompt", prompt.Tokens, "estimate", prompt.EstimatedOutput, "longest-pause", e.longestGap, "tokens-made", e.generated.Load(),
 		"resumes", e.request.Resumes, "versions", e.versions, "framing", e.framing, "unfinished", e.unfinished,
-		"retry-after", wait, "note", note,
+		"retry-after", wait, "ended-by", e.ending, "note", note,
 	}
 	if e.workspace != nil && e.workspace.Quota != nil {
 		attributes = append(attributes, "workspace", e.workspace.Name, "charge", e.charge.Total, "granted", e.charge.Granted)
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -53,7 +53,7 @@
 		}
 	}
 	if e.started && errors.Is(ctx.Err(), context.Canceled) {
-		return fault.NewUnknown(fault.Cancelled, "the caller left in mid-stream")
+		return fault.NewUnknown(fault.Cancelled, "the caller left in mid-stream, or the relay stopped")
 	}
 	if e.started {
 		// The header was sent already: only an aborted connection marks the response as
@@ -185,6 +185,7 @@
 	res.outcome = outcomeOf(ctx, err)
 	if err != nil && s.next != nil {
 		res.outcome = pool.Failed
+		s.leftSilent = true
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -136,6 +136,7 @@
 	}
 	s.lastEvent = now
 	if s.tryEvents == 0 {
+		s.leftSilent = false
 		s.beginVersion()
 		s.versions = append(s.versions, s.source.Version)
 	}
