--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -43,6 +43,8 @@
 	hangs            behaviour = "hangs"
 	interruptsStream behaviour = "interrupts the stream in mid-event"
 	stalls           behaviour = "stalls in mid-stream"
+	pauses           behaviour = "pauses after the first event"
+	beginsLate       behaviour = "pauses before the first event"
 	slowEvents       behaviour = "sends an event each second"
 	drips            behaviour = "sends a byte now and then after the first event"
 	neverEnds        behaviour = "sends bytes without end"
@@ -80,6 +82,8 @@
 	onlyRoom ident.EndpointName
 	// nextDecode is the behaviour for the next decode, at any endpoint.
 	nextDecode behaviour
+	// laterPrefills and laterDecodes are the behaviours for all after the first, at any endpoint.
+	laterPrefills, laterDecodes behaviour
 	// lastReserved is the endpoint whose keeper received the last reservation request.
 	lastReserved ident.EndpointName
 	// prefillLate gives all prefill endpoints a long backlog, prefillDown takes them all
@@ -126,8 +130,13 @@
 	if len(script) > 0 {
 		next, b.script[e.Name] = script[0], script[1:]
 	}
-	if operation == "decode" && b.nextDecode != "" {
+	switch {
+	case operation == "decode" && b.nextDecode != "":
 		next, b.nextDecode = b.nextDecode, ""
+	case operation == "decode" && b.laterDecodes != "":
+		next = b.laterDecodes
+	case operation == "prefill" && b.prefilled && b.laterPrefills != "":
+		next = b.laterPrefills
 	}
 	if next != refuses {
 		b.sent = append(b.sent, operation+" at "+string(e.Name))
@@ -177,6 +186,11 @@
 	}
 	content := io.Reader(bytes.NewBufferString(body))
 	switch next {
+	case pauses:
+		first, rest, _ := strings.Cut(body, "\n\n")
+		content = io.MultiReader(strings.NewReader(first+"\n\n"), &pacedReader{Context: ctx, parts: []string{rest}, interval: silence})
+	case beginsLate:
+		content = &pacedReader{Context: ctx, parts: []string{body}, interval: silence}
 	case slowEvents:
 		content = &pacedReader{Context: ctx, parts: strings.SplitAfter(body, "\n\n"), interval: time.Second}
 	case drips:
