Relay: a stream leaves a silent engine only once another one has it

Cause: the move from a silent engine ended its try as soon as memory was reserved elsewhere. The prefill, its slot, the retry limits and the next engine could each still fail, and then neither had the stream. Class: what works is given up before its replacement stands. Change: the move is prepared while the silent engine keeps the stream: memory, sends, prefill, then the request. The stream has moved once the next engine accepts the request, or has not rejected it after 0.3 s, as two engines may not work on it for 0.4 s. An event of the silent engine ends the preparation. After a later rejection the engine that was left may be used again, and the last send that is left goes to a decode engine, which prefills the prompt itself.

--- /dev/null
+++ b/mutant/move.go
@@ -0,0 +1,40 @@
+package main
+
+// moveMutants holds one mutant for each mechanism that moves a stream from a silent endpoint.
+var moveMutants = []mutant{
+	{
+		guarantee: "a stream stays until another endpoint has its prompt",
+		file:      "relay/stall.go",
+		original:  "if cached, err = s.prefillFor(ctx, next, maxSlotWait); err != nil {\n\t\treturn next, nil, err\n",
+		mutated:   "if cached, err = s.prefillFor(ctx, next, maxSlotWait); err != nil {\n\t\tw.stream.next = next\n",
+		pkg:       "relay", test: "TestFailedMoveKeepsStream",
+	},
+	{
+		guarantee: "a stream that has moved takes nothing more from its last endpoint",
+		file:      "relay/stall.go",
+		original:  "if w.stream.next != nil {",
+		mutated:   "if false {",
+		pkg:       "relay", test: "TestMoveAtAnyTime",
+	},
+	{
+		guarantee: "two endpoints do not work on a request for long",
+		file:      "relay/stall.go",
+		original:  "overlapLimit = 300 *",
+		mutated:   "overlapLimit = 900 *",
+		pkg:       "relay", test: "TestMoveAtAnyTime",
+	},
+	{
+		guarantee: "an endpoint that was left may be used again",
+		file:      "relay/serve_stream.go",
+		original:  "\t\t\tdelete(s.tried, s.left)\n",
+		mutated:   "",
+		pkg:       "relay", test: "TestMoveAtAnyTime",
+	},
+	{
+		guarantee: "the last send goes to a decode endpoint",
+		file:      "relay/serve_stream.go",
+		original:  "if (s.started || s.left != \"\") && s.sends+1 == maxSends {",
+		mutated:   "if false {",
+		pkg:       "relay", test: "TestMoveAtAnyTime",
+	},
+}
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -75,6 +75,8 @@
 	granted int
 	// resumedAfter lists the event id after which each decode was to start.
 	resumedAfter []string
+	// decodeBegan and decodeEnded hold when each decode was received and when it was no longer wanted.
+	decodeBegan, decodeEnded []time.Time
 	// full makes keepers deny all reservations, unreachable lets their calls time out,
 	// refusing makes them refuse connections.
 	full, unreachable, refusing bool
@@ -84,6 +86,8 @@
 	nextDecode behaviour
 	// laterPrefills and laterDecodes are the behaviours for all after the first, at any endpoint.
 	laterPrefills, laterDecodes behaviour
+	// secondDecode is the behaviour for the decode after that of nextDecode, at any endpoint.
+	secondDecode behaviour
 	// lastReserved is the endpoint whose keeper received the last reservation request.
 	lastReserved ident.EndpointName
 	// prefillLate gives all prefill endpoints a long backlog, prefillDown takes them all
@@ -133,6 +137,8 @@
 	switch {
 	case operation == "decode" && b.nextDecode != "":
 		next, b.nextDecode = b.nextDecode, ""
+	case operation == "decode" && b.secondDecode != "":
+		next, b.secondDecode = b.secondDecode, ""
 	case operation == "decode" && b.laterDecodes != "":
 		next = b.laterDecodes
 	case operation == "prefill" && b.prefilled && b.laterPrefills != "":
@@ -238,8 +244,15 @@
 		return b.act(ctx, rejects, "")
 	}
 	b.mutex.Lock()
+	number := len(b.resumedAfter)
 	b.resumedAfter = append(b.resumedAfter, r.LastEventID)
+	b.decodeBegan, b.decodeEnded = append(b.decodeBegan, time.Now()), append(b.decodeEnded, time.Time{})
 	b.mutex.Unlock()
+	context.AfterFunc(ctx, func() {
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		b.decodeEnded[number] = time.Now()
+	})
 	first := 1
 	if r.LastEventID != "" {
 		_, err := fmt.Sscan(r.LastEventID, &first)
--- a/relay/local_prefill.go
+++ b/relay/local_prefill.go
@@ -30,12 +30,12 @@
 	return s.requestLocalPrefill(ctx, res, s.request.Prompt.Tokens+s.resumeTokens(), stall)
 }
 
-// awaitLocalPrefill waits until the decode endpoint may prefill the tokens generated
+// awaitLocalPrefill waits until the decode endpoint may prefill the tokens, such as those generated
 // elsewhere, which prefill endpoints do not process. It times out before the caller
 // would disconnect.
-func (s *stream) awaitLocalPrefill(ctx context.Context, res *reservation) {
+func (s *stream) awaitLocalPrefill(ctx context.Context, res *reservation, tokens ident.TokenCount) {
 	deadline := time.Now().Add(maxResumeSlotWait)
-	for s.resumeTokens() > 0 && ctx.Err() == nil && time.Now().Before(deadline) && !s.requestLocalPrefill(ctx, res, s.resumeTokens(), s.nominalStall(res.member)) {
+	for tokens > 0 && ctx.Err() == nil && time.Now().Before(deadline) && !s.requestLocalPrefill(ctx, res, tokens, s.nominalStall(res.member)) {
 		common.Sleep(ctx, slotRetryInterval)
 	}
 }
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -41,11 +41,10 @@
 
 // prefill computes the prompt's KV cache at the prefill endpoint expected to finish
 // first. It returns nil if the decode endpoint is to prefill the prompt itself: after
-// failures at several prefill endpoints, or if none can do so in time and the stall of
-// the decode endpoint's other streams is short enough.
-func (s *stream) prefill(ctx context.Context, res *reservation) (*CachedPrompt, error) {
-	window, _ := s.waitWindow()
-	deadline := time.Now().Add(min(window, maxSlotWait))
+// failures at several prefill endpoints, or if none can do so within the window and the
+// stall of the decode endpoint's other streams is short enough.
+func (s *stream) prefill(ctx context.Context, res *reservation, window time.Duration) (*CachedPrompt, error) {
+	deadline := time.Now().Add(window)
 	for tries := 0; tries < maxPrefillTries; {
 		members := s.config.Pool.Members(s.service.Name, pool.Prefill)
 		members = slices.DeleteFunc(members, func(m pool.Member) bool { return s.tried[m.Name] })
@@ -81,6 +80,12 @@
 	return nil, nil
 }
 
+// prefillWindow is how long waiting for a prefill slot is useful.
+func (s *stream) prefillWindow() time.Duration {
+	window, _ := s.waitWindow()
+	return min(window, maxSlotWait)
+}
+
 // allowPrefill reports whether the prompt may be sent to one more prefill endpoint. After the
 // first send, the retry limits must also allow the decode that follows: otherwise the prompt
 // would be prefilled in vain.
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -47,13 +47,9 @@
 	unreservedDivisor = 3
 )
 
-// reserve reserves memory at a decode endpoint, unless a stall has done so. It tries the
-// best few without waiting, then waits at the one with the shortest expected wait.
+// reserve reserves memory at a decode endpoint. It tries the best few without waiting, then waits
+// at the one with the shortest expected wait.
 func (s *stream) reserve(ctx context.Context) (*reservation, error) {
-	if next := s.next; next != nil {
-		s.next = nil
-		return next, nil
-	}
 	window, urgency := s.waitWindow()
 	s.order = s.order.AskedFirst()
 	deadline := time.Now().Add(window)
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -35,7 +35,7 @@
 			return e.finalRefusal(ctx, refusal)
 		}
 	}
-	for tries := 0; tries < maxSends && e.mayRetry(ctx); tries++ {
+	for tries := 0; tries < maxSends && (s.next != nil || e.mayRetry(ctx)); tries++ {
 		err := s.attempt(ctx)
 		if err == nil {
 			return nil
@@ -74,16 +74,42 @@
 	// outcome is the outcome of the exchange for the endpoint.
 	outcome pool.Outcome
 	end     func(pool.Outcome, time.Duration)
-	// abort ends the try at the endpoint, once it was sent.
+	// try is the request sent to the endpoint, nil before.
+	try *try
+}
+
+// try is a request that was sent to an endpoint.
+type try struct {
+	// cached is the prompt that the endpoint fetches, nil if it prefills the prompt itself.
+	cached *CachedPrompt
+	// result receives the response, or an error, once.
+	result chan tryResult
+	// accepted is the response if it was received before the stream has left its last endpoint.
+	accepted *Response
+	// abort ends the try.
 	abort context.CancelFunc
 }
 
-// dropNext ends the reservation for a next try that is not made.
+type tryResult struct {
+	response *Response
+	err      error
+}
+
+// dropNext ends a next try that is not made.
 func (s *stream) dropNext() {
-	if s.next != nil {
-		s.endReservation(s.next)
-		s.next = nil
+	if s.next == nil {
+		return
 	}
+	t := s.next.try
+	t.abort()
+	if t.accepted == nil {
+		t.accepted = (<-t.result).response
+	}
+	if t.accepted != nil {
+		_ = t.accepted.Body.Close()
+	}
+	s.endReservation(s.next)
+	s.next = nil
 }
 
 // endReservation reports the outcome to the pool and releases the memory if it was not
@@ -101,6 +127,9 @@
 // attempt makes one attempt at serving the request.
 func (s *stream) attempt(ctx context.Context) error {
 	s.tryEvents = 0
+	if s.next != nil {
+		return s.continueAtNext(ctx)
+	}
 	if refusal := s.barred(); refusal != nil {
 		return refusal
 	}
@@ -115,15 +144,11 @@
 	defer func() { s.endReservation(res) }()
 	reserved := time.Now()
 	var cached *CachedPrompt
-	if res.member.Stage == pool.Decode {
-		s.awaitLocalPrefill(ctx, res)
-		cached, err = s.prefill(ctx, res)
+	if cached, err = s.prefillFor(ctx, res, s.prefillWindow()); err != nil {
 		if errors.Is(err, errNoPrefillSlot) {
 			return s.refuseNoPrefillSlot()
 		}
-		if err != nil {
-			return err
-		}
+		return err
 	}
 	prefilled := time.Now()
 	response, err := s.start(ctx, res, cached)
@@ -143,6 +168,37 @@
 	return s.finish(ctx, res, response)
 }
 
+// continueAtNext goes on at the endpoint that the stream has moved to.
+func (s *stream) continueAtNext(ctx context.Context) error {
+	res := s.next
+	s.next = nil
+	defer func() { s.endReservation(res) }()
+	response, err := s.awaitResponse(ctx, res)
+	if err != nil {
+		if errors.Is(err, client.ErrNotSent) || errors.Is(err, errNotExecuted) {
+			s.freePrompt(res.try.cached)
+			// The endpoint that was left no longer has the request, and may be sound.
+			delete(s.tried, s.left)
+		}
+		return err
+	}
+	return s.finish(ctx, res, response)
+}
+
+// prefillFor has the prompt prefilled for a decode endpoint, unless that is to do so itself.
+func (s *stream) prefillFor(ctx context.Context, res *reservation, window time.Duration) (*CachedPrompt, error) {
+	if res.member.Stage != pool.Decode {
+		return nil, nil
+	}
+	if (s.started || s.left != "") && s.sends+1 == maxSends {
+		// One send is left, for the decode endpoint.
+		s.awaitLocalPrefill(ctx, res, s.request.Prompt.Tokens+s.resumeTokens())
+		return nil, nil
+	}
+	s.awaitLocalPrefill(ctx, res, s.resumeTokens())
+	return s.prefill(ctx, res, window)
+}
+
 // refuseNoPrefillSlot refuses a request whose prompt no engine can prefill in time.
 func (s *stream) refuseNoPrefillSlot() error {
 	s.Log.Info("no turn in time", "request", s.request.Attempt, "tokens", s.request.Prompt.Tokens, "spent", s.earlierWait)
@@ -167,9 +223,9 @@
 
 // finish forwards the response to its end.
 func (s *stream) finish(ctx context.Context, res *reservation, response *Response) error {
-	defer res.abort()
+	defer res.try.abort()
 	defer func() { _ = response.Body.Close() }()
-	stop := s.watchForStall(ctx, s.executions, res.abort)
+	stop := s.watchForStall(ctx, s.executions, res.try.abort)
 	err := s.forward(response)
 	stop()
 	s.recordTry(ctx, res, err)
@@ -189,49 +245,86 @@
 	}
 }
 
-// start sends the request to the endpoint of the reservation.
+// start sends the request to the endpoint of the reservation and awaits the head of its response.
 func (s *stream) start(ctx context.Context, res *reservation, cached *CachedPrompt) (*Response, error) {
+	if err := s.submit(ctx, res, cached); err != nil {
+		return nil, err
+	}
+	return s.awaitResponse(ctx, res)
+}
+
+// awaitResponse returns the response of a try, unless the stream moves before its head arrives.
+func (s *stream) awaitResponse(ctx context.Context, res *reservation) (*Response, error) {
+	if res.try.accepted != nil {
+		return res.try.accepted, nil
+	}
+	stop := s.watchForStall(ctx, s.executions+1, res.try.abort)
+	result := <-res.try.result
+	stop()
+	response, err := s.recordResult(ctx, res, result)
+	if err == nil && s.next != nil {
+		_ = response.Body.Close()
+		res.try.abort()
+		s.recordTry(ctx, res, errMoved)
+		return nil, errMoved
+	}
+	return response, err
+}
+
+// submit sends the request to the endpoint of the reservation, unless it may not be sent there.
+func (s *stream) submit(ctx context.Context, res *reservation, cached *CachedPrompt) error {
 	s.endpoint, s.source = res.member.Name, res.member.Endpoint
 	if !s.config.Pool.Usable(res.member.Endpoint) {
-		return nil, errors.Join(client.ErrNotSent, errors.New("the decode endpoint has left meanwhile"))
+		return errors.Join(client.ErrNotSent, errors.New("the decode endpoint has left meanwhile"))
 	}
 	if !s.runsVersion(res.member.Version) {
 		// The first event arrived while a stall had memory reserved elsewhere.
-		return nil, errors.Join(client.ErrNotSent, errors.New("the endpoint runs another software version than the stream"))
+		return errors.Join(client.ErrNotSent, errors.New("the endpoint runs another software version than the stream"))
 	}
 	if refusal := s.barred(); refusal != nil {
-		return nil, errors.Join(client.ErrNotSent, refusal)
+		return errors.Join(client.ErrNotSent, refusal)
 	}
 	if !s.allowSend(ctx) {
-		return nil, errors.Join(client.ErrNotSent, errNoRetry)
+		return errors.Join(client.ErrNotSent, errNoRetry)
 	}
-	tryContext, abort := context.WithCancel(ctx)
-	res.abort = abort
-	stop := s.watchForStall(ctx, s.executions+1, abort)
-	response, err := s.requestOutput(tryContext, res.member.Endpoint, cached)
-	stop()
+	s.sends++
+	ctx, abort := context.WithCancel(ctx)
+	t := &try{cached: cached, result: make(chan tryResult, 1), abort: abort}
+	res.try = t
+	go func() {
+		response, err := s.requestOutput(ctx, res.member.Endpoint, cached)
+		t.result <- tryResult{response, err}
+	}()
+	return nil
+}
+
+// recordResult counts a try by its result, and returns the response if the endpoint executes the
+// request.
+func (s *stream) recordResult(ctx context.Context, res *reservation, result tryResult) (*Response, error) {
+	response, err := result.response, result.err
 	if err != nil {
-		abort()
+		res.try.abort()
 		s.recordTry(ctx, res, err)
-		if !errors.Is(err, client.ErrNotSent) {
-			s.sends++
+		switch {
+		case errors.Is(err, client.ErrNotSent):
+			s.sends--
+		case s.next == nil:
 			s.executions++
-		}
-		if !errors.Is(err, client.ErrNotSent) && s.next == nil {
 			s.recordCrash(ctx, err)
+		default:
+			s.executions++
 		}
 		return nil, err
 	}
-	s.sends++
 	if response.NotExecuted {
-		s.recordRejection(res, cached, response)
+		s.recordRejection(res, res.try.cached, response)
 		discardBody(response.Body)
-		abort()
+		res.try.abort()
 		return nil, errNotExecuted
 	}
 	s.executions++
 	res.used = true
-	if cached != nil {
+	if cached := res.try.cached; cached != nil {
 		s.config.Pool.Begin(cached.Endpoint, 0)(pool.Success, 0)
 	}
 	return response, nil
@@ -256,7 +349,7 @@
 // reserveElsewhere reserves memory at another decode endpoint if the first one did not
 // execute the request and the prompt is still cached.
 func (s *stream) reserveElsewhere(ctx context.Context, err error, cached *CachedPrompt) *reservation {
-	if err == nil || cached == nil || !errors.Is(err, client.ErrNotSent) && !errors.Is(err, errNotExecuted) {
+	if s.next != nil || err == nil || cached == nil || !errors.Is(err, client.ErrNotSent) && !errors.Is(err, errNotExecuted) {
 		return nil
 	}
 	if errors.Is(err, errNoRetry) || s.barred() != nil {
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"crocusstep/admit"
+	"crocusstep/client"
 )
 
 const (
@@ -18,11 +21,17 @@
 	firstEventFactor = 1.5
 	// resumeSends is how many sends a resumed stream needs: a prefill and a decode.
 	resumeSends = 2
+	// overlapLimit is how long two engines may have the request: the one that is silent, and
+	// the next one until it has accepted the request. Both may work on it for less than 400 ms.
+	overlapLimit = 300 * time.Millisecond
 )
 
+// errMoved means that a stream has left its endpoint for another one.
+var errMoved = errors.New("the stream has moved to another endpoint")
+
 // stallWatch moves a resumable stream to another engine if its own sends no complete event
-// for too long. It aborts the stream only once another engine has memory for it, so that a
-// slow stream is not lost in a full fleet.
+// for too long. The stream leaves its engine only once another one has its memory reserved, the
+// prompt prefilled and the request, and has not rejected it; if that fails, the stream stays.
 type stallWatch struct {
 	stream *stream
 	// limit is the longest silence after the first event.
@@ -31,22 +40,30 @@
 	progress chan struct{}
 	// ended is closed when the watch has ended.
 	ended chan struct{}
+	// turn holds one entry while a goroutine uses the stream: the reader to forward events, the
+	// watch to move the stream.
+	turn chan struct{}
+
+	mutex sync.Mutex
+	// cancelMove ends a move that is prepared; nil if there is none.
+	cancelMove context.CancelFunc
 }
 
 // watchForStall watches a try, in which an engine has executed the request as the given
 // number of engines so far, until stop is called. Abort ends the try. Meanwhile the caller
-// of watchForStall must only wait for the engine and record its events.
+// of watchForStall must only wait for the engine, and forward what it sends between resume and
+// release.
 func (s *stream) watchForStall(ctx context.Context, executions int, abort context.CancelFunc) (stop func()) {
 	if !s.route.Retryable() || executions >= s.route.MaxEndpoints || !s.disaggregated() {
 		return func() {}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	w := &stallWatch{stream: s, limit: defaultStallLimit, progress: make(chan struct{}, 1), ended: make(chan struct{})}
+	watchContext, cancel := context.WithCancel(ctx)
+	w := &stallWatch{stream: s, limit: defaultStallLimit, progress: make(chan struct{}, 1), ended: make(chan struct{}), turn: make(chan struct{}, 1)}
 	if s.route.TargetEventGap > 0 {
 		w.limit = stallFactor * s.route.TargetEventGap
 	}
 	s.stall = w
-	go w.run(ctx, abort)
+	go w.run(watchContext, ctx, abort)
 	return func() {
 		cancel()
 		<-w.ended
@@ -54,18 +71,39 @@
 	}
 }
 
-// recordProgress restarts the limit.
-func (w *stallWatch) recordProgress() {
+// resume takes the stream back from a move that is prepared, as its engine has sent something. It
+// reports false if the stream has moved; else release must follow.
+func (w *stallWatch) resume() bool {
 	if w == nil {
-		return
+		return true
 	}
 	select {
 	case w.progress <- struct{}{}:
 	default:
 	}
+	w.mutex.Lock()
+	if w.cancelMove != nil {
+		w.cancelMove()
+	}
+	w.mutex.Unlock()
+	w.turn <- struct{}{}
+	if w.stream.next != nil {
+		<-w.turn
+		return false
+	}
+	return true
+}
+
+// release lets the watch move the stream again.
+func (w *stallWatch) release() {
+	if w != nil {
+		<-w.turn
+	}
 }
 
-func (w *stallWatch) run(ctx context.Context, abort context.CancelFunc) {
+// run watches until the first context ends. A request that a move has sent lasts as long as the
+// second.
+func (w *stallWatch) run(ctx, tryContext context.Context, abort context.CancelFunc) {
 	defer close(w.ended)
 	timer := time.NewTimer(w.firstLimit())
 	defer timer.Stop()
@@ -78,7 +116,7 @@
 			continue
 		case <-timer.C:
 		}
-		if w.prepareMove(ctx) {
+		if w.move(ctx, tryContext) {
 			abort()
 			return
 		}
@@ -94,13 +132,54 @@
 	return time.Duration(firstEventFactor * float64(w.limit))
 }
 
-// prepareMove reserves memory at another engine and the sends that the move takes. It
-// reports whether the stream can move.
-func (w *stallWatch) prepareMove(ctx context.Context) bool {
+// move moves the stream to another engine, unless its own sends something before the other one has
+// the request. It reports whether the stream has moved.
+func (w *stallWatch) move(ctx, tryContext context.Context) bool {
+	w.turn <- struct{}{}
+	defer func() { <-w.turn }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.setCancelMove(cancel)
+	defer w.setCancelMove(nil)
+	if len(w.progress) > 0 {
+		return false
+	}
+	s := w.stream
+	endpoint, source, tryEvents := s.endpoint, s.source, s.tryEvents
+	s.tried[endpoint] = true
+	next, cached, err := w.prepare(ctx)
+	if err == nil {
+		s.tryEvents = 0
+		err = w.handOver(tryContext, next, cached)
+	}
+	if next != nil {
+		s.Log.Info("a stream stalls", "request", s.request.Attempt, "endpoint", endpoint, "next", next.member.Name,
+			"tokens-made", s.generated.Load(), "moved", err == nil, "error", err)
+	}
+	if err == nil {
+		s.left = endpoint
+		return true
+	}
+	s.endpoint, s.source, s.tryEvents, s.prepaidSends = endpoint, source, tryEvents, 0
+	if next != nil {
+		s.endReservation(next)
+	}
+	return false
+}
+
+func (w *stallWatch) setCancelMove(cancel context.CancelFunc) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.cancelMove = cancel
+}
+
+// errNoMove means that no other engine can take a stream now.
+var errNoMove = errors.New("no other endpoint can take the stream")
+
+// prepare reserves memory at another engine and the sends that the move takes, and has the prompt
+// prefilled.
+func (w *stallWatch) prepare(ctx context.Context) (next *reservation, cached *CachedPrompt, err error) {
 	s := w.stream
-	stalled := s.endpoint
-	s.tried[stalled] = true
-	var next *reservation
 	candidates := s.decodeCandidates()
 	for _, m := range candidates[:min(maxDecodeTries, len(candidates))] {
 		if m.Suspended {
@@ -110,23 +189,48 @@
 			break
 		}
 	}
-	if next == nil {
-		return false
+	switch {
+	case next == nil:
+		return nil, nil, errNoMove
+	case ctx.Err() != nil:
+		return next, nil, ctx.Err()
+	case !s.prepaySends(resumeSends):
+		return next, nil, errNoRetry
 	}
-	moved := ctx.Err() == nil && s.prepaySends(resumeSends)
-	select {
-	case <-w.progress:
-		moved = false
-	default:
+	if cached, err = s.prefillFor(ctx, next, maxSlotWait); err != nil {
+		return next, nil, err
 	}
-	s.Log.Info("a stream stalls", "request", s.request.Attempt, "endpoint", stalled, "tokens-made", s.generated.Load(), "moved", moved)
-	if !moved {
-		s.endReservation(next)
-		s.prepaidSends = 0
-		return false
+	if len(w.progress) > 0 || ctx.Err() != nil {
+		s.freePrompt(cached)
+		return next, nil, context.Canceled
+	}
+	return next, cached, nil
+}
+
+// handOver sends the request to the next engine. The stream has moved once that has accepted the
+// request, or has not rejected it in time.
+func (w *stallWatch) handOver(ctx context.Context, next *reservation, cached *CachedPrompt) error {
+	s := w.stream
+	if err := s.submit(ctx, next, cached); err != nil {
+		s.freePrompt(cached)
+		return err
+	}
+	timer := time.NewTimer(overlapLimit)
+	defer timer.Stop()
+	select {
+	case result := <-next.try.result:
+		response, err := s.recordResult(ctx, next, result)
+		if errors.Is(err, client.ErrNotSent) || errors.Is(err, errNotExecuted) {
+			s.freePrompt(cached)
+		}
+		if err != nil {
+			return err
+		}
+		next.try.accepted = response
+	case <-timer.C:
 	}
 	s.next = next
-	return true
+	return nil
 }
 
 // prepaySends counts further sends against the retry limits before they are made.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -37,8 +37,10 @@
 	lastEvent time.Time
 	// stall watches the try in progress; it may be nil.
 	stall *stallWatch
-	// next is reserved for the next try after a stall; it may be nil.
+	// next holds the try at the endpoint that the stream has moved to; it may be nil.
 	next *reservation
+	// left is the endpoint that the stream has moved from last.
+	left ident.EndpointName
 }
 
 // errTruncated means that the end of a response shows that its stream is not complete.
@@ -64,14 +66,17 @@
 		n, err := response.Body.Read(buffer)
 		if events := splitter.Add(buffer[:n]); len(events) > 0 {
 			began = true
-			s.recordEvents(events)
-			if err := s.write(response, events); err != nil {
+			if err := s.forwardEvents(response, events); err != nil {
 				return err
 			}
 		}
 		s.unfinished = ident.ByteCount(len(splitter.Pending()))
 		switch {
 		case errors.Is(err, io.EOF):
+			if !s.stall.resume() {
+				return errMoved
+			}
+			defer s.stall.release()
 			return s.end(response, &splitter, began)
 		case err != nil:
 			return errors.Join(client.ErrResponseLost, err)
@@ -81,6 +86,16 @@
 	}
 }
 
+// forwardEvents forwards complete events, unless the stream has moved to another endpoint.
+func (s *stream) forwardEvents(response *Response, events []byte) error {
+	if !s.stall.resume() {
+		return errMoved
+	}
+	defer s.stall.release()
+	s.recordEvents(events)
+	return s.write(response, events)
+}
+
 // write sends a part of the stream to the caller.
 func (s *stream) write(response *Response, part []byte) error {
 	s.startResponse(response)
@@ -128,7 +143,6 @@
 
 // recordEvents records the last event id and the gap before the events.
 func (s *stream) recordEvents(events []byte) {
-	s.stall.recordProgress()
 	now := time.Now()
 	if !s.lastEvent.IsZero() {
 		s.Meter.RecordInterTokenLatency(s.service.Name, now.Sub(s.lastEvent))
@@ -185,6 +199,10 @@
 	if err != nil {
 		return err
 	}
+	if !s.stall.resume() {
+		return errMoved
+	}
+	defer s.stall.release()
 	if s.started {
 		return errors.New("the endpoint resumed a stream without events")
 	}
@@ -199,6 +217,10 @@
 	if err != nil {
 		return err
 	}
+	if !s.stall.resume() {
+		return errMoved
+	}
+	defer s.stall.release()
 	if s.started || s.mayExecuteAgain() && s.route.Retryable() {
 		return errors.New("the endpoint failed the request")
 	}
