--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -177,8 +177,6 @@
 	if err != nil {
 		if errors.Is(err, client.ErrNotSent) || errors.Is(err, errNotExecuted) {
 			s.freePrompt(res.try.cached)
-			// The endpoint that was left no longer has the request, and may be sound.
-			delete(s.tried, s.left)
 		}
 		return err
 	}
@@ -190,7 +188,7 @@
 	if res.member.Stage != pool.Decode {
 		return nil, nil
 	}
-	if (s.started || s.left != "") && s.sends+1 == maxSends {
+	if (s.started || s.hasMoved) && s.sends+1 == maxSends {
 		// One send is left, for the decode endpoint.
 		s.awaitLocalPrefill(ctx, res, s.request.Prompt.Tokens+s.resumeTokens())
 		return nil, nil
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -157,7 +157,7 @@
 			"tokens-made", s.generated.Load(), "moved", err == nil, "error", err)
 	}
 	if err == nil {
-		s.left = endpoint
+		s.hasMoved = true
 		return true
 	}
 	s.endpoint, s.source, s.tryEvents, s.prepaidSends = endpoint, source, tryEvents, 0
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -39,8 +39,8 @@
 	stall *stallWatch
 	// next holds the try at the endpoint that the stream has moved to; it may be nil.
 	next *reservation
-	// left is the endpoint that the stream has moved from last.
-	left ident.EndpointName
+	// hasMoved is set once the stream has left a silent endpoint for another one.
+	hasMoved bool
 }
 
 // errTruncated means that the end of a response shows that its stream is not complete.
