intake: a shutdown answers each request that it has read

Cause: http.Server.Shutdown. Once it has begun, net/http returns without a response after each request head that it reads, on new and on kept connections alike, and it closes connections in state idle whose next request has arrived or is being read, as the state becomes active only after the head.

TestRelayStopAnswersCallers on a relay process of the earlier code fails in 3 of 3 runs with "unexpected EOF: the request has no response".

Package intake ends connections itself. Nothing is closed from outside before the end of the grace period, so a request is either answered or was never read. Shutdown of net/http is not called while requests may still be read. At the end of the grace period the contexts of requests end with the cause fault.ErrGraceEnded, 300 ms before their connections close.

The entry, the agent and the keeper stopped in the same way; all roles use the new server.

--- a/fault/refusal.go
+++ b/fault/refusal.go
@@ -165,3 +165,7 @@
 	}
 	*err = eris.Wrapf(*err, format, args...)
 }
+
+// ErrGraceEnded is the cause with which the context of a request ends if its process stops and
+// waits for the response no longer.
+var ErrGraceEnded = errors.New("the grace period of the shutdown has ended")
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,154 @@
+// Package intake is an HTTP server for callers whose shutdown answers each request that it has
+// read.
+package intake
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"crocusstep/fault"
+)
+
+// flushTime is how long requests have for their responses after they were cancelled at the end
+// of a shutdown.
+const flushTime = 300 * time.Millisecond
+
+// Server is an HTTP server. The Shutdown of net/http closes connections whose next request has
+// been received, and drops the requests that are read once it has begun.
+type Server struct {
+	*http.Server
+	// cancel ends the contexts of all requests.
+	cancel context.CancelCauseFunc
+	// serving counts the calls of Serve.
+	serving sync.WaitGroup
+
+	mutex sync.Mutex
+	// closing is set once the shutdown has begun.
+	closing   bool
+	listeners []net.Listener
+	// conns holds the open connections.
+	conns map[*conn]bool
+	// empty is closed once no connection is open in a shutdown.
+	empty chan struct{}
+}
+
+// NewServer returns a server that serves as configured, except for the contexts and the states
+// of its connections.
+func NewServer(server *http.Server) *Server {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s := &Server{Server: server, cancel: cancel, conns: map[*conn]bool{}, empty: make(chan struct{})}
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if tracked, ok := c.(*conn); ok && state == http.StateIdle {
+			tracked.await()
+		}
+	}
+	return s
+}
+
+// Serve accepts connections until the server is shut down or closed.
+func (s *Server) Serve(l net.Listener) error {
+	s.mutex.Lock()
+	if s.closing {
+		s.mutex.Unlock()
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
+	s.listeners = append(s.listeners, l)
+	s.serving.Add(1)
+	s.mutex.Unlock()
+	defer s.serving.Done()
+	err := s.Server.Serve(&listener{Listener: l, server: s})
+	if s.isClosing() {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// Shutdown accepts no more connections, ends those that wait for a request, and returns once all
+// responses were sent. When the context ends, it cancels the requests with the cause
+// fault.ErrGraceEnded, and soon afterwards closes their connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	defer func() { _ = s.Close() }()
+	s.beginShutdown()
+	s.serving.Wait()
+	s.endWaiting()
+	select {
+	case <-s.empty:
+		return nil
+	case <-ctx.Done():
+	}
+	s.cancel(fault.ErrGraceEnded)
+	timer := time.NewTimer(flushTime)
+	defer timer.Stop()
+	select {
+	case <-s.empty:
+	case <-timer.C:
+	}
+	return ctx.Err()
+}
+
+// Close closes all listeners and connections.
+func (s *Server) Close() error {
+	s.mutex.Lock()
+	s.closing = true
+	s.mutex.Unlock()
+	return s.Server.Close()
+}
+
+func (s *Server) isClosing() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.closing
+}
+
+func (s *Server) beginShutdown() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.closing = true
+	for _, l := range s.listeners {
+		// It is closed already if its Serve has returned.
+		_ = l.Close()
+	}
+}
+
+// endWaiting ends each connection at once or after its response. No connection is accepted any
+// more.
+func (s *Server) endWaiting() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for c := range s.conns {
+		c.end()
+	}
+	s.checkEmpty()
+}
+
+func (s *Server) add(c *conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.conns[c] = true
+}
+
+func (s *Server) remove(c *conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.conns[c] {
+		delete(s.conns, c)
+		s.checkEmpty()
+	}
+}
+
+// checkEmpty must be called with the lock held.
+func (s *Server) checkEmpty() {
+	if !s.closing || len(s.conns) > 0 {
+		return
+	}
+	select {
+	case <-s.empty:
+	default:
+		close(s.empty)
+	}
+}
--- /dev/null
+++ b/mutant/intake.go
@@ -0,0 +1,41 @@
+package main
+
+// intakeMutants holds one mutant for each mechanism that keeps a caller's connection from ending
+// without a response.
+var intakeMutants = []mutant{
+	{
+		guarantee: "a connection that ends is read once more",
+		file:      "intake/conn.go",
+		original:  "errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding()",
+		mutated:   "errors.Is(err, os.ErrDeadlineExceeded) && c == nil",
+		pkg:       "intake", test: "TestShutdownAnswersWhatItHasRead",
+	},
+	{
+		guarantee: "a request that arrives as its connection ends is read to its end",
+		file:      "intake/conn.go",
+		original:  "\tif c.ends {\n\t\t_ = c.applyDeadline()\n\t}\n",
+		mutated:   "",
+		pkg:       "intake", test: "TestShutdownAnswersWhatItHasRead",
+	},
+	{
+		guarantee: "a shutdown ends connections that wait for a request",
+		file:      "intake/intake.go",
+		original:  "\t\tc.end()\n",
+		mutated:   "\t\t_ = c\n",
+		pkg:       "intake", test: "TestShutdownEndsConnections",
+	},
+	{
+		guarantee: "requests are cancelled at the end of the grace period",
+		file:      "intake/intake.go",
+		original:  "s.cancel(fault.ErrGraceEnded)",
+		mutated:   "_ = fault.ErrGraceEnded",
+		pkg:       "intake", test: "TestGraceEnd",
+	},
+	{
+		guarantee: "a relay that stops answers the requests that it reads",
+		file:      "start/relay_server.go",
+		original:  "s.callers.Shutdown(ctx)",
+		mutated:   "s.callers.Server.Shutdown(ctx)",
+		pkg:       "start", test: "TestRelayStopAnswersCallers",
+	},
+}
--- a/mutant/main.go
+++ b/mutant/main.go
@@ -46,6 +46,7 @@
 		usersPlatformMutants,
 		admitMutants,
 		costMutants,
+		intakeMutants,
 		originMutants,
 		quotaMutants,
 		workspaceMutants,
--- a/start/platform_process.go
+++ b/start/platform_process.go
@@ -15,6 +15,7 @@
 
 	"crocusstep/common"
 	"crocusstep/conf"
+	"crocusstep/intake"
 	"crocusstep/logs"
 	"crocusstep/meter"
 	"crocusstep/parser"
@@ -38,7 +39,7 @@
 	reload chan struct{}
 	tasks  common.Tasks
 	// servers are closed by close.
-	servers []*http.Server
+	servers []*intake.Server
 }
 
 // platformRole defines a role that the platform starts.
@@ -110,7 +111,7 @@
 }
 
 // serve opens a listener and serves it in a task until the server is shut down.
-func (p *platformProcess) serve(address string, server *http.Server) error {
+func (p *platformProcess) serve(address string, server *intake.Server) error {
 	listener, err := socket.Listen(p.ctx, address)
 	if err != nil {
 		return err
@@ -126,7 +127,7 @@
 }
 
 // finishCalls refuses further connections and waits for the responses to accepted requests.
-func (p *platformProcess) finishCalls(server *http.Server, limit time.Duration) {
+func (p *platformProcess) finishCalls(server *intake.Server, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
--- a/start/process.go
+++ b/start/process.go
@@ -16,6 +16,7 @@
 	"crocusstep/conf"
 	"crocusstep/fault"
 	"crocusstep/ident"
+	"crocusstep/intake"
 	"crocusstep/meter"
 	"crocusstep/platform"
 	"crocusstep/socket"
@@ -89,8 +90,8 @@
 	p.tasks.Wait()
 }
 
-func newServer(handler http.Handler, headerTimeout time.Duration) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
+func newServer(handler http.Handler, headerTimeout time.Duration) *intake.Server {
+	return intake.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes})
 }
 
 func newLogger(settings conf.Log, stderr io.Writer) *slog.Logger {
@@ -178,7 +179,7 @@
 }
 
 // serve opens a listener and serves it in a task until the server is shut down.
-func (p *process) serve(address ident.Address, server *http.Server) (err error) {
+func (p *process) serve(address ident.Address, server *intake.Server) (err error) {
 	defer fault.Annotate(&err, "listen on %s", address)
 	listener, err := socket.Listen(p.ctx, string(address))
 	if err != nil {
@@ -202,7 +203,7 @@
 	authenticated map[string]http.Handler
 }
 
-func (p *process) serveAdmin(settings conf.Admin, routes adminRoutes) (*http.Server, error) {
+func (p *process) serveAdmin(settings conf.Admin, routes adminRoutes) (*intake.Server, error) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -222,13 +223,12 @@
 
 // shutDown waits for requests in flight up to the timeout and then closes the
 // servers.
-func (p *process) shutDown(timeout time.Duration, servers ...*http.Server) {
+func (p *process) shutDown(timeout time.Duration, servers ...*intake.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
 			p.Log.Warn("requests were still in flight at the shutdown timeout", "error", err)
-			_ = server.Close()
 		}
 	}
 }
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -11,6 +11,7 @@
 	"crocusstep/common"
 	"crocusstep/conf"
 	"crocusstep/ident"
+	"crocusstep/intake"
 	"crocusstep/keeper"
 	"crocusstep/platform"
 	"crocusstep/pool"
@@ -51,7 +52,7 @@
 	store     *platform.Store
 	// endpointReader applies the store's records to the pool.
 	endpointReader *platform.EndpointReader
-	callers        *http.Server
+	callers        *intake.Server
 	// draining is set at the first signal to stop.
 	draining atomic.Bool
 	// shutdownSettings is the shutdown section of the settings, as last reloaded.
@@ -211,8 +212,8 @@
 	}
 }
 
-// shutDown stays available while the load balancer stops sending, then closes each
-// keep-alive connection after its next response and waits for requests in flight.
+// shutDown stays available while the load balancer stops sending, then ends the connections that
+// wait for a request and waits for requests in flight.
 func (s *relayServer) shutDown() {
 	startedAt := time.Now()
 	s.draining.Store(true)
@@ -222,7 +223,6 @@
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.Log.Warn("requests were still in flight at the end of the grace period", "error", err)
-		_ = s.callers.Close()
 	}
 	s.relay.Wait()
 }
--- /dev/null
+++ b/start/relay_signal_test.go
@@ -0,0 +1,95 @@
+package start
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// startRelay runs a relay in a separate process, with an unreachable platform, and returns it
+// with its address for callers once it listens.
+func startRelay(t *testing.T, shutdown string) (command *exec.Cmd, address string) {
+	t.Helper()
+	address = freeAddress(t)
+	_, metricsPort, err := net.SplitHostPort(freeAddress(t))
+	assert.NilError(t, err)
+	settings := filepath.Join(t.TempDir(), "relay.yaml")
+	assert.NilError(t, os.WriteFile(settings, fmt.Appendf(nil, `place: {instance: f, region: r, availability-zone: z}
+address: 127.0.0.1
+listen: %s
+readiness: %s
+metrics-port: %s
+platform: {address: %s}
+peers: {keeper-port: 1}
+stop: %s
+memory: 100MiB
+`, address, freeAddress(t), metricsPort, freeAddress(t), shutdown), 0o600))
+	command = exec.Command(os.Args[0], "relay", "--settings", settings)
+	command.Env = append(os.Environ(), runVariable+"=1")
+	assert.NilError(t, command.Start())
+	t.Cleanup(func() { _ = command.Process.Kill() })
+	for !isListening(address) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return command, address
+}
+
+func isListening(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// TestRelayStopAnswersCallers stops a relay while it reads a request, on a new connection and on
+// a kept one: the request must get its response.
+func TestRelayStopAnswersCallers(t *testing.T) {
+	const start, rest = "POST / HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: 1\r\nContent-Length: 4\r\n", "\r\nbody"
+	for _, isKept := range []bool{false, true} {
+		command, address := startRelay(t, "{leave-delay: 300ms, grace: 8s}")
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		reader := bufio.NewReader(conn)
+		if isKept {
+			_, err = io.WriteString(conn, start+rest)
+			assert.NilError(t, err)
+			assert.Equal(t, readStatus(t, reader), http.StatusServiceUnavailable)
+		}
+		_, err = io.WriteString(conn, start)
+		assert.NilError(t, err)
+		// The relay reads the start of the request during the delay.
+		assert.NilError(t, command.Process.Signal(syscall.SIGTERM))
+		for isListening(address) {
+			time.Sleep(time.Millisecond)
+		}
+		_, err = io.WriteString(conn, rest)
+		assert.NilError(t, err)
+		assert.Equal(t, readStatus(t, reader), http.StatusServiceUnavailable)
+		_, err = reader.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+		_ = conn.Close()
+		assert.Equal(t, exitCode(command.Wait()), exitOK)
+	}
+}
+
+// readStatus reads a response completely and returns its status.
+func readStatus(t *testing.T, reader *bufio.Reader) int {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err, "the request has no response")
+	_, err = io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response.StatusCode
+}
