relay: requests that the relay cancels at the end of its grace get an answer

Callers whose request had been read whole saw their connection close 0.7 s before the end of the grace period, also if no endpoint had been called, and the log said `cancelled ... the caller left`, which was untrue.

Cause: the stop closed all connections with requests in flight (Server.Close), and any cancelled context is taken for a caller that has left.

Evidence, before the change: TestGraceEndAnswersCallers fails with "unexpected EOF: the request has no response"; TestGraceEnd (./relay) fails with "cancelled: the caller left" in the three cases with the cause fault.ErrGraceEnded.

--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -31,6 +31,13 @@
 		mutated:   "_ = fault.ErrGraceEnded",
 		pkg:       "intake", test: "TestGraceEnd",
 	},
+	{
+		guarantee: "a request that the relay cancels at the end of its grace period is answered",
+		file:      "relay/relay.go",
+		original:  "e.refuseAtGraceEnd(ctx, e.serve(ctx))",
+		mutated:   "e.serve(ctx)",
+		pkg:       "platform", test: "TestGraceEndAnswersCallers",
+	},
 	{
 		guarantee: "a relay that stops answers the requests that it reads",
 		file:      "start/relay_server.go",
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -174,7 +174,7 @@
 		deadline:     request.Arrived.Add(min(request.Timeout, route.Timeout) - deadlineMargin),
 	}
 	e.service.Name = service
-	refusal = e.serve(ctx)
+	refusal = e.refuseAtGraceEnd(ctx, e.serve(ctx))
 	e.log(refusal)
 	return refusal
 }
