relay: a relay that stops refuses what it would cut

From the SIGTERM on a request is refused at once, with 503 `draining`, not run, if less than a third of its time is left until the relay stops. Nearly all requests need a small part of their time, so those that come when the connections end (4.9 s before, with deadlines of 3 to 14 s) are still served. Refusing all whose deadline lies beyond the end was weighed: it sends away calls of 60 ms with a deadline of 5 s half a grace period early.

TestDrain: with the check disabled, the two requests that would be cut are taken (the mutant is killed); with it, all five cases pass with -race.

--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -38,6 +38,13 @@
 		mutated:   "e.serve(ctx)",
 		pkg:       "platform", test: "TestGraceEndAnswersCallers",
 	},
+	{
+		guarantee: "a relay that stops takes no request that it will cut",
+		file:      "relay/drain.go",
+		original:  "if endsAt == nil ||",
+		mutated:   "if endsAt == nil || true ||",
+		pkg:       "relay", test: "TestDrain",
+	},
 	{
 		guarantee: "a relay that stops answers the requests that it reads",
 		file:      "start/relay_server.go",
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -377,13 +377,7 @@
 
 // send serves one request and waits for background work.
 func send(ctx context.Context, r *Relay, path string) (*httptest.ResponseRecorder, *fault.Refusal) {
-	request := &Request{
-		Attempt: "a1", Method: http.MethodPost, Target: path, Path: path, Host: "h",
-		Header: http.Header{}, Arrived: time.Now(), Timeout: 14 * time.Second,
-	}
-	if strings.HasPrefix(path, "/re") {
-		request.Prompt = &Prompt{Tokens: 5200, MaxOutput: 8000, EstimatedOutput: 4300}
-	}
+	request := newTestRequest(path, 14*time.Second)
 	if backend, ok := r.config.Endpoints.(*fakeBackend); ok {
 		backend.prefilled = false
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,7 +78,9 @@
 	waitEstimator *retry.WaitEstimator
 	quotas        *quotas
 	learned       *learnedCosts
-	tasks         common.Tasks
+	// endsAt is when the process stops, nil while it is not stopping.
+	endsAt atomic.Pointer[time.Time]
+	tasks  common.Tasks
 
 	mutex sync.Mutex
 	// retryLimiters limits the retries of each service.
@@ -174,7 +176,9 @@
 		deadline:     request.Arrived.Add(min(request.Timeout, route.Timeout) - deadlineMargin),
 	}
 	e.service.Name = service
-	refusal = e.refuseAtGraceEnd(ctx, e.serve(ctx))
+	if refusal = e.refuseBeforeEnd(); refusal == nil {
+		refusal = e.refuseAtGraceEnd(ctx, e.serve(ctx))
+	}
 	e.log(refusal)
 	return refusal
 }
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -218,8 +218,10 @@
 	startedAt := time.Now()
 	s.draining.Store(true)
 	settings := s.shutdownSettings.Load()
+	endsAt := startedAt.Add(settings.GracePeriod.Std() - responseFlushTime)
+	s.relay.Drain(endsAt)
 	time.Sleep(settings.ShutdownDelay.Std())
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(settings.GracePeriod.Std()-responseFlushTime))
+	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.Log.Warn("requests were still in flight at the end of the grace period", "error", err)
