intake: a shutdown ends connections whose callers send without a pause

Cause: a connection ends only where it waits for 100 ms, and the responses did not announce the end, as those of net/http do in its Shutdown.

In a shutdown each response to a request that begins then now states "Connection: close". TestShutdownEndsBusyConnections failed before with "unexpected EOF" and "context deadline exceeded" after 2 s; it passes, and go test -race -count 10 ./intake too. The mutant is killed.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -36,10 +36,17 @@
 }
 
 // NewServer returns a server that serves as configured, except for the contexts and the states
-// of its connections.
+// of its connections. In a shutdown each response closes its connection.
 func NewServer(server *http.Server) *Server {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Server{Server: server, cancel: cancel, conns: map[*conn]bool{}, empty: make(chan struct{})}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isClosing() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		if tracked, ok := c.(*conn); ok && state == http.StateIdle {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -208,6 +208,46 @@
 	})
 }
 
+// TestShutdownEndsBusyConnections guards against callers that keep a shutdown waiting with one
+// request after the other, as these are not told that their connection ends.
+func TestShutdownEndsBusyConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(respond)
+		c, _ := s.dial(t)
+		reader := bufio.NewReader(c)
+		answered := make(chan int)
+		go func() {
+			defer close(answered)
+			for {
+				if _, err := io.WriteString(c, request); err != nil {
+					return
+				}
+				response, err := http.ReadResponse(reader, nil)
+				assert.NilError(t, err)
+				_, err = io.ReadAll(response.Body)
+				assert.NilError(t, err)
+				answered <- response.StatusCode
+				if response.Close {
+					return
+				}
+			}
+		}()
+		for range 3 {
+			assert.Equal(t, <-answered, http.StatusOK)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		done := make(chan error, 1)
+		began := time.Now()
+		go func() { done <- s.Shutdown(ctx) }()
+		for status := range answered {
+			assert.Equal(t, status, http.StatusOK)
+		}
+		assert.NilError(t, <-done)
+		assert.Assert(t, time.Since(began) <= lastReadTime)
+	})
+}
+
 // TestGraceEnd guards against requests that end without a response at the end of the grace
 // period, and against ones that nobody ends.
 func TestGraceEnd(t *testing.T) {
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -24,6 +24,13 @@
 		mutated:   "\t\t_ = c\n",
 		pkg:       "intake", test: "TestShutdownEndsConnections",
 	},
+	{
+		guarantee: "a shutdown ends connections that are busy",
+		file:      "intake/intake.go",
+		original:  "\t\t\tw.Header().Set(\"Connection\", \"close\")\n",
+		mutated:   "",
+		pkg:       "intake", test: "TestShutdownEndsBusyConnections",
+	},
 	{
 		guarantee: "requests are cancelled at the end of the grace period",
 		file:      "intake/intake.go",
