--- a/start/relay_signal_test.go
+++ b/start/relay_signal_test.go
@@ -54,9 +54,9 @@
 }
 
 // TestRelayStopAnswersCallers stops a relay while it reads a request, on a new connection and on
-// a kept one: the request must get its response.
+// a kept one: the request, which lacks an id, must get its response.
 func TestRelayStopAnswersCallers(t *testing.T) {
-	const start, rest = "POST / HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: 1\r\nContent-Length: 4\r\n", "\r\nbody"
+	const start, rest = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n", "\r\nbody"
 	for _, isKept := range []bool{false, true} {
 		command, address := startRelay(t, "{leave-delay: 300ms, grace: 8s}")
 		conn, err := net.Dial("tcp", address)
@@ -65,7 +65,7 @@
 		if isKept {
 			_, err = io.WriteString(conn, start+rest)
 			assert.NilError(t, err)
-			assert.Equal(t, readStatus(t, reader), http.StatusServiceUnavailable)
+			assert.Equal(t, readStatus(t, reader), http.StatusBadRequest)
 		}
 		_, err = io.WriteString(conn, start)
 		assert.NilError(t, err)
@@ -76,7 +76,7 @@
 		}
 		_, err = io.WriteString(conn, rest)
 		assert.NilError(t, err)
-		assert.Equal(t, readStatus(t, reader), http.StatusServiceUnavailable)
+		assert.Equal(t, readStatus(t, reader), http.StatusBadRequest)
 		_, err = reader.ReadByte()
 		assert.ErrorIs(t, err, io.EOF)
 		_ = conn.Close()
