--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -45,6 +45,20 @@
 		mutated:   "e.serve(ctx)",
 		pkg:       "platform", test: "TestGraceEndAnswersCallers",
 	},
+	{
+		guarantee: "a panic after the start of a response cuts it",
+		file:      "platform/caller_handler.go",
+		original:  "\tw.started = true\n",
+		mutated:   "",
+		pkg:       "platform", test: "TestPanicIsAnswered",
+	},
+	{
+		guarantee: "a request that panics gets a response",
+		file:      "platform/caller_handler.go",
+		original:  "reason := recover()\n\t\tif reason == nil {",
+		mutated:   "reason := any(nil)\n\t\tif reason == nil {",
+		pkg:       "platform", test: "TestPanicIsAnswered",
+	},
 	{
 		guarantee: "a relay that stops takes no request that it will cut",
 		file:      "relay/drain.go",
