--- a/relay/ending.go
+++ b/relay/ending.go
@@ -7,9 +7,6 @@
 	"crocusstep/fault"
 )
 
-// ErrGraceEnded is the cause of a request's context that ends with the grace period of a stop.
-var ErrGraceEnded = errors.New("the grace period has ended")
-
 // ending names who ended a response that is not complete.
 type ending string
 
@@ -28,7 +25,7 @@
 	switch {
 	case refusal == nil || refusal.Code != fault.ResponseTruncated && refusal.Code != fault.Cancelled:
 		return ""
-	case errors.Is(context.Cause(ctx), ErrGraceEnded):
+	case errors.Is(context.Cause(ctx), fault.ErrGraceEnded):
 		return endedByGrace
 	case errors.Is(ctx.Err(), context.Canceled):
 		return endedByCaller
--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -32,7 +32,7 @@
 		{testName: "the endpoint broke off", ctx: (*testing.T).Context, refusal: cut, want: endedByEndpoint},
 		{testName: "the relay left a silent endpoint", ctx: (*testing.T).Context, refusal: cut, leftSilent: true, want: endedByRelay},
 		{testName: "the caller left", ctx: func(t *testing.T) context.Context { t.Helper(); return left(t, nil) }, refusal: fault.New(fault.Cancelled, "left"), leftSilent: true, want: endedByCaller},
-		{testName: "the grace period ended", ctx: func(t *testing.T) context.Context { t.Helper(); return left(t, ErrGraceEnded) }, refusal: cut, want: endedByGrace},
+		{testName: "the grace period ended", ctx: func(t *testing.T) context.Context { t.Helper(); return left(t, fault.ErrGraceEnded) }, refusal: cut, want: endedByGrace},
 		{testName: "the deadline passed", ctx: func(t *testing.T) context.Context {
 			t.Helper()
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -96,7 +96,10 @@
 func (e *exchange) serve(ctx context.Context) (refusal *fault.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
-	defer func() { e.ending = e.findEnding(ctx, refusal) }()
+	defer func() {
+		refusal = e.refuseAtGraceEnd(ctx, refusal)
+		e.ending = e.findEnding(ctx, refusal)
+	}()
 	e.retryLimiter(e.service.Name).RecordRequest(e.request.Arrived)
 	if refusal := e.chargeQuota(ctx); refusal != nil {
 		return refusal
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -53,7 +53,7 @@
 		}
 	}
 	if e.started && errors.Is(ctx.Err(), context.Canceled) {
-		return fault.NewUnknown(fault.Cancelled, "the caller left in mid-stream, or the relay stopped")
+		return fault.NewUnknown(fault.Cancelled, "the caller left in mid-stream")
 	}
 	if e.started {
 		// The header was sent already: only an aborted connection marks the response as
