client: no connection carries two requests with one id

Cause: a response was identified by the id that it echoes alone. All sends of one attempt bear that id: a prefill and its decode, a repeated prefill, and a second try at an engine that rejected a request whose prompt it was to prefill itself (relay's "tried" holds that engine only if the prompt was cached elsewhere). If they went over one connection, a copy of the first response was taken for the second one. Copies with another id, or without one on a kept connection, were skipped already.

The fix is in what identifies a response: a connection remembers (hashes of) the ids that it has carried, and a request whose id is among them closes it and takes another one. So a copy of an earlier response never has the id of the waiting request. A connection carries 1,000 ids at most, which bounds their memory to 8 KiB. Weighed: no further request on a connection that received a rejection. Under load, plain endpoints reject often, and each rejection would cost a connection; a second send to one endpoint is rare, and one connection in 1,000 requests is little. The exchange remembering its connections: three packages instead of one, and an id that a caller uses twice would not be covered.

Failed before, go test -race -run TestRejectionWrittenOnceMore ./platform (real relay and caller handler, a route that may run once): 503, 1 copy: status 200 after 3 sends, of which 2 ran 503, 3 copies: status 503 after 4 sends, of which 3 ran the same with 429 and 400.

--- a/client/client.go
+++ b/client/client.go
@@ -50,7 +50,8 @@
 type Config struct {
 	Dial DialFunc
 	// EchoHeader is a header that endpoints copy from the request to the response. A
-	// response with another value belongs to another request.
+	// response with another value belongs to another request. Requests with equal values
+	// are sent on different connections, so that a value identifies one request on each.
 	EchoHeader string
 }
 
@@ -116,7 +117,7 @@
 // covers the whole exchange, including the body. An error joins ErrNotSent or
 // ErrResponseLost.
 func (c *Client) Do(ctx context.Context, address ident.Address, r *Request) (response *http.Response, err error) {
-	k, err := c.acquire(ctx, address)
+	k, err := c.acquire(ctx, address, r.Header.Get(c.config.EchoHeader))
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
@@ -131,8 +132,9 @@
 	return response, nil
 }
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (c *Client) acquire(ctx context.Context, address ident.Address) (*conn, error) {
+// acquire returns an idle connection that is still usable and has not carried a request with
+// the id, or a new one.
+func (c *Client) acquire(ctx context.Context, address ident.Address, id string) (*conn, error) {
 	for {
 		k, err := c.reserve(address)
 		if err != nil {
@@ -141,7 +143,7 @@
 		if k == nil {
 			break
 		}
-		if k.usable(time.Now()) {
+		if k.usable(time.Now()) && !k.hasCarried(id) {
 			return k, nil
 		}
 		c.discard(address, k)
--- a/client/conn.go
+++ b/client/conn.go
@@ -6,9 +6,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -22,6 +24,10 @@
 // Larger bodies are written concurrently, because an endpoint may respond early.
 const maxInlineBodyBytes = 4 << 10
 
+// maxCarried limits the requests with an id on one connection, which remembers their ids in 8 bytes
+// each. One more connection in a thousand requests costs endpoints little.
+const maxCarried = 1000
+
 // Request is an HTTP request, which is sent as given.
 type Request struct {
 	Method string
@@ -88,6 +94,10 @@
 	reader *bufio.Reader
 	// reused is set once a response was read completely.
 	reused bool
+	// carried holds the hashes of the ids of all requests that were sent. None occurs twice, so
+	// that a copy of an earlier response never has the id of a later request.
+	carried []uint64
+	seed    maphash.Seed
 	// expires is the time after which the idle connection must not be used.
 	expires time.Time
 	// written receives the result of the write once the whole request was passed to the
@@ -97,7 +107,12 @@
 
 func newConn(raw net.Conn) *conn {
 	limited := &limitedReader{reader: raw}
-	return &conn{Conn: raw, limited: limited, reader: bufio.NewReaderSize(limited, 4<<10)}
+	return &conn{Conn: raw, limited: limited, reader: bufio.NewReaderSize(limited, 4<<10), seed: maphash.MakeSeed()}
+}
+
+// hasCarried reports whether a request with an id was sent on the connection.
+func (k *conn) hasCarried(id string) bool {
+	return slices.Contains(k.carried, maphash.String(k.seed, id))
 }
 
 // usable reports whether an idle connection has not expired, is still open and has
@@ -137,6 +152,9 @@
 // roundTrip sends a request and reads the head of its response. It skips informational
 // responses and those whose header echo has another value than the request's.
 func (k *conn) roundTrip(ctx context.Context, r *Request, echo string) (*http.Response, error) {
+	if id := r.Header.Get(echo); id != "" {
+		k.carried = append(k.carried, maphash.String(k.seed, id))
+	}
 	if err := k.send(r); err != nil {
 		return nil, errors.Join(ErrResponseLost, context.Cause(ctx), err)
 	}
@@ -205,7 +223,7 @@
 	default:
 		return false
 	}
-	if response.Close || k.reader.Buffered() > 0 || FramingOf(response) == FramedByClose {
+	if len(k.carried) >= maxCarried || response.Close || k.reader.Buffered() > 0 || FramingOf(response) == FramedByClose {
 		return false
 	}
 	timeout, found := keepAliveTimeout(response.Header)
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -17,6 +17,20 @@
 		mutated:   "return echoed != want+\"none\"",
 		pkg:       "client", test: "TestClient",
 	},
+	{
+		guarantee: "no connection carries two requests with one id",
+		file:      "client/client.go",
+		original:  " && !k.hasCarried(id)",
+		mutated:   "",
+		pkg:       "platform", test: "TestRejectionWrittenOnceMore",
+	},
+	{
+		guarantee: "a connection remembers a limited number of ids",
+		file:      "client/conn.go",
+		original:  "len(k.carried) >= maxCarried || ",
+		mutated:   "",
+		pkg:       "client", test: "TestCarriedIDsAreLimited",
+	},
 	{
 		guarantee: "a stream that ends inside an event is truncated",
 		file:      "relay/stream.go",
