client: close a connection that brought another request's response

What callers could see: nothing wrong, but a response lost (502) although its endpoint was sound otherwise: at most three responses are read for one request.

Cause: after a response to another request was skipped and the right one read, the connection went back to the pool, where further copies met the next requests.

The connection is closed now once its current request has ended, as one with bytes after a response was already.

TestCopyOnIdleConnection (loopback sockets) passed before and guards what was there: a copy that comes before the next send, with its id or as a rejection without one, makes the client replace the connection. It fails with the new mutant. go test -race ./client passed three times.

--- a/client/conn.go
+++ b/client/conn.go
@@ -98,6 +98,8 @@
 	// that a copy of an earlier response never has the id of a later request.
 	carried []uint64
 	seed    maphash.Seed
+	// faulty is set once a response to another request was received.
+	faulty bool
 	// expires is the time after which the idle connection must not be used.
 	expires time.Time
 	// written receives the result of the write once the whole request was passed to the
@@ -167,6 +169,7 @@
 			return response, nil
 		}
 		// A response to an earlier request on this connection; the expected one may follow.
+		k.faulty = true
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
 		if err != nil || skipped == maxSkippedBytes || FramingOf(response) == FramedByClose {
 			return nil, errors.Join(ErrResponseLost, errors.New("the response belongs to another request"))
@@ -223,7 +226,10 @@
 	default:
 		return false
 	}
-	if len(k.carried) >= maxCarried || response.Close || k.reader.Buffered() > 0 || FramingOf(response) == FramedByClose {
+	if k.faulty || len(k.carried) >= maxCarried {
+		return false
+	}
+	if response.Close || k.reader.Buffered() > 0 || FramingOf(response) == FramedByClose {
 		return false
 	}
 	timeout, found := keepAliveTimeout(response.Header)
--- a/client/copy_test.go
+++ b/client/copy_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,6 +16,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"crocusstep/ident"
 )
 
 // copier is a faulty endpoint that writes responses of a connection once more.
@@ -169,6 +172,74 @@
 	assert.Assert(t, counts.copies > 1000 && counts.answered > 4000, "too few copies or responses to show anything")
 }
 
+// TestFaultyConnectionIsNotReused guards against further requests on a connection that has brought
+// a response to another request, as more may follow.
+func TestFaultyConnectionIsNotReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &server{responses: [][]string{
+			{responseTo("1", "a"), responseTo("1", "a") + responseTo("2", "b"), responseTo("3", "c")},
+			{responseTo("3", "d")},
+		}}
+		c := NewClient(Config{Dial: s.dial, EchoHeader: "X-Echo"})
+		for i, want := range []string{"a", "b", "d"} {
+			body, err := fetch(c, newRequest(fmt.Sprint(i+1)))
+			assert.NilError(t, err)
+			assert.Equal(t, body, want)
+		}
+		c.Close()
+	})
+}
+
+// TestCopyOnIdleConnection guards against a request on a connection whose last response was written
+// once more before the request: the connection is replaced, not read.
+func TestCopyOnIdleConnection(t *testing.T) {
+	for _, copied := range []string{responseTo("1", "a"), "HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		received, written := make(chan string, 4), make(chan bool)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer func() { _ = conn.Close() }()
+					r, err := http.ReadRequest(bufio.NewReader(conn))
+					if err != nil {
+						return
+					}
+					id := r.Header.Get("X-Echo")
+					received <- id
+					_, _ = io.WriteString(conn, responseTo(id, "a"))
+					if id == "1" {
+						<-written
+						_, _ = io.WriteString(conn, copied)
+						written <- true
+						if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+							received <- "another on its connection"
+						}
+					}
+				}()
+			}
+		}()
+		c := NewClient(Config{Dial: (&net.Dialer{}).DialContext, EchoHeader: "X-Echo"})
+		for _, id := range []string{"1", "2"} {
+			response, err := c.Do(t.Context(), ident.Address(listener.Addr().String()), newRequest(id))
+			assert.NilError(t, err)
+			_, err = io.ReadAll(response.Body)
+			assert.NilError(t, errors.Join(err, response.Body.Close()))
+			assert.Equal(t, <-received, id)
+			if id == "1" {
+				written <- true
+				<-written
+			}
+		}
+		c.Close()
+		assert.NilError(t, listener.Close())
+	}
+}
+
 // TestCarriedIDsAreLimited guards against a connection that remembers ids without end.
 func TestCarriedIDsAreLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -24,6 +24,20 @@
 		mutated:   "",
 		pkg:       "platform", test: "TestRejectionWrittenOnceMore",
 	},
+	{
+		guarantee: "a connection that brought another request's response is closed",
+		file:      "client/conn.go",
+		original:  "\t\tk.faulty = true\n",
+		mutated:   "",
+		pkg:       "client", test: "TestFaultyConnectionIsNotReused",
+	},
+	{
+		guarantee: "an idle connection with unexpected bytes is closed",
+		file:      "client/conn.go",
+		original:  "silent = errors.Is(err, syscall.EAGAIN)",
+		mutated:   "silent = err == nil || errors.Is(err, syscall.EAGAIN)",
+		pkg:       "client", test: "TestCopyOnIdleConnection",
+	},
 	{
 		guarantee: "a connection remembers a limited number of ids",
 		file:      "client/conn.go",
