platform: a response to a release neither pauses nor limits an endpoint

What callers could see: "not run, try again" for seconds, because an endpoint that wants requests was left alone, or got fewer than it takes.

Cause: the release of a cached prompt (DELETE) bears no id, so the response to it can't be told from a copy of an earlier one without an id, such as that of an earlier release. Its Retry-After and limit were applied as if they were new.

Only a response to a request with an id says these two things of an endpoint now; the endpoint repeats them in its next response.

--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -38,6 +38,13 @@
 		mutated:   "silent = err == nil || errors.Is(err, syscall.EAGAIN)",
 		pkg:       "client", test: "TestCopyOnIdleConnection",
 	},
+	{
+		guarantee: "a response without an id neither pauses nor limits an endpoint",
+		file:      "platform/endpoint_client.go",
+		original:  "if request.Header.Get(attemptHeader) == \"\" {",
+		mutated:   "if false {",
+		pkg:       "platform", test: "TestCopiedRejectionStatesNothing",
+	},
 	{
 		guarantee: "a connection remembers a limited number of ids",
 		file:      "client/conn.go",
