--- a/mutant/main.go
+++ b/mutant/main.go
@@ -48,6 +48,7 @@
 		costMutants,
 		originMutants,
 		quotaMutants,
+		responseMutants,
 		workspaceMutants,
 	) {
 		if len(os.Args) < 2 || slices.Contains(os.Args[1:], m.pkg) {
--- /dev/null
+++ b/mutant/response.go
@@ -0,0 +1,47 @@
+package main
+
+// responseMutants holds one mutant for each mechanism that tells which request a response belongs to.
+var responseMutants = []mutant{
+	{
+		guarantee: "no connection carries two requests with one id",
+		file:      "client/client.go",
+		original:  " && !k.hasCarried(id)",
+		mutated:   "",
+		pkg:       "platform", test: "TestRejectionWrittenOnceMore",
+	},
+	{
+		guarantee: "a connection that brought another request's response is closed",
+		file:      "client/conn.go",
+		original:  "\t\tk.faulty = true\n",
+		mutated:   "",
+		pkg:       "client", test: "TestFaultyConnectionIsNotReused",
+	},
+	{
+		guarantee: "an idle connection with unexpected bytes is closed",
+		file:      "client/conn.go",
+		original:  "silent = errors.Is(err, syscall.EAGAIN)",
+		mutated:   "silent = err == nil || errors.Is(err, syscall.EAGAIN)",
+		pkg:       "client", test: "TestCopyOnIdleConnection",
+	},
+	{
+		guarantee: "a response without an id neither pauses nor limits an endpoint",
+		file:      "platform/endpoint_client.go",
+		original:  "if request.Header.Get(attemptHeader) == \"\" {",
+		mutated:   "if false {",
+		pkg:       "platform", test: "TestCopiedRejectionStatesNothing",
+	},
+	{
+		guarantee: "a connection remembers a limited number of ids",
+		file:      "client/conn.go",
+		original:  "len(k.carried) >= maxCarried || ",
+		mutated:   "",
+		pkg:       "client", test: "TestCarriedIDsAreLimited",
+	},
+	{
+		guarantee: "a response to another request is rejected",
+		file:      "client/conn.go",
+		original:  "return echo == \"\" || echoed == want || echoed == \"\" && !k.reused",
+		mutated:   "return echoed != want+\"none\"",
+		pkg:       "client", test: "TestClient",
+	},
+}
