platform: an order to an engine has a connection of its own

What callers could see: requests refused for the time of a pause that the engine did not ask for again; and a keeper that took an order for accepted that was not, or the other way round.

Cause: a keeper's calls bear no id and went over net/http's kept connections. A copy of an earlier response that arrives between a call and its response was taken for it: a 409 or 503 of an earlier order, a 202, or a report's 200 for an order; an earlier 503 with Retry-After for a report.

Each order opens its own connection now (an engine takes one in 15 s at most), and a refused report closes the kept ones, so that no copy of a refusal meets a later call. The platform's own store is not said to repeat responses; its client is left as it was.

Failed before: go test -run TestEngineWritesResponseOnceMore -v ./platform with one transport for both and kept connections: all 8 scenarios. Passes now with -race. The two mutants added fail in 6 and 1 of them. TestEngineClient passes the client's new configuration struct; its checks are unchanged. go test -race ./start: passed.

--- a/mutant/response.go
+++ b/mutant/response.go
@@ -44,4 +44,18 @@
 		mutated:   "return echoed != want+\"none\"",
 		pkg:       "client", test: "TestClient",
 	},
+	{
+		guarantee: "an order to an engine has a connection of its own",
+		file:      "platform/endpoint_client.go",
+		original:  "\torders.DisableKeepAlives = true\n",
+		mutated:   "\torders = config.Transport\n",
+		pkg:       "platform", test: "TestEngineWritesResponseOnceMore",
+	},
+	{
+		guarantee: "no report follows a refused one on its connection",
+		file:      "platform/endpoint_client.go",
+		original:  "\t\te.reports.CloseIdleConnections()\n",
+		mutated:   "",
+		pkg:       "platform", test: "TestEngineWritesResponseOnceMore",
+	},
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -41,16 +41,19 @@
 	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 }
 
-// NewClient returns an HTTP client whose connections have the timeouts. It uses no
-// proxy, since all addresses are IP addresses of the internal network.
-func NewClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+// NewClient returns an HTTP client whose connections have the timeouts.
+func NewClient() *http.Client { return &http.Client{Transport: NewTransport()} }
+
+// NewTransport returns a transport whose connections have the timeouts. It uses no proxy, since
+// all addresses are IP addresses of the internal network.
+func NewTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:         newDialer().DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		// The head of a response is small; a faulty peer may send one without end.
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}
 }
 
 func setUserTimeout(_, _ string, conn syscall.RawConn) error {
--- a/start/keeper_command.go
+++ b/start/keeper_command.go
@@ -30,7 +30,9 @@
 }
 
 func (c *cli) runKeeper(p *platformProcess, settings conf.Keeper) error {
-	engine := platform.NewEngineClient(socket.NewClient(), settings.Endpoint, settings.Location.Instance)
+	engine := platform.NewEngineClient(platform.EngineClientConfig{
+		Transport: socket.NewTransport(), Address: settings.Endpoint, Holder: settings.Location.Instance,
+	})
 	k := keeper.NewKeeper(p.Common, engine)
 	p.tasks.Go(func() { k.Run(p.ctx) })
 	server := newServer(keeper.NewHandler(k, gossip.NewHub()), adminHeaderTimeout)
