agent: each request to an endpoint has a connection of its own

What callers could see, on the product's own interface: another call's response, also one that the ledger then keeps for an action, or "no slot" for a request that the engine had taken.

Cause: the agent's endpoint, an engine or a plain service, echoes no id, and net/http kept its connections: a copy of an earlier response that came after the next request was sent was taken for its response.

Each request opens its own connection now, on the instance that both share, so that no earlier response can be on it. Entries and agents speak to each other only; their connections are left as they were. The cost of a loopback connection for each request was not measured.

--- a/agent/call_helper.go
+++ b/agent/call_helper.go
@@ -106,6 +106,8 @@
 		request.Header.Set("Idempotency-Key", string(call.Key))
 	}
 	request.Header.Set("X-Request-Id", string(call.Info.Request))
+	// No id tells the response from a copy of an earlier one on the connection.
+	request.Close = true
 	response, err := a.config.HTTP.Do(request)
 	if err != nil {
 		return result, classifySendError(err)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -184,6 +184,13 @@
 	return io.ErrUnexpectedEOF
 }
 
+// send sends a request on a connection of its own: no id tells the response from a copy of an
+// earlier one on the connection.
+func (c *Client) send(httpRequest *http.Request) (*http.Response, error) {
+	httpRequest.Close = true
+	return c.config.HTTP.Do(httpRequest)
+}
+
 func (c *Client) url(path string) string { return "http://" + string(c.config.Address) + path }
 
 func (c *Client) call(ctx context.Context, path string, request, result any) error {
@@ -207,7 +214,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.config.HTTP.Do(httpRequest)
+	response, err := c.send(httpRequest)
 	if err != nil {
 		return nil, err
 	}
@@ -219,7 +226,7 @@
 }
 
 func (c *Client) do(httpRequest *http.Request, result any) error {
-	response, err := c.config.HTTP.Do(httpRequest)
+	response, err := c.send(httpRequest)
 	if err != nil {
 		return err
 	}
--- a/mutant/response.go
+++ b/mutant/response.go
@@ -58,4 +58,18 @@
 		mutated:   "",
 		pkg:       "platform", test: "TestEngineWritesResponseOnceMore",
 	},
+	{
+		guarantee: "a call to a plain service has a connection of its own",
+		file:      "agent/call_helper.go",
+		original:  "\trequest.Close = true\n",
+		mutated:   "",
+		pkg:       "agent", test: "TestEndpointWritesResponseOnceMore",
+	},
+	{
+		guarantee: "a request to an engine has a connection of its own",
+		file:      "engine/engine.go",
+		original:  "\thttpRequest.Close = true\n",
+		mutated:   "",
+		pkg:       "agent", test: "TestEndpointWritesResponseOnceMore",
+	},
 }
