--- a/mutant/workspace.go
+++ b/mutant/workspace.go
@@ -33,10 +33,17 @@
 	{
 		guarantee: "a caller without a key is refused before its body has come, and holds no connection",
 		file:      "platform/caller_handler.go",
-		original:  "\t\t\t_ = http.NewResponseController(w).SetReadDeadline(request.Arrived)\n",
+		original:  "\t_ = control.SetReadDeadline(time.Now().Add(skippedBodyTimeout))\n",
 		mutated:   "",
 		pkg:       "platform", test: "TestBodyDoesNotCome",
 	},
+	{
+		guarantee: "a connection whose refused body has come serves the next request",
+		file:      "platform/caller_handler.go",
+		original:  "\t\t\t_ = control.SetReadDeadline(time.Time{})\n\t\t\treturn\n",
+		mutated:   "",
+		pkg:       "platform", test: "TestConnectionAfterUnknownCaller",
+	},
 	{
 		guarantee: "a request whose body does not come is refused and holds no connection",
 		file:      "platform/caller_handler.go",
