--- a/mutant/main.go
+++ b/mutant/main.go
@@ -50,6 +50,7 @@
 		moveMutants,
 		originMutants,
 		quotaMutants,
+		responseMutants,
 		workspaceMutants,
 	) {
 		if len(os.Args) < 2 || slices.Contains(os.Args[1:], m.pkg) {
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -10,13 +10,6 @@
 		mutated:   "\t\t_ = tcp\n",
 		pkg:       "client", test: "TestClient",
 	},
-	{
-		guarantee: "a response to another request is rejected",
-		file:      "client/conn.go",
-		original:  "return echo == \"\" || echoed == want || echoed == \"\" && !k.reused",
-		mutated:   "return echoed != want+\"none\"",
-		pkg:       "client", test: "TestClient",
-	},
 	{
 		guarantee: "a stream that ends inside an event is truncated",
 		file:      "relay/stream.go",
