platform: an entry of another writer costs itself only

What callers saw: once another writer leaves one entry in the list of endpoints that JSON decoding rejects, a process that starts never gets any endpoint, and one that runs stops following the store: endpoints that come or go stay unknown.

Cause: one json.Unmarshal over a whole page, or a whole watch response. Any byte that a writer chose (nested over 10,000 levels, a number where the store has its own, text that is no JSON) was an error of all objects beside it. The same class: a watch response over 8 MiB (10 entries of 900 KB) was requested again with the same bytes for as long as the store kept them.

Now an object is decoded apart if the response is rejected as a whole: a scanner without a limit of nesting finds the elements, and what can be read of the name, the revision and the content counts. The sound path is the one json.Unmarshal of before. The store's own words stay strict: a response without a revision, cut, or in which a broken element would hide another object is an error; TestEnvelopeMustBeSound cuts a list at each byte. A watch that is an error is followed by a list. Values are checked in registration.check: names, slots, start, address. Skipped records are logged and counted once a revision, with texts of 200 bytes at most.

Not covered: a record that is sound in itself and states the address of another process with a later start hides that process, as a successor at that address does.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -48,6 +48,7 @@
 	controlMessages     metric.Int64Counter
 	controlBytes        metric.Int64Counter
 	crossRegionBytes    metric.Int64Counter
+	skippedRecords      metric.Int64Counter
 }
 
 // NewMeter returns a Meter with its own registry.
@@ -75,6 +76,7 @@
 		controlMessages:     b.counter("control.messages", "Control messages by kind."),
 		controlBytes:        b.counter("control.bytes", "Bytes of control messages by kind."),
 		crossRegionBytes:    b.counter("region.link.bytes", "Bytes sent to another region."),
+		skippedRecords:      b.counter("skipped.records", "Revisions of stored records that cannot be used, by kind of record."),
 	}
 	return m, b.err
 }
@@ -143,6 +145,11 @@
 	m.controlBytes.Add(context.Background(), int64(size), option)
 }
 
+// CountSkippedRecord counts a stored record that cannot be used, by its kind in the store.
+func (m *Meter) CountSkippedRecord(kind string) {
+	m.skippedRecords.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
+}
+
 // CountCrossRegionBytes counts bytes sent to another region.
 func (m *Meter) CountCrossRegionBytes(service ident.ServiceName, size ident.ByteCount) {
 	m.crossRegionBytes.Add(context.Background(), int64(size), m.serviceOption(service))
--- a/mutant/main.go
+++ b/mutant/main.go
@@ -46,6 +46,7 @@
 		usersPlatformMutants,
 		admitMutants,
 		costMutants,
+		entryMutants,
 		originMutants,
 		quotaMutants,
 		workspaceMutants,
--- a/start/process.go
+++ b/start/process.go
@@ -132,6 +132,7 @@
 		HTTP:    p.http,
 		Timeout: settings.Timeout.Std(),
 		Observe: func(call string, size ident.ByteCount) { p.Meter.CountControlMessage("platform-"+call, size) },
+		OnSkip:  platform.LogSkips(p.Common),
 	})
 }
 
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -85,6 +85,7 @@
 		HTTP:    socket.NewClient(),
 		Timeout: storeTimeout,
 		Observe: func(call string, size ident.ByteCount) { s.Meter.CountControlMessage("platform-"+call, size) },
+		OnSkip:  platform.LogSkips(p.Common),
 	})
 	s.callers = newServer(platform.NewCallerHandler(s.relay, s.draining.Load), adminHeaderTimeout)
 	return s
--- a/store/store.go
+++ b/store/store.go
@@ -28,6 +28,8 @@
 	Version Version `json:"version"`
 	// Value is at most MaxValueBytes long.
 	Value []byte `json:"value,omitempty"`
+	// Unreadable is set if the content cannot be read, so that Value is empty.
+	Unreadable bool `json:"-"`
 	// Deleted is set in events only.
 	Deleted bool `json:"deleted,omitempty"`
 }
@@ -100,6 +102,9 @@
 	ErrRestored = errors.New("the store was restored from a copy since that version")
 	// ErrUnavailable means that the call failed and had no effect.
 	ErrUnavailable = errors.New("the platform is unavailable")
+	// ErrUnreadable means that a response cannot be understood as a whole. An object that
+	// cannot be read is no such error.
+	ErrUnreadable = errors.New("the platform's response cannot be read")
 	// ErrAmbiguous means that a write may or may not have taken effect.
 	ErrAmbiguous = errors.New("the platform's response was lost")
 )
--- a/store/watcher.go
+++ b/store/watcher.go
@@ -127,7 +127,11 @@
 		w.recordRestore()
 		common.Sleep(ctx, rand.N(maxRelistDelay))
 		return w.list(ctx)
-	case errors.Is(err, ErrCompacted):
+	case errors.Is(err, ErrCompacted), errors.Is(err, ErrUnreadable):
+		if errors.Is(err, ErrUnreadable) {
+			// The same events would be sent again, for as long as the store keeps them.
+			w.Log.Warn("a watch cannot be read; listing again", "kind", w.kind, "version", w.version, "error", err)
+		}
 		if w.relisted {
 			// The store does not even keep the version that it has just listed.
 			common.Sleep(ctx, rand.N(maxRetryDelay))
