store: an unreadable object of our own kinds hides no other

What operators saw: one object of the kinds suspect, service document or ledger shard that cannot be decoded, and `suspect list`, `service list` and `action list` or `action settle` printed an error only. One unreadable item of the platform's instances stopped each entry's reconciliation and each activation of a document.

Now the lists print what can be read, then the error with the names of the rest. An action is settled although another shard cannot be read.

TestUnreadableObjectOfOurOwnKinds failed before (0 suspects listed instead of 2, go test -run TestUnreadable ./platform), TestMissingAcksOfUnknownRoles, too (it lists `entry` only). Both pass; docset, ledger, roster, start and store pass.

--- a/docset/admin.go
+++ b/docset/admin.go
@@ -196,7 +196,7 @@
 }
 
 // missingAcks returns the sorted names of the listed entries that have not
-// acknowledged a proposal.
+// acknowledged a proposal. An instance whose role cannot be read may be an entry.
 func missingAcks(instances []store.Instance, objects []store.Object, service ident.ServiceName, proposal string) []string {
 	acked := map[string]bool{}
 	for _, object := range objects {
@@ -205,7 +205,7 @@
 	}
 	var missing []string
 	for _, instance := range instances {
-		if instance.Role == store.EntryRole && !acked[string(instance.Name)] {
+		if instance.Role != store.AgentRole && !acked[string(instance.Name)] {
 			missing = append(missing, string(instance.Name))
 		}
 	}
@@ -229,7 +229,7 @@
 	Record  Record
 }
 
-// List returns all services.
+// List returns all services. An error may follow those whose documents can be read.
 func (a *Admin) List(ctx context.Context) (items []ListItem, err error) {
 	defer fault.Annotate(&err, "list services")
 	listing, err := a.store.List(ctx, Kind)
@@ -237,13 +237,14 @@
 		return nil, err
 	}
 	for _, object := range listing.Objects {
-		record, err := ParseRecord(object.Value)
-		if err != nil {
-			return nil, err
+		record, parseErr := ParseRecord(object.Value)
+		if parseErr != nil {
+			err = errors.Join(err, fmt.Errorf("%s: %w", object.Name, parseErr))
+			continue
 		}
 		items = append(items, ListItem{Service: ident.ServiceName(object.Name), Record: record})
 	}
-	return items, nil
+	return items, err
 }
 
 // History returns the accepted revisions of a service, oldest first.
--- a/ledger/admin.go
+++ b/ledger/admin.go
@@ -27,7 +27,8 @@
 // NewAdmin returns an Admin for the ledger in a store.
 func NewAdmin(s store.Store) *Admin { return &Admin{store: s} }
 
-// Unsettled returns the started records of a service, oldest first.
+// Unsettled returns the started records of a service, oldest first. An error may follow those of the
+// shards that can be read.
 func (a *Admin) Unsettled(ctx context.Context, service ident.ServiceName) (records []Record, err error) {
 	defer fault.Annotate(&err, "list actions of %s", service)
 	err = a.forEachShard(ctx, service, func(_ store.Object, shard Shard) error {
@@ -48,15 +49,20 @@
 	defer fault.Annotate(&err, "settle %s of %s", key, service)
 	for {
 		found := false
+		var settleErr error
 		err = a.forEachShard(ctx, service, func(object store.Object, shard Shard) error {
 			record, ok := shard.Records[key]
 			if !ok {
 				return nil
 			}
 			found = true
-			return a.settle(ctx, object, shard, record, ran)
+			settleErr = a.settle(ctx, object, shard, record, ran)
+			return settleErr
 		})
-		if err == nil && !found {
+		if found {
+			// The shards that cannot be read hold other records.
+			err = settleErr
+		} else if err == nil {
 			return fmt.Errorf("no record with this key")
 		}
 		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrAmbiguous) {
@@ -88,6 +94,8 @@
 	return err
 }
 
+// forEachShard visits the shards of a service until an error of visit. Shards that cannot be read
+// are an error after those that can.
 func (a *Admin) forEachShard(ctx context.Context, service ident.ServiceName, visit func(store.Object, Shard) error) error {
 	listing, err := a.store.List(ctx, Kind)
 	if err != nil {
@@ -97,13 +105,14 @@
 		if !strings.HasPrefix(object.Name, string(service)+".") {
 			continue
 		}
-		shard, err := ParseShard(object.Value)
-		if err != nil {
-			return err
+		shard, parseErr := ParseShard(object.Value)
+		if parseErr != nil {
+			err = errors.Join(err, fmt.Errorf("%s: %w", object.Name, parseErr))
+			continue
 		}
 		if err := visit(object, shard); err != nil {
 			return err
 		}
 	}
-	return nil
+	return err
 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -198,7 +199,7 @@
 	Suspect     Suspect
 }
 
-// List returns all suspects of the fleet.
+// List returns all suspects of the fleet. An error may follow those that can be read.
 func List(ctx context.Context, s store.Store) (list []ListItem, err error) {
 	defer fault.Annotate(&err, "list suspects")
 	listing, err := s.List(ctx, Kind)
@@ -207,12 +208,13 @@
 	}
 	for _, object := range listing.Objects {
 		var suspect Suspect
-		if err := json.Unmarshal(object.Value, &suspect); err != nil {
-			return nil, err
+		if parseErr := json.Unmarshal(object.Value, &suspect); parseErr != nil {
+			err = errors.Join(err, fmt.Errorf("%s: %w", object.Name, parseErr))
+			continue
 		}
 		list = append(list, ListItem{Fingerprint: Fingerprint(object.Name), Suspect: suspect})
 	}
-	return list, nil
+	return list, err
 }
 
 func (t *Tracker) setUnrecorded(fingerprint Fingerprint, unrecorded bool) {
--- a/start/action_command.go
+++ b/start/action_command.go
@@ -32,13 +32,10 @@
 	ctx, cancel := newCommandContext()
 	defer cancel()
 	records, err := admin.Unsettled(ctx, service)
-	if err != nil {
-		return err
-	}
 	for _, r := range records {
 		if _, err := fmt.Fprintf(c.stdout, "%s\t%s\t%s\t%s\n", r.Key, r.UpdatedAt.Format(time.RFC3339), r.Owner, r.Attempt); err != nil {
 			return err
 		}
 	}
-	return nil
+	return err
 }
--- a/start/service_command.go
+++ b/start/service_command.go
@@ -98,15 +98,12 @@
 	ctx, cancel := newCommandContext()
 	defer cancel()
 	items, err := admin.List(ctx)
-	if err != nil {
-		return err
-	}
 	for _, item := range items {
 		if _, err := fmt.Fprintf(c.stdout, "%s\t%d\t%s\n", item.Service, item.Record.Current.Number, describeState(item.Record)); err != nil {
 			return err
 		}
 	}
-	return nil
+	return err
 }
 
 func describeState(record docset.Record) string {
--- a/start/suspect_command.go
+++ b/start/suspect_command.go
@@ -25,9 +25,6 @@
 	ctx, cancel := newCommandContext()
 	defer cancel()
 	list, err := poison.List(ctx, newCommandStore(platform))
-	if err != nil {
-		return err
-	}
 	for _, l := range list {
 		state := poison.Suspected
 		if l.Suspect.Blocked(time.Now()) {
@@ -37,5 +34,5 @@
 			return err
 		}
 	}
-	return nil
+	return err
 }
--- a/store/store.go
+++ b/store/store.go
@@ -74,7 +74,8 @@
 // Instance is one item of the platform's list of instances. The list lags behind
 // the actual state.
 type Instance struct {
-	Name     ident.InstanceName `json:"name"`
+	Name ident.InstanceName `json:"name"`
+	// Role is empty, as all fields but the name, if the item cannot be read.
 	Role     Role               `json:"role"`
 	Address  ident.Address      `json:"address"`
 	Endpoint ident.EndpointName `json:"endpoint,omitempty"`
