Relay: a stream does not move to an endpoint that fails the request

What callers saw: a stream cut, or a 500 in its place, although its silent endpoint goes on. Cause: each response that is not a rejection counted as taking the stream, also a failure or one without a signature. Change: the stream stays unless the next endpoint responds with a signed success.

--- a/relay/stall.go
+++ b/relay/stall.go
@@ -8,6 +8,7 @@
 
 	"crocusstep/admit"
 	"crocusstep/client"
+	"crocusstep/pool"
 )
 
 const (
@@ -173,8 +174,12 @@
 	w.cancelMove = cancel
 }
 
-// errNoMove means that no other engine can take a stream now.
-var errNoMove = errors.New("no other endpoint can take the stream")
+var (
+	// errNoMove means that no other engine can take a stream now.
+	errNoMove = errors.New("no other endpoint can take the stream")
+	// errNextFailed means that the next engine failed the request that was to move there.
+	errNextFailed = errors.New("the next endpoint failed the request")
+)
 
 // prepare reserves memory at another engine and the sends that the move takes, and has the prompt
 // prefilled.
@@ -226,6 +231,12 @@
 		if err != nil {
 			return err
 		}
+		if !response.Successful() || !response.Signed {
+			_ = response.Body.Close()
+			next.try.abort()
+			next.outcome = pool.Failed
+			return errNextFailed
+		}
 		next.try.accepted = response
 	case <-timer.C:
 	}
