Relay: moves keep to the limits of sends and endpoints

What callers saw: a third endpoint ran a request of which the route allows two, after the second had lost its response and the stream had stayed; a silent stream without sends left booked memory and prefill slots. Cause: the limits were checked when the watch began. A failed move no longer ends it, but changes the counts. Change: each move checks them.

--- a/relay/stall.go
+++ b/relay/stall.go
@@ -37,6 +37,8 @@
 	stream *stream
 	// limit is the longest silence after the first event.
 	limit time.Duration
+	// uncounted is 1 while the engine of the try is not among the executions of the stream, else 0.
+	uncounted int
 	// progress holds one entry if events have arrived since it was last read.
 	progress chan struct{}
 	// ended is closed when the watch has ended.
@@ -59,7 +61,7 @@
 		return func() {}
 	}
 	watchContext, cancel := context.WithCancel(ctx)
-	w := &stallWatch{stream: s, limit: defaultStallLimit, progress: make(chan struct{}, 1), ended: make(chan struct{}), turn: make(chan struct{}, 1)}
+	w := &stallWatch{stream: s, uncounted: executions - s.executions, limit: defaultStallLimit, progress: make(chan struct{}, 1), ended: make(chan struct{}), turn: make(chan struct{}, 1)}
 	if s.route.TargetEventGap > 0 {
 		w.limit = stallFactor * s.route.TargetEventGap
 	}
@@ -142,10 +144,10 @@
 	defer cancel()
 	w.setCancelMove(cancel)
 	defer w.setCancelMove(nil)
-	if len(w.progress) > 0 {
+	s := w.stream
+	if len(w.progress) > 0 || s.sends >= maxSends || s.executions+w.uncounted >= s.route.MaxEndpoints {
 		return false
 	}
-	s := w.stream
 	endpoint, source, tryEvents := s.endpoint, s.source, s.tryEvents
 	s.tried[endpoint] = true
 	next, cached, err := w.prepare(ctx)
