Relay: moves return the retries that they do not make

What callers saw: streams cut when their endpoint broke off, as failed moves of other streams had used up the retry limits; a stream cut as the next endpoint said no late and no retry was left. Cause: a move counts its sends against the retry limits in advance, and a failed one forgot them; a refused connection counted as a retry, and nothing was kept for a late rejection. Change: what was counted and not sent is returned (Limiter.Return), a refused connection keeps its permit, and a move counts one send more, which is returned once the next endpoint has accepted the request.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -86,6 +86,8 @@
 	probing bool
 	// prepaidSends is the number of sends that count against the retry limits already.
 	prepaidSends int
+	// prepaidAt is when the last of them were counted.
+	prepaidAt time.Time
 	// leftSilent is set while the request is at no endpoint because the relay has left one that was
 	// silent.
 	leftSilent bool
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -24,6 +24,7 @@
 func (e *exchange) serveStream(ctx context.Context) *fault.Refusal {
 	refusal := e.noEndpoint()
 	s := newStream(e)
+	defer s.returnPrepaidSends()
 	defer s.dropNext()
 	defer func() {
 		if s.endOrigin != nil {
@@ -306,6 +307,9 @@
 		switch {
 		case errors.Is(err, client.ErrNotSent):
 			s.sends--
+			if s.sends > 0 {
+				s.prepaidSends++
+			}
 		case s.next == nil:
 			s.executions++
 			s.recordCrash(ctx, err)
@@ -322,6 +326,7 @@
 	}
 	s.executions++
 	res.used = true
+	s.returnPrepaidSends()
 	if cached := res.try.cached; cached != nil {
 		s.config.Pool.Begin(cached.Endpoint, 0)(pool.Success, 0)
 	}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -163,7 +163,8 @@
 		s.hasMoved = true
 		return true
 	}
-	s.endpoint, s.source, s.tryEvents, s.prepaidSends = endpoint, source, tryEvents, 0
+	s.endpoint, s.source, s.tryEvents = endpoint, source, tryEvents
+	s.returnPrepaidSends()
 	if next != nil {
 		s.endReservation(next)
 	}
@@ -201,7 +202,8 @@
 		return nil, nil, errNoMove
 	case ctx.Err() != nil:
 		return next, nil, ctx.Err()
-	case !s.prepaySends(resumeSends):
+	case !s.prepaySends(resumeSends + 1):
+		// With one more the stream can go on elsewhere if the next engine rejects it late.
 		return next, nil, errNoRetry
 	}
 	if cached, err = s.prefillFor(ctx, next, maxSlotWait); err != nil {
@@ -248,11 +250,18 @@
 
 // prepaySends counts further sends against the retry limits before they are made.
 func (s *stream) prepaySends(count int) bool {
+	s.prepaidAt = time.Now()
 	for range count {
-		if !s.retryLimiter(s.service.Name).TryAcquire(time.Now(), s.config.RelayCount()) {
+		if !s.retryLimiter(s.service.Name).TryAcquire(s.prepaidAt, s.config.RelayCount()) {
 			return false
 		}
 		s.prepaidSends++
 	}
 	return true
 }
+
+// returnPrepaidSends returns to the retry limits what was prepaid and not sent.
+func (s *stream) returnPrepaidSends() {
+	s.retryLimiter(s.service.Name).Return(s.prepaidAt, time.Now(), s.prepaidSends)
+	s.prepaidSends = 0
+}
--- a/retry/limiter.go
+++ b/retry/limiter.go
@@ -75,6 +75,19 @@
 	return true
 }
 
+// Return takes back retries that were counted at a time and not made.
+func (l *Limiter) Return(at, now time.Time, count int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.advance(now)
+	bucket := int64(at.Sub(l.origin) / (l.limits.Window / buckets))
+	if bucket < 0 || bucket > l.newest || l.newest-bucket >= buckets {
+		return
+	}
+	i := bucket % buckets
+	l.retries[i] -= min(count, l.retries[i])
+}
+
 // advance clears the buckets that have left the window and returns the index of the
 // current one.
 func (l *Limiter) advance(now time.Time) int {
