Relay: a request whose prefill endpoint is silent may use its first decode

What callers saw: a request refused as its prefill endpoint was silent for 1.6 s and the retry limits allowed no second prefill, although a decode endpoint may have it as the first send. Cause: a prefill that timed out was taken for the end of the request where no retry is left. Change: the decode endpoint prefills the prompt itself, if its keeper allows that.

--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -62,7 +62,11 @@
 		}
 		tries++
 		if s.prefills > 0 && s.sends == 0 {
-			// The first prefill was free; another one counts as a send.
+			// The first prefill was free; another one counts as a send. The first decode is free, too.
+			if !s.prepaySends(resumeSends) {
+				s.config.Pool.ReturnPermit(next.member.Endpoint)
+				return nil, s.prefillLocally(ctx, res)
+			}
 			s.sends++
 		}
 		if refusal := s.barred(); refusal != nil {
@@ -80,6 +84,14 @@
 	return nil, nil
 }
 
+// prefillLocally asks for a local prefill where the retry limits allow no other one.
+func (s *stream) prefillLocally(ctx context.Context, res *reservation) error {
+	if s.tryLocalPrefill(ctx, res, false) {
+		return nil
+	}
+	return errors.Join(client.ErrNotSent, errNoRetry)
+}
+
 // prefillWindow is how long waiting for a prefill slot is useful.
 func (s *stream) prefillWindow() time.Duration {
 	window, _ := s.waitWindow()
