Relay: what is left of a move that is given up

A move that failed before its request was sent kept the permit of an endpoint with a limit; a prefill that was no longer wanted excluded its engine; a move could be prepared for longer than keepers hold a reservation (2.5 s); a caller that reads slowly let the time of a write count as silence. Change: the permit is returned, the engine stays usable, a move is prepared for 2 s at most, and the silence is counted from the end of a write. These four were not shown by a test of their own.

--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -195,6 +195,10 @@
 			s.countPrefill()
 		}
 		s.endpoint = m.Name
+		if ctx.Err() != nil {
+			// The prefill is no longer wanted, which says nothing about the endpoint.
+			delete(s.tried, m.Name)
+		}
 		// An endpoint that was too slow has not crashed.
 		s.recordCrash(limited, err)
 	case response != nil:
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -25,6 +25,9 @@
 	// overlapLimit is how long two engines may have the request: the one that is silent, and
 	// the next one until it has accepted the request. Both may work on it for less than 400 ms.
 	overlapLimit = 300 * time.Millisecond
+	// maxMoveTime limits the preparation of a move: a keeper revokes a reservation whose request
+	// does not start within 2.5 s.
+	maxMoveTime = 2 * time.Second
 )
 
 // errMoved means that a stream has left its endpoint for another one.
@@ -80,10 +83,7 @@
 	if w == nil {
 		return true
 	}
-	select {
-	case w.progress <- struct{}{}:
-	default:
-	}
+	w.recordProgress()
 	w.mutex.Lock()
 	if w.cancelMove != nil {
 		w.cancelMove()
@@ -99,8 +99,18 @@
 
 // release lets the watch move the stream again.
 func (w *stallWatch) release() {
-	if w != nil {
-		<-w.turn
+	if w == nil {
+		return
+	}
+	// The time that the caller took to read does not count as silence.
+	w.recordProgress()
+	<-w.turn
+}
+
+func (w *stallWatch) recordProgress() {
+	select {
+	case w.progress <- struct{}{}:
+	default:
 	}
 }
 
@@ -140,7 +150,7 @@
 func (w *stallWatch) move(ctx, tryContext context.Context) bool {
 	w.turn <- struct{}{}
 	defer func() { <-w.turn }()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, maxMoveTime)
 	defer cancel()
 	w.setCancelMove(cancel)
 	defer w.setCancelMove(nil)
@@ -166,6 +176,9 @@
 	s.endpoint, s.source, s.tryEvents = endpoint, source, tryEvents
 	s.returnPrepaidSends()
 	if next != nil {
+		if next.try == nil {
+			s.config.Pool.ReturnPermit(next.member.Endpoint)
+		}
 		s.endReservation(next)
 	}
 	return false
