platform: forms of requests get whole responses; NaN is no deadline

TestRequestFormsAreAnswered sends 24 forms of requests over a connection (bodies at and over the limit, chunks, expectations, requests sent together, HTTP/1.0, odd deadlines) and reads their responses to the end. One was refused without a reason: with a deadline of NaN the request got 503 at once, although an invalid value counts as none.

Cause: a comparison with NaN is false, so that parseMilliseconds converted it; what that gives differs between machines, as it does for values that don't fit into a time.Duration.

--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -52,6 +52,13 @@
 		mutated:   "",
 		pkg:       "platform", test: "TestPanicIsAnswered",
 	},
+	{
+		guarantee: "a deadline that is no number is no deadline",
+		file:      "platform/caller_handler.go",
+		original:  "if err != nil || !(count > 0) {",
+		mutated:   "if err != nil || count <= 0 {",
+		pkg:       "platform", test: "TestRequestFormsAreAnswered",
+	},
 	{
 		guarantee: "a request that panics gets a response",
 		file:      "platform/caller_handler.go",
