Entry: an agent that is silent has not crashed

What callers saw: prompts blocked for an hour, since the agents that ran them were frozen or cut off for three seconds and each silence counted as a crash by the prompt. Change: a stream that ends for silence has an error of its own. The endpoint is still avoided by this request.

--- a/entry/chat_attempt.go
+++ b/entry/chat_attempt.go
@@ -140,7 +140,7 @@
 	case ctx.Err() != nil:
 		return ctx.Err()
 	case err != nil:
-		c.recordFailure(m, errors.Is(err, wire.ErrResponseLost))
+		c.recordFailure(m, errors.Is(err, wire.ErrResponseLost) && !errors.Is(err, wire.ErrSilent))
 		return err
 	case refusal == nil:
 		return nil
--- a/wire/client.go
+++ b/wire/client.go
@@ -34,6 +34,10 @@
 // that the agent may have executed it.
 var ErrResponseLost = errors.New("the agent's answer was lost")
 
+// ErrSilent means that the agent sent nothing for StreamIdleTimeout. It may be frozen or cut off
+// rather than crashed.
+var ErrSilent = errors.New("the agent sent nothing for too long")
+
 // Client sends signed requests to agents.
 type Client struct {
 	http    *http.Client
@@ -80,11 +84,11 @@
 	defer fault.Annotate(&err, "decode at %s", agent)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	idleTimer := time.AfterFunc(StreamIdleTimeout, func() { cancel(ErrResponseLost) })
+	idleTimer := time.AfterFunc(StreamIdleTimeout, func() { cancel(ErrSilent) })
 	defer idleTimer.Stop()
 	response, err := c.post(ctx, agent, DecodePath, request)
 	if err != nil {
-		return err
+		return errors.Join(err, context.Cause(ctx))
 	}
 	defer func() { _ = response.Body.Close() }()
 	lines := bufio.NewScanner(response.Body)
@@ -102,7 +106,7 @@
 			return nil
 		}
 	}
-	return errors.Join(ErrResponseLost, io.ErrUnexpectedEOF, lines.Err())
+	return errors.Join(ErrResponseLost, io.ErrUnexpectedEOF, lines.Err(), context.Cause(ctx))
 }
 
 // DecodeFrame decodes one line of a stream.
