pool, keeper: an endpoint is left alone for as long as it asked

Cause: pool.MaxPause cut pauses to a minute, at relays and keepers. The cut stood in for two things: a mistaken value, and a process that was replaced in its pause, which a keeper can't see as it does not call the engine.

Relays state the engine's start that they know from its record in their requests for memory and prefill slots ("born", omitted if unknown; keepers of an earlier build ignore it), and a keeper ends the pause once a relay knows a later process than any before. A relay's own record of a pause ends with the process already.

--- a/keeper/engine_state.go
+++ b/keeper/engine_state.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// observeStart ends the pause of the engine's process once a relay knows that a later one has its
+// place: the keeper does not call the engine meanwhile.
+func (k *Keeper) observeStart(startMillis int64) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if startMillis <= k.latestStart {
+		return
+	}
+	k.latestStart = startMillis
+	if time.Now().Before(k.pausedUntil) {
+		k.Log.Info("the engine that asked for a pause was replaced", "started", startMillis)
+		k.pausedUntil = time.Time{}
+	}
+}
+
 // applyReport stores a report and reconciles the reservations with the requests that
 // the engine holds.
 func (k *Keeper) applyReport(report EngineReport, polledAt time.Time) {
@@ -104,6 +119,7 @@
 		}
 	}
 	k.report, k.reportedAt = report, polledAt
+	k.latestStart = max(k.latestStart, report.StartMillis)
 }
 
 // measureStep measures the time of a decode step from the progress of one request.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -78,6 +78,8 @@
 	prefillGrantedAt time.Time
 	// pausedUntil ends the pause that the engine has asked for, or is zero.
 	pausedUntil time.Time
+	// latestStart is the start of the engine's newest process that is known, or zero.
+	latestStart int64
 	// stageChangedAt is when a stage change was last sent to the engine.
 	stageChangedAt time.Time
 	wake           chan struct{}
@@ -149,6 +151,7 @@
 // Reserve waits for memory up to the request's MaxWait. It rejects the request
 // immediately if the expected wait is too long.
 func (k *Keeper) Reserve(ctx context.Context, request ReserveRequest) ReserveResponse {
+	k.observeStart(request.StartMillis)
 	k.refresh(ctx)
 	k.mutex.Lock()
 	if k.down || !k.serves(pool.Decode) {
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -51,6 +51,8 @@
 	Order *admit.Order `json:"order,omitempty"`
 	// Speed is set if the relay wants the engine's speed.
 	Speed bool `json:"speed,omitempty"`
+	// StartMillis is the engine's start as the relay knows it, zero if it does not.
+	StartMillis int64 `json:"born,omitempty"`
 }
 
 // initialTokens returns the tokens that the request holds when decoding starts.
@@ -146,6 +148,8 @@
 	// service differ by urgency alone.
 	Urgency admit.Timing `json:"urgency,omitempty"`
 	Order   *admit.Order `json:"order,omitempty"`
+	// StartMillis is the engine's start as the relay knows it, zero if it does not.
+	StartMillis int64 `json:"born,omitempty"`
 }
 
 // PrefillTiming is the duration of a prefill without queueing and network time.
--- a/keeper/prefill.go
+++ b/keeper/prefill.go
@@ -28,6 +28,7 @@
 // SchedulePrefill grants a prefill slot if the backlog is prefilled in time. Slots
 // end by their expected duration, so that relays need not report the end.
 func (k *Keeper) SchedulePrefill(ctx context.Context, request PrefillRequest) PrefillResponse {
+	k.observeStart(request.StartMillis)
 	k.refresh(ctx)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -45,6 +45,13 @@
 		mutated:   "return !k.report.ChangingStage &&",
 		pkg:       "keeper", test: "TestLeavingEngine",
 	},
+	{
+		guarantee: "a long pause ends with the process that asked for it",
+		file:      "keeper/engine_state.go",
+		original:  "\t\tk.pausedUntil = time.Time{}\n",
+		mutated:   "",
+		pkg:       "keeper", test: "TestEnginePauseEndsWithItsProcess",
+	},
 	{
 		guarantee: "an endpoint that states a limit gets no more requests",
 		file:      "platform/endpoint_client.go",
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -22,8 +22,8 @@
 	// responded at its address, or after its deleted record came back with a restore. The
 	// store removes its record after three missed heartbeats.
 	mismatchExclusion = 4 * time.Second
-	// MaxPause limits the pause that an endpoint may ask for.
-	MaxPause = time.Minute
+	// MaxPause limits the pause that an endpoint may ask for: what is longer must be a mistake.
+	MaxPause = 24 * time.Hour
 	// latencyWeight is the weight of the newest request in the mean latency.
 	latencyWeight = 0.2
 )
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -133,7 +133,7 @@
 	}
 	response, err := s.config.Keepers.SchedulePrefill(ctx, m.Address, keeper.PrefillRequest{
 		Attempt: s.request.Attempt, Tokens: s.request.Prompt.Tokens, MaxWait: wait, LastTiming: s.takePrefillTiming(m.Name),
-		Speed: s.config.LearnedCosts,
+		Speed: s.config.LearnedCosts, StartMillis: m.StartMillis,
 	})
 	if err != nil {
 		if !s.keeperFailed(ctx, m, err) {
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -128,15 +128,16 @@
 	}
 	p := s.request.Prompt
 	response, err := s.config.Keepers.Reserve(ctx, m.Address, keeper.ReserveRequest{
-		Attempt:   s.request.Attempt,
-		Prompt:    p.Tokens,
-		Generated: s.resumeTokens(),
-		Output:    s.estimateOutput(),
-		Slots:     m.Slots,
-		MaxWait:   wait,
-		Urgency:   urgency,
-		Speed:     s.config.LearnedCosts,
-		Order:     s.order,
+		Attempt:     s.request.Attempt,
+		Prompt:      p.Tokens,
+		Generated:   s.resumeTokens(),
+		Output:      s.estimateOutput(),
+		Slots:       m.Slots,
+		MaxWait:     wait,
+		Urgency:     urgency,
+		Speed:       s.config.LearnedCosts,
+		Order:       s.order,
+		StartMillis: m.StartMillis,
 	})
 	if err != nil {
 		if !s.keeperFailed(ctx, m, err) {
