gossip: compare the crashes that are known, not their number

What callers saw: a request that crashes workers, sent to four relays at once and again every 5 s, crashed four more workers 5 s after the third crash (BUDGET allows three retries then); sound requests on these workers got 502.

Cause: relays and hubs exchange crashes only where the numbers that they know differ. Each relay knew one crash, another one each, so no two ever told each other. The class: a digest that compares a size in place of a content. The other parts of gossip.Digest are versions of one writer (table, endpoints) and are not of this class.

Now the digest has the number and the sum of the crashes' hashes, without expired ones. The number stays as its own field for peers of an earlier build; between builds, crashes are sent at each exchange.

A digest that shows each difference would also keep crashes alive: one that just expired at one process and not yet at another is learned again there, a little younger each time. TestExpiredCrashStaysExpired failed so (1 crash left a second after its end, with a delay of 5 ms). A crash is not learned any more in its last 5 s.

--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"slices"
 	"sync"
@@ -20,6 +21,9 @@
 	// partCrashTTL is how long a crash counts against a part of a prompt. It is longer than
 	// quarantine, so that a single crash after it blocks the part again.
 	partCrashTTL = 10 * time.Minute
+	// minRemaining is the time before it expires in which a crash is not learned any more. Clocks
+	// and messages differ by less, so that trackers don't learn it again from each other.
+	minRemaining = 5 * time.Second
 	// maxStoredCrashes limits the memory for crashes of any age.
 	maxStoredCrashes = 512
 )
@@ -63,6 +67,19 @@
 
 func (c *storedCrash) key() crashKey { return crashKey{c.Fingerprint, c.Attempt} }
 
+// sum returns a number that identifies the crash.
+func (k crashKey) sum() uint64 {
+	sum := sha256.Sum256([]byte(string(k.fingerprint) + "\x00" + k.attempt))
+	return binary.BigEndian.Uint64(sum[:])
+}
+
+// Digest identifies a set of crashes: trackers with equal ones know the same crashes.
+type Digest struct {
+	Count int `json:"count"`
+	// Sum is that of the crashes' own sums, in any order.
+	Sum uint64 `json:"sum"`
+}
+
 func (c *storedCrash) expired(now time.Time) bool {
 	ttl := requestCrashTTL
 	if len(c.Parts) > 0 {
@@ -89,6 +106,8 @@
 	parts map[PartID]*part
 	// probeDelay prolongs the quarantine of parts, differently at each tracker.
 	probeDelay time.Duration
+	// sum is that of the keys of all crashes.
+	sum uint64
 }
 
 // NewTracker returns an empty tracker.
@@ -113,7 +132,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	stored := &storedCrash{Report: r, at: now.Add(-r.Age)}
-	if _, known := t.crashes[stored.key()]; !known && !stored.expired(now) {
+	if _, known := t.crashes[stored.key()]; !known && !stored.expired(now.Add(minRemaining)) {
 		t.add(stored)
 	}
 	if len(t.crashes) > maxStoredCrashes {
@@ -127,6 +146,7 @@
 
 func (t *Tracker) add(c *storedCrash) {
 	t.crashes[c.key()] = c
+	t.sum += c.key().sum()
 	r, known := t.requests[c.Fingerprint]
 	if !known {
 		r = &request{crashes: map[crashKey]*storedCrash{}}
@@ -172,6 +192,14 @@
 	return list
 }
 
+// Digest returns the digest of the crashes that have not expired.
+func (t *Tracker) Digest(now time.Time) Digest {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.expire(now)
+	return Digest{Count: len(t.crashes), Sum: t.sum}
+}
+
 // Size returns the number of stored crashes.
 func (t *Tracker) Size() int {
 	t.mutex.Lock()
@@ -204,6 +232,7 @@
 
 func (t *Tracker) remove(c *storedCrash) {
 	delete(t.crashes, c.key())
+	t.sum -= c.key().sum()
 	if r := t.requests[c.Fingerprint]; len(r.crashes) > 1 {
 		delete(r.crashes, c.key())
 	} else {
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -63,6 +63,42 @@
 	assert.Assert(t, r.Blocked("f", nil, start.Add(4*time.Second)), "crashes after the success count")
 }
 
+// TestExpiredCrashStaysExpired lets two trackers tell each other their crashes all the time, with a
+// delay. It guards against a crash that each learns again from the other, a little younger each time.
+func TestExpiredCrashStaysExpired(t *testing.T) {
+	const delay = 5 * time.Millisecond
+	a, b := NewTracker(), NewTracker()
+	a.RecordCrash(Report{Fingerprint: "f", Attempt: "1"}, start)
+	now := start
+	for ; now.Before(start.Add(requestCrashTTL + time.Second)); now = now.Add(delay) {
+		fromA, fromB := a.Crashes(now), b.Crashes(now)
+		for _, r := range fromA {
+			b.RecordCrash(r, now.Add(delay))
+		}
+		for _, r := range fromB {
+			a.RecordCrash(r, now.Add(delay))
+		}
+	}
+	assert.Equal(t, a.Digest(now), Digest{})
+	assert.Equal(t, b.Digest(now), Digest{})
+}
+
+// TestDigest guards against digests that are equal although the crashes differ, or the reverse.
+func TestDigest(t *testing.T) {
+	reports := []Report{{Fingerprint: "f", Attempt: "1"}, {Fingerprint: "f", Attempt: "2"}, {Fingerprint: "g", Attempt: "1"}}
+	forwards, backwards, other := NewTracker(), NewTracker(), NewTracker()
+	for i, r := range reports {
+		forwards.RecordCrash(r, start)
+		backwards.RecordCrash(reports[len(reports)-1-i], start.Add(time.Second))
+	}
+	assert.Equal(t, forwards.Digest(start), backwards.Digest(start))
+	for _, r := range []Report{reports[0], reports[1], {Fingerprint: "g", Attempt: "2"}} {
+		other.RecordCrash(r, start)
+	}
+	assert.Assert(t, forwards.Digest(start) != other.Digest(start))
+	assert.Equal(t, forwards.Digest(start.Add(2*requestCrashTTL)), Digest{})
+}
+
 func TestTrackerIsBounded(t *testing.T) {
 	r := NewTracker()
 	for i := range 4 * maxStoredCrashes {
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -44,7 +44,7 @@
 	h.endpoints.AdoptHistory(in.History)
 	h.endpoints.RemoveLapsed(now, time.Time{})
 	h.updatePeers(in.Sender, now)
-	out := &Message{Digest: Digest{Crashes: h.crashes.Size()}, Sounds: h.crashes.Sounds(now), Peers: len(h.peers), Rank: h.rank(in.Sender)}
+	out := &Message{Digest: NewDigest(h.crashes, now), Sounds: h.crashes.Sounds(now), Peers: len(h.peers), Rank: h.rank(in.Sender)}
 	out.History = h.endpoints.History()
 	if h.table != nil {
 		out.Digest.Table = h.table.Version
@@ -53,7 +53,7 @@
 		}
 	}
 	out.AddEndpoints(h.endpoints, in.Digest.Endpoints)
-	if out.Digest.Crashes > 0 && in.Digest.Crashes != out.Digest.Crashes {
+	if in.Digest.LacksCrashes(out.Digest) {
 		out.Crashes = h.crashes.Crashes(now)
 	}
 	return out
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -3,6 +3,8 @@
 package gossip
 
 import (
+	"time"
+
 	"crocusstep/crash"
 	"crocusstep/pool"
 	"crocusstep/table"
@@ -12,8 +14,21 @@
 type Digest struct {
 	Table     table.Version `json:"table"`
 	Endpoints pool.Revision `json:"endpoints"`
-	// Crashes is the number of known crashes.
-	Crashes int `json:"crashes"`
+	// Crashes identifies the known crashes.
+	Crashes crash.Digest `json:"crash-digest"`
+	// CrashCount is the number of known crashes, which peers of an earlier build compare.
+	CrashCount int `json:"crashes"`
+}
+
+// NewDigest returns the digest of a process that knows some crashes and nothing else.
+func NewDigest(crashes *crash.Tracker, now time.Time) Digest {
+	known := crashes.Digest(now)
+	return Digest{Crashes: known, CrashCount: known.Count}
+}
+
+// LacksCrashes reports whether a process with this digest lacks some of the crashes of another one.
+func (d Digest) LacksCrashes(other Digest) bool {
+	return other.Crashes.Count > 0 && d.Crashes != other.Crashes
 }
 
 // Message carries state from one process to another, without the parts that the
--- a/mutant/main.go
+++ b/mutant/main.go
@@ -46,6 +46,7 @@
 		usersPlatformMutants,
 		admitMutants,
 		costMutants,
+		crashMutants,
 		entryMutants,
 		originMutants,
 		quotaMutants,
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -203,7 +203,8 @@
 }
 
 func (g *Gossip) digest() gossip.Digest {
-	d := gossip.Digest{Endpoints: g.pool.Revision(), Crashes: g.relay.crashes.Size()}
+	d := gossip.NewDigest(g.relay.crashes, time.Now())
+	d.Endpoints = g.pool.Revision()
 	if t := g.relay.Table(); t != nil {
 		d.Table = t.Version
 	}
@@ -217,7 +218,7 @@
 		out.Table = g.relay.Table().Document
 	}
 	out.AddEndpoints(g.pool, theirs.Endpoints)
-	if out.Digest.Crashes > 0 && out.Digest.Crashes != theirs.Crashes {
+	if theirs.LacksCrashes(out.Digest) {
 		out.Crashes = g.relay.crashes.Crashes(time.Now())
 	}
 	return out.Table != nil || out.Endpoints != nil || out.Changes != nil || out.Crashes != nil
--- a/relay/gossip_test.go
+++ b/relay/gossip_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"crocusstep/clock"
+	"crocusstep/crash"
 	"crocusstep/gossip"
 	"crocusstep/ident"
 	"crocusstep/pool"
@@ -96,6 +97,30 @@
 	}
 }
 
+// TestDifferentCrashesOfEqualNumber lets each relay know another crash of a request. It guards against
+// relays that never tell each other as they know equally many: all must refuse the request within the
+// 4 s that the users allow for relays in touch.
+func TestDifferentCrashesOfEqualNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keepers := &fakeKeepers{hubs: map[ident.Address]*gossip.Hub{}}
+		gossips := newGossips(t, keepers, "a", "b", "c", "d", "e")
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, g := range gossips {
+			go g.Run(ctx)
+		}
+		time.Sleep(4 * time.Second)
+		for _, g := range gossips {
+			g.relay.crashes.RecordCrash(crash.Report{Fingerprint: "f", Attempt: g.self}, time.Now())
+		}
+		time.Sleep(4 * time.Second)
+		for _, g := range gossips {
+			assert.Check(t, g.relay.crashes.Blocked("f", nil, time.Now()), "relay %s knows %d crashes", g.self, g.relay.crashes.Size())
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // The first three of five relays watch the store, and all of them once no keeper
 // responds.
 func TestFewRelaysWatch(t *testing.T) {
