Keeper: a release names the reservation that it ends

What callers saw: a stream cut as the next engine rejected it for want of memory: the release of its earlier reservation at that keeper, sent in the background, arrived after the new one and ended it. Cause: a reservation was named by its attempt alone. Since a move can be given up, one attempt reserves memory at the same keeper twice within milliseconds. Change: a grant has an id, which the release states; zero, from or to an earlier build, means any reservation of the attempt.

--- a/keeper/client.go
+++ b/keeper/client.go
@@ -98,9 +98,9 @@
 }
 
 // Release releases a reservation that will not be used.
-func (c *Client) Release(ctx context.Context, endpoint ident.Address, attempt ident.AttemptID) (err error) {
+func (c *Client) Release(ctx context.Context, endpoint ident.Address, release ReleaseRequest) (err error) {
 	defer fault.Annotate(&err, "release a reservation at %s", endpoint)
-	return c.call(ctx, endpoint, ReleasePath, callTimeout, ReleaseRequest{Attempt: attempt}, &struct{}{})
+	return c.call(ctx, endpoint, ReleasePath, callTimeout, release, &struct{}{})
 }
 
 // Exchange sends a gossip message to a keeper and returns what the sender lacks.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -78,6 +78,8 @@
 	prefillGrantedAt time.Time
 	// pausedUntil ends the pause that the engine has asked for, or is zero.
 	pausedUntil time.Time
+	// lastGrant is the newest grant.
+	lastGrant GrantID
 	// latestStart is the start of the engine's newest process that is known, or zero.
 	latestStart int64
 	// stageChangedAt is when a stage change was last sent to the engine.
@@ -88,6 +90,8 @@
 type reservation struct {
 	request   ReserveRequest
 	grantedAt time.Time
+	// grant tells the reservation from others of its attempt.
+	grant GrantID
 	// started is set once the engine has reported the request.
 	started bool
 	// sampleTokens is the tokens held at sampledAt, where the measurement of the step
@@ -231,11 +235,11 @@
 }
 
 // Release deletes a reservation whose request has not started.
-func (k *Keeper) Release(attempt ident.AttemptID) {
+func (k *Keeper) Release(request ReleaseRequest) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if r, ok := k.reservations[attempt]; ok && !r.started {
-		k.dropReservation(attempt)
+	if r, ok := k.reservations[request.Attempt]; ok && !r.started && (request.Grant == 0 || request.Grant == r.grant) {
+		k.dropReservation(request.Attempt)
 	}
 	k.admitLocked()
 }
@@ -275,7 +279,10 @@
 }
 
 func (k *Keeper) grant(request ReserveRequest) {
-	k.reservations[request.Attempt] = &reservation{request: request, grantedAt: time.Now()}
+	now := time.Now()
+	// Later than those of an earlier keeper process.
+	k.lastGrant = max(k.lastGrant+1, GrantID(now.UnixNano()))
+	k.reservations[request.Attempt] = &reservation{request: request, grantedAt: now, grant: k.lastGrant}
 	k.recordGrant(request)
 }
 
@@ -308,7 +315,12 @@
 	for _, w := range k.waiting {
 		headroom -= w.request.initialTokens()
 	}
+	grant := GrantID(0)
+	if r, ok := k.reservations[request.Attempt]; ok && granted {
+		grant = r.grant
+	}
 	return ReserveResponse{
+		Grant:        grant,
 		StartMillis:  k.report.StartMillis,
 		Granted:      granted,
 		Headroom:     headroom,
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -64,6 +64,8 @@
 // ReserveResponse grants a reservation or describes the load that prevents it.
 type ReserveResponse struct {
 	Granted bool `json:"granted"`
+	// Grant is the reservation's, zero if none was granted or the keeper is of an earlier build.
+	Grant GrantID `json:"grant,omitempty"`
 	// Headroom is memory.Policy.Headroom with the running and admitted requests, less
 	// the initial tokens of the waiting ones; negative if requests wait.
 	Headroom ident.TokenCount `json:"free"`
@@ -196,8 +198,13 @@
 // ReleaseRequest releases a reservation that will not be used.
 type ReleaseRequest struct {
 	Attempt ident.AttemptID `json:"attempt"`
+	// Grant is zero for any reservation of the attempt.
+	Grant GrantID `json:"grant,omitempty"`
 }
 
+// GrantID tells a reservation at a keeper from earlier ones of the same attempt.
+type GrantID int64
+
 // EngineReport is the state that an engine reports.
 type EngineReport struct {
 	// Capacity is the engine's KV memory in tokens.
--- a/keeper/server.go
+++ b/keeper/server.go
@@ -53,7 +53,7 @@
 		return response
 	}))
 	router.HandlerFunc(http.MethodPost, ReleasePath, handle(func(_ context.Context, request ReleaseRequest) struct{} {
-		k.Release(request.Attempt)
+		k.Release(request)
 		return struct{}{}
 	}))
 	router.HandlerFunc(http.MethodPost, GossipPath, handle(func(_ context.Context, message gossip.Message) *gossip.Message {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,7 +32,7 @@
 // and change the stages of engines.
 type Keepers interface {
 	Reserve(ctx context.Context, endpoint ident.Address, request keeper.ReserveRequest) (keeper.ReserveResponse, error)
-	Release(ctx context.Context, endpoint ident.Address, attempt ident.AttemptID) error
+	Release(ctx context.Context, endpoint ident.Address, request keeper.ReleaseRequest) error
 	Load(ctx context.Context, endpoint ident.Address, request keeper.LoadRequest) (keeper.ReserveResponse, error)
 	SchedulePrefill(ctx context.Context, endpoint ident.Address, request keeper.PrefillRequest) (keeper.PrefillResponse, error)
 	ChangeStage(ctx context.Context, endpoint ident.Address, request keeper.StageRequest) (keeper.StageResponse, error)
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -155,11 +155,13 @@
 		// Another process has the engine's name, and the record does not show its version yet.
 		m.Version = ""
 		if !s.runsVersion(m.Version) {
-			s.release(m, s.request.Attempt)
+			s.release(m, keeper.ReleaseRequest{Attempt: s.request.Attempt, Grant: response.Grant})
 			return keeper.ReserveResponse{Down: true}, nil
 		}
 	}
-	return response, s.newReservation(m, true)
+	res := s.newReservation(m, true)
+	res.grant = response.Grant
+	return response, res
 }
 
 // keeperFailed handles a keeper's missing response and reports whether its endpoint may
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -8,7 +8,7 @@
 	"crocusstep/admit"
 	"crocusstep/client"
 	"crocusstep/fault"
-	"crocusstep/ident"
+	"crocusstep/keeper"
 	"crocusstep/pool"
 )
 
@@ -69,6 +69,7 @@
 	member pool.Member
 	// confirmed is set if the keeper granted the reservation.
 	confirmed bool
+	grant     keeper.GrantID
 	began     time.Time
 	// used is set once the endpoint executes the request, which then owns the memory.
 	used bool
@@ -118,7 +119,7 @@
 func (s *stream) endReservation(res *reservation) {
 	res.end(res.outcome, time.Since(res.began))
 	if res.confirmed && !res.used {
-		s.release(res.member, s.request.Attempt)
+		s.release(res.member, keeper.ReleaseRequest{Attempt: s.request.Attempt, Grant: res.grant})
 	}
 }
 
@@ -400,12 +401,12 @@
 	})
 }
 
-func (r *Relay) release(m pool.Member, attempt ident.AttemptID) {
+func (r *Relay) release(m pool.Member, request keeper.ReleaseRequest) {
 	r.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		if err := r.config.Keepers.Release(ctx, m.Address, attempt); err != nil {
-			r.Log.Info("a reservation was not released", "request", attempt, "endpoint", m.Name, "error", err)
+		if err := r.config.Keepers.Release(ctx, m.Address, request); err != nil {
+			r.Log.Info("a reservation was not released", "request", request.Attempt, "endpoint", m.Name, "error", err)
 		}
 	})
 }
