relay: a take-up waits for a refresh no longer than its own deadline

What callers saw: where hubs are slow, a take-up without a record waited for the exchanges that another take-up had begun, up to 2 s each, also when its caller had left or its deadline was over.

Cause: the refresh and the reading of the store's changes are serialised by mutexes, whose wait no context ends.

Fix: a lock whose wait ends with a context.

Evidence: TestRefreshEndsWithItsCaller does not end on the code before (go test -timeout 10s ./relay -run TestRefreshEndsWithItsCaller: "test timed out after 10s") and passes with it.

--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -73,7 +73,10 @@
 
 // NewGossip returns the gossip of a relay's state; self names the relay.
 func NewGossip(r *Relay, p *pool.Pool, keepers Exchanger, self string) *Gossip {
-	return &Gossip{Common: r.Common, relay: r, pool: p, keepers: keepers, self: self, relayCount: recentMaximum{window: relayCountWindow}, announce: make(chan struct{}, 1)}
+	return &Gossip{
+		Common: r.Common, relay: r, pool: p, keepers: keepers, self: self, relayCount: recentMaximum{window: relayCountWindow},
+		announce: make(chan struct{}, 1), refresher: refresher{lock: newLock()}, gap: gap{lock: newLock()},
+	}
 }
 
 // RelayCount returns the number of relays that the keepers know.
--- a/relay/refresh.go
+++ b/relay/refresh.go
@@ -11,9 +11,26 @@
 	"crocusstep/store"
 )
 
+// lock is a mutex whose wait ends with a context.
+type lock chan struct{}
+
+func newLock() lock { return make(lock, 1) }
+
+// acquire reports whether the lock was acquired before the context ended.
+func (l lock) acquire(ctx context.Context) bool {
+	select {
+	case l <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l lock) release() { <-l }
+
 // refresher lets requests that need the present state share exchanges with the hubs.
 type refresher struct {
-	mutex sync.Mutex
+	lock lock
 	// began is when the last refresh began, current whether most hubs responded to it.
 	began   time.Time
 	current bool
@@ -23,8 +40,10 @@
 // reports whether most of them responded: what any relay has announced before is then known.
 func (g *Gossip) Refresh(ctx context.Context) (current bool) {
 	called := time.Now()
-	g.refresher.mutex.Lock()
-	defer g.refresher.mutex.Unlock()
+	if !g.refresher.lock.acquire(ctx) {
+		return false
+	}
+	defer g.refresher.lock.release()
 	if g.refresher.began.After(called) {
 		return g.refresher.current
 	}
@@ -46,7 +65,7 @@
 
 // gap keeps calls that close a gap in what is known of software versions from being made twice.
 type gap struct {
-	mutex sync.Mutex
+	lock lock
 	// lost is the newest revision from which the store has no changes any more.
 	lost pool.Revision
 }
@@ -54,8 +73,10 @@
 // closeGap adopts a hub's history that ends before this relay's own first state, with the store's
 // changes since. That lets relays that have all restarted know the versions from before.
 func (g *Gossip) closeGap(ctx context.Context, h *pool.History, hub pool.Endpoint) {
-	g.gap.mutex.Lock()
-	defer g.gap.mutex.Unlock()
+	if !g.gap.lock.acquire(ctx) {
+		return
+	}
+	defer g.gap.lock.release()
 	if g.relay.config.EndpointChanges == nil || !g.pool.Precedes(h) || h.To <= g.gap.lost {
 		return
 	}
--- a/relay/refresh_test.go
+++ b/relay/refresh_test.go
@@ -134,3 +134,28 @@
 		})
 	}
 }
+
+// slowKeepers respond after a while.
+type slowKeepers time.Duration
+
+func (k slowKeepers) Exchange(context.Context, ident.Address, *gossip.Message) (gossip.Message, error) {
+	time.Sleep(time.Duration(k))
+	return gossip.Message{}, nil
+}
+
+// TestRefreshEndsWithItsCaller guards against a take-up that waits for another one's refresh beyond its
+// own deadline.
+func TestRefreshEndsWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGossips(t, nil, "a")[0]
+		g.keepers = slowKeepers(time.Second)
+		go g.Refresh(t.Context())
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		assert.Assert(t, !g.Refresh(ctx))
+		assert.Equal(t, time.Since(began), 100*time.Millisecond)
+		time.Sleep(2 * time.Second)
+	})
+}
