relay: streams begin at a software version once most hubs know it

Streams that had begun at the new version through other relays broke, were taken up at that relay and went on at the old version.

Cause: a relay without a stream's origin takes the only version that it knows for the stream's, if most hubs respond and know no other. But nobody had to tell the hubs before using a version: a relay began streams right after its own watch, and the announcement could be late, lost, sent by no relay (one that does not watch continuously), or not reach hubs cut off with the relay out of step. Announcements went to the hubs of the last two sets of endpoints only; a relay that had missed more changes asked others. Class: a conclusion from not having heard, while nobody must have told.

Fix: a relay begins resumable streams at versions that most hubs have acknowledged, if any endpoint runs such a one: most hubs of its present endpoints and of those it knew within 15 s. Most of these and most of those that the relay out of step asks have one in common, which tells it of the version. Without an acknowledged version it waits for the hubs, 1 s at most, and then uses any; after 15 s a version is used in any case, so that a fleet without keepers serves. What a freeze stops needs no clock: a take-up after it begins an exchange of its own.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -133,6 +133,8 @@
 	// versions holds the software versions of processes that have ended.
 	versions versionHistory
 	running  runningVersions
+	// acknowledged holds the software versions that members run.
+	acknowledged acknowledgements
 	// changeLog holds the changes after baseRevision, in order.
 	changeLog    []loggedChange
 	baseRevision Revision
@@ -145,6 +147,8 @@
 		latestStart: map[ident.Address]int64{},
 		deleted:     map[ident.EndpointName]deletedProcess{},
 		versions:    versionHistory{},
+
+		acknowledged: acknowledgements{},
 	}
 }
 
--- a/pool/records.go
+++ b/pool/records.go
@@ -76,6 +76,8 @@
 		p.covered = coverage{from: revision, since: time.Now()}
 	}
 	p.loaded, p.revision = true, revision
+	// Versions may have ended and come back since the last state.
+	clear(p.acknowledged)
 	listed := map[ident.EndpointName]bool{}
 	for _, e := range list {
 		listed[e.Name] = true
@@ -126,6 +128,9 @@
 			p.versions.record(m.endpoint, time.Now())
 		}
 		p.members[e.Name] = &member{endpoint: e}
+		if known {
+			p.acknowledged.remove(m.endpoint, p.members)
+		}
 		return
 	}
 	if e.Version == "" {
@@ -171,6 +176,7 @@
 	m, now := p.members[name], time.Now()
 	delete(p.members, name)
 	p.versions.record(m.endpoint, now)
+	p.acknowledged.remove(m.endpoint, p.members)
 	maps.DeleteFunc(p.deleted, func(_ ident.EndpointName, d deletedProcess) bool { return now.Sub(d.at) >= deletedTTL })
 	p.deleted[name] = deletedProcess{startMillis: m.endpoint.StartMillis, at: now}
 	if p.latestStart[m.endpoint.Address] == m.endpoint.StartMillis {
--- a/relay/call.go
+++ b/relay/call.go
@@ -11,6 +11,7 @@
 	"crocusstep/client"
 	"crocusstep/fault"
 	"crocusstep/pool"
+	"crocusstep/table"
 )
 
 // bufferedResponse is a plain response that was read completely.
@@ -74,6 +75,9 @@
 func (e *exchange) pickEndpoint(ctx context.Context) (pool.Member, *fault.Refusal) {
 	members := e.config.Pool.Members(e.service.Name, pool.Combined)
 	members = slices.DeleteFunc(members, func(m pool.Member) bool { return e.tried[m.Name] || !e.runsVersion(m.Version) })
+	if e.route.Kind == table.Streaming {
+		members = e.beginsAt(ctx, members)
+	}
 	if len(members) == 0 {
 		return pool.Member{}, e.noEndpoint()
 	}
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -65,17 +65,18 @@
 	lastContact atomic.Pointer[time.Time]
 	// announce holds one entry if there is a change to send to all hubs immediately.
 	announce chan struct{}
-	// announced holds the hubs of the last announcement.
-	announced []pool.Endpoint
-	refresher refresher
-	gap       gap
+	// recent holds the hubs of the present endpoints and those of shortly before.
+	recent       recentHubs
+	refresher    refresher
+	acknowledger acknowledger
+	gap          gap
 }
 
 // NewGossip returns the gossip of a relay's state; self names the relay.
 func NewGossip(r *Relay, p *pool.Pool, keepers Exchanger, self string) *Gossip {
 	return &Gossip{
 		Common: r.Common, relay: r, pool: p, keepers: keepers, self: self, relayCount: recentMaximum{window: relayCountWindow},
-		announce: make(chan struct{}, 1), refresher: refresher{lock: newLock()}, gap: gap{lock: newLock()},
+		announce: make(chan struct{}, 1), refresher: refresher{lock: newLock()}, acknowledger: acknowledger{lock: newLock()}, gap: gap{lock: newLock()},
 	}
 }
 
@@ -116,9 +117,11 @@
 
 func (g *Gossip) recordContact(now time.Time) { g.lastContact.Store(&now) }
 
-// Announce makes Run send a change from the store to all hubs immediately.
+// Announce makes Run send a change from the store to all hubs immediately. Relays that do not watch
+// the store continuously send only software versions that the hubs may not know.
 func (g *Gossip) Announce() {
-	if !g.IsWatcher() {
+	g.hubs()
+	if versions, _ := g.pool.Unacknowledged(maxUnacknowledged); len(versions) == 0 && !g.IsWatcher() {
 		return
 	}
 	select {
@@ -141,42 +144,33 @@
 			everyone = true
 		}
 		timer.Stop()
+		g.acknowledge(ctx)
 		hubs := g.hubs()
 		targets := hubs
 		switch {
 		case everyone:
-			targets = g.announceTargets(hubs)
+			// Relays that do not know the present endpoints still ask earlier hubs.
+			targets = unionOf(g.recent.all())
 		case len(hubs) > 0:
 			targets = hubs[round%len(hubs):][:1]
 		}
 		for _, hub := range targets {
 			if ctx.Err() == nil {
-				g.exchange(ctx, hub)
+				_, _ = g.exchange(ctx, hub)
 			}
 		}
 	}
 }
 
-// announceTargets returns the hubs of an announcement: also those of the last one, which relays
-// that do not know the present endpoints still ask.
-func (g *Gossip) announceTargets(hubs []pool.Endpoint) []pool.Endpoint {
-	targets := slices.Clone(hubs)
-	for _, last := range g.announced {
-		if !slices.ContainsFunc(hubs, func(e pool.Endpoint) bool { return e.Address == last.Address }) {
-			targets = append(targets, last)
-		}
-	}
-	g.announced = hubs
-	return targets
-}
-
 // hubs returns the keepers that all relays exchange state with. Relays with the same endpoints
 // choose the same ones.
 func (g *Gossip) hubs() []pool.Endpoint {
 	endpoints, _ := g.pool.Snapshot()
 	endpoints = slices.DeleteFunc(endpoints, func(e pool.Endpoint) bool { return e.Stage == pool.Combined })
 	slices.SortFunc(endpoints, func(a, b pool.Endpoint) int { return cmp.Compare(hash(a.Address), hash(b.Address)) })
-	return endpoints[:min(hubCount, len(endpoints))]
+	endpoints = endpoints[:min(hubCount, len(endpoints))]
+	g.recent.record(endpoints, time.Now())
+	return endpoints
 }
 
 func hash(address ident.Address) uint64 {
@@ -185,24 +179,27 @@
 	return sum.Sum64()
 }
 
-// exchange sends this relay's state to a hub and applies what the hub returns. It reports whether
-// the hub responded.
-func (g *Gossip) exchange(ctx context.Context, hub pool.Endpoint) (responded bool) {
+// exchange sends this relay's state to a hub and applies what the hub returns. It returns the
+// revision of the endpoints that the hub then knows, or an error if the hub did not respond.
+func (g *Gossip) exchange(ctx context.Context, hub pool.Endpoint) (known pool.Revision, err error) {
 	out := &gossip.Message{Sender: g.self, Digest: g.digest(), History: g.pool.History(), Sounds: g.relay.crashes.Sounds(time.Now())}
 	response, err := g.keepers.Exchange(ctx, hub.Address, out)
 	if err != nil {
 		g.Log.Info("gossip exchange with a keeper failed", "endpoint", hub.Name, "error", err)
-		return false
+		return 0, err
 	}
 	g.apply(&response, hub)
 	g.closeGap(ctx, response.History, hub)
+	known = response.Digest.Endpoints
 	if !g.fill(out, response.Digest) {
-		return true
+		return known, nil
 	}
-	if _, err := g.keepers.Exchange(ctx, hub.Address, out); err != nil {
-		g.Log.Info("sending changes to a keeper failed", "endpoint", hub.Name, "error", err)
+	response, sendErr := g.keepers.Exchange(ctx, hub.Address, out)
+	if sendErr != nil {
+		g.Log.Info("sending changes to a keeper failed", "endpoint", hub.Name, "error", sendErr)
+		return known, nil
 	}
-	return true
+	return response.Digest.Endpoints, nil
 }
 
 func (g *Gossip) digest() gossip.Digest {
@@ -241,5 +238,6 @@
 	if in.ApplyEndpoints(g.pool) {
 		g.Log.Info("endpoints learned from a peer", "revision", in.Digest.Endpoints, "keeper", hub.Name,
 			"endpoints", len(in.Endpoints), "changes", len(in.Changes), "since", in.Since)
+		g.Announce()
 	}
 }
--- a/relay/refresh.go
+++ b/relay/refresh.go
@@ -53,7 +53,7 @@
 	var wait sync.WaitGroup
 	for _, hub := range hubs {
 		wait.Go(func() {
-			if g.exchange(ctx, hub) {
+			if _, err := g.exchange(ctx, hub); err == nil {
 				responses.Add(1)
 			}
 		})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,6 +59,9 @@
 	// Refresh exchanges state with the hubs. It reports whether most of them have responded; nil
 	// means that there are none.
 	Refresh func(context.Context) bool
+	// Acknowledge tells the hubs of software versions that most of them may not know; nil means
+	// that there are none.
+	Acknowledge func(context.Context)
 	// EndpointChanges returns the changes of the endpoints' records after a revision, and the
 	// revision up to which these are all. It may be nil.
 	EndpointChanges func(ctx context.Context, since pool.Revision) ([]pool.Change, pool.Revision, error)
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -58,7 +58,7 @@
 	s.order = s.order.AskedFirst()
 	deadline := time.Now().Add(window)
 	best, shortest := pool.Member{}, time.Duration(-1)
-	members := s.decodeCandidates()
+	members := s.decodeCandidates(ctx)
 	if len(members) == 0 {
 		return nil, s.noEndpoint()
 	}
@@ -100,12 +100,12 @@
 	return min(lateWait, s.timeLeft()/2), admit.Late
 }
 
-func (s *stream) decodeCandidates() []pool.Member {
+func (s *stream) decodeCandidates(ctx context.Context) []pool.Member {
 	members := s.config.Pool.Members(s.service.Name, pool.Decode)
 	// Combined engines prefill their prompts themselves.
 	members = append(members, s.config.Pool.Members(s.service.Name, pool.Combined)...)
 	members = slices.DeleteFunc(members, func(m pool.Member) bool { return s.tried[m.Name] || !s.runsVersion(m.Version) })
-	return s.rankDecode(members)
+	return s.rankDecode(s.beginsAt(ctx, members))
 }
 
 // tryReserve takes a permit of the endpoint and asks its keeper for memory.
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -262,7 +262,7 @@
 		return nil
 	}
 	s.tried[s.endpoint] = true
-	candidates := s.decodeCandidates()
+	candidates := s.decodeCandidates(ctx)
 	for _, m := range candidates[:min(maxDecodeTries, len(candidates))] {
 		if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 {
 			return nil
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -101,7 +101,7 @@
 	stalled := s.endpoint
 	s.tried[stalled] = true
 	var next *reservation
-	candidates := s.decodeCandidates()
+	candidates := s.decodeCandidates(ctx)
 	for _, m := range candidates[:min(maxDecodeTries, len(candidates))] {
 		if m.Suspended {
 			break
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -74,6 +74,7 @@
 
 		LearnedCosts: settings.Routing.LearnedCosts,
 		Refresh:      func(ctx context.Context) bool { return s.gossip.Refresh(ctx) },
+		Acknowledge:  func(ctx context.Context) { s.gossip.Acknowledge(ctx) },
 		EndpointChanges: func(ctx context.Context, since pool.Revision) ([]pool.Change, pool.Revision, error) {
 			return s.endpointReader.ChangesSince(ctx, s.store, since)
 		},
