relay: a version that has ended counts for as long as callers may wait

Cause: a constant of 15 s, which assumed deadlines of 14 s, while routes and callers state theirs. Class: a bound of one deployment's figures in place of what the configuration and the callers say.

Fix: the time is 1 s more than the longest timeout of a route with resumable streams and than the longest deadline that a caller of the service has stated lately, 15 s at least; so nothing changes with deadlines of 14 s. It holds for every use: the conclusion of a single version, the Retry-After of its refusal, and which origins are sent and kept. Processes remember versions for a minute only: for longer deadlines no single version is concluded.

Open: a relay that has just started knows no callers' deadlines, only the routes' timeouts; histories of more than a minute are not kept.

--- a/mutant/origin.go
+++ b/mutant/origin.go
@@ -6,7 +6,7 @@
 	{
 		guarantee: "the present endpoints alone do not show a single software version",
 		file:      "relay/origin.go",
-		original:  "\tversion, _ = s.config.Pool.SingleVersion(s.service.Name, maxTakeUpDelay)\n",
+		original:  "\tversion, _ = s.config.Pool.SingleVersion(s.service.Name, s.takeUpDelay(s.service.Name))\n",
 		mutated:   "\tversion, _ = s.config.Pool.SingleVersion(s.service.Name, -time.Hour)\n",
 		pkg:       "platform", test: "TestStreamsAfterRelaysKilled",
 	},
@@ -136,4 +136,25 @@
 		mutated:   "\tcase s.config.Pool == nil:\n",
 		pkg:       "relay", test: "TestTakeUpOfUnknownVersion",
 	},
+	{
+		guarantee: "the routes' timeouts decide how long a version that has ended counts",
+		file:      "relay/origin.go",
+		original:  "\t\tlongest = t.LongestStream\n",
+		mutated:   "",
+		pkg:       "relay", test: "TestTakeUpAfterLongDeadline",
+	},
+	{
+		guarantee: "the callers' longest deadline decides how long a version that has ended counts",
+		file:      "relay/origin.go",
+		original:  "\t\tlongest = max(longest, time.Duration(m.highest()))\n",
+		mutated:   "\t\t_ = m\n",
+		pkg:       "relay", test: "TestTakeUpAfterLongDeadline",
+	},
+	{
+		guarantee: "no single version is concluded for longer than processes remember versions",
+		file:      "pool/version.go",
+		original:  "if !p.loaded || span > maxHistoryAge {",
+		mutated:   "if !p.loaded {",
+		pkg:       "relay", test: "TestTakeUpAfterLongDeadline",
+	},
 }
--- a/pool/version.go
+++ b/pool/version.go
@@ -19,7 +19,7 @@
 
 // SingleVersion returns the only software version that the endpoints of a service have run for a
 // time. It reports false if there were others, an unknown one, or if this process does not know all
-// versions of that time.
+// versions of that time, as if it is longer than processes remember them.
 func (p *Pool) SingleVersion(service ident.ServiceName, span time.Duration) (version ident.SoftwareVersion, single bool) {
 	version, at, possible := p.NextSingleVersion(service, span)
 	if !possible || time.Now().Before(at) {
@@ -34,7 +34,7 @@
 func (p *Pool) NextSingleVersion(service ident.ServiceName, span time.Duration) (version ident.SoftwareVersion, at time.Time, possible bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if !p.loaded {
+	if !p.loaded || span > maxHistoryAge {
 		return "", at, false
 	}
 	for _, m := range p.members {
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -17,9 +17,13 @@
 	originCopies = 3
 	// originInterval is the time between two checks for origins that are to be sent to keepers.
 	originInterval = 250 * time.Millisecond
-	// maxTakeUpDelay is how long after its end a stream may be taken up again: callers have a
-	// deadline of 14 s.
+	// maxTakeUpDelay is how long after its end a stream may be taken up again if neither routes nor
+	// callers state a longer time than 14 s.
 	maxTakeUpDelay = 15 * time.Second
+	// takeUpMargin is added to the longest time for which a caller waits for a stream.
+	takeUpMargin = time.Second
+	// deadlineWindow is how long the longest deadline that a caller has stated counts at least.
+	deadlineWindow = time.Minute
 )
 
 // originLog holds the origins of the streams that this relay has begun. They are sent to
@@ -58,9 +62,37 @@
 	}
 }
 
+// recordDeadline records how long the caller of a stream that may be taken up waits.
+func (r *Relay) recordDeadline(service ident.ServiceName, wait time.Duration) {
+	r.mutex.Lock()
+	m, known := r.longestWaits[service]
+	if !known {
+		m = &recentMaximum{window: deadlineWindow}
+		r.longestWaits[service] = m
+	}
+	r.mutex.Unlock()
+	m.record(int(wait), time.Now())
+}
+
+// takeUpDelay returns how long after its end a stream of a service may be taken up again. Routes move
+// between services, so all routes' timeouts count.
+func (r *Relay) takeUpDelay(service ident.ServiceName) time.Duration {
+	longest := time.Duration(0)
+	if t := r.Table(); t != nil {
+		longest = t.LongestStream
+	}
+	r.mutex.Lock()
+	m, known := r.longestWaits[service]
+	r.mutex.Unlock()
+	if known {
+		longest = max(longest, time.Duration(m.highest()))
+	}
+	return max(maxTakeUpDelay, longest+takeUpMargin)
+}
+
 // takeUnsent removes and returns the origins of services for which due returns true, and drops
 // those that nobody can ask for any more.
-func (l *originLog) takeUnsent(now time.Time, due func(ident.ServiceName) bool) (list []origin.Origin) {
+func (l *originLog) takeUnsent(now time.Time, delay func(ident.ServiceName) time.Duration, due func(ident.ServiceName) bool) (list []origin.Origin) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for attempt, b := range l.unsent {
@@ -68,7 +100,7 @@
 		case due(b.service):
 			list = append(list, origin.Origin{Attempt: attempt, Version: b.version})
 			delete(l.unsent, attempt)
-		case !b.endedAt.IsZero() && now.Sub(b.endedAt) > maxTakeUpDelay:
+		case !b.endedAt.IsZero() && now.Sub(b.endedAt) > delay(b.service):
 			delete(l.unsent, attempt)
 		}
 	}
@@ -88,9 +120,9 @@
 func (r *Relay) sendOrigins(ctx context.Context) {
 	due := map[ident.ServiceName]bool{}
 	batches := map[ident.Address][]origin.Origin{}
-	for _, o := range r.origins.takeUnsent(time.Now(), func(service ident.ServiceName) bool {
+	for _, o := range r.origins.takeUnsent(time.Now(), r.takeUpDelay, func(service ident.ServiceName) bool {
 		if _, known := due[service]; !known {
-			_, single := r.config.Pool.SingleVersion(service, maxTakeUpDelay)
+			_, single := r.config.Pool.SingleVersion(service, r.takeUpDelay(service))
 			due[service] = !single
 		}
 		return due[service]
@@ -139,13 +171,13 @@
 // service had no other in that time. Current is false if the hubs were needed and most of them did
 // not respond: another relay may have begun streams at a version that this one does not know.
 func (s *stream) singleVersion(ctx context.Context) (version ident.SoftwareVersion, current bool) {
-	if _, _, possible := s.config.Pool.NextSingleVersion(s.service.Name, maxTakeUpDelay); !possible {
+	if _, _, possible := s.config.Pool.NextSingleVersion(s.service.Name, s.takeUpDelay(s.service.Name)); !possible {
 		return "", true
 	}
 	if s.config.Refresh == nil || !s.config.Refresh(ctx) {
 		return "", false
 	}
-	version, _ = s.config.Pool.SingleVersion(s.service.Name, maxTakeUpDelay)
+	version, _ = s.config.Pool.SingleVersion(s.service.Name, s.takeUpDelay(s.service.Name))
 	return version, true
 }
 
@@ -157,7 +189,7 @@
 	if unanswered {
 		return refusal.WithRetryAfter(s.retryAfterJitter(minRetryAfter))
 	}
-	_, at, possible := s.config.Pool.NextSingleVersion(s.service.Name, maxTakeUpDelay)
+	_, at, possible := s.config.Pool.NextSingleVersion(s.service.Name, s.takeUpDelay(s.service.Name))
 	if wait := time.Until(at); possible && wait < s.timeLeft() {
 		return refusal.WithRetryAfter(max(wait, 0) + s.retryAfterJitter(minRetryAfter))
 	}
@@ -215,7 +247,7 @@
 		attempt = s.request.Resumes
 	}
 	s.endOrigin = s.origins.begin(attempt, s.service.Name, version)
-	if _, single := s.config.Pool.SingleVersion(s.service.Name, maxTakeUpDelay); !single {
+	if _, single := s.config.Pool.SingleVersion(s.service.Name, s.takeUpDelay(s.service.Name)); !single {
 		// Calls to keepers have timeouts of their own; the record outlives the request.
 		s.sendOrigins(context.Background())
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -96,6 +96,9 @@
 	prefillTimings map[ident.EndpointName]keeper.PrefillTiming
 	// lengthEstimators estimates the output lengths of each service's requests.
 	lengthEstimators map[ident.ServiceName]*memory.LengthEstimator
+	// longestWaits holds the longest deadline of the callers of each service's streams that may
+	// be taken up.
+	longestWaits map[ident.ServiceName]*recentMaximum
 }
 
 // NewRelay returns a relay that refuses all requests until it has a table.
@@ -114,6 +117,7 @@
 		loads:            map[ident.ServiceName]*serviceLoad{},
 		prefillTimings:   map[ident.EndpointName]keeper.PrefillTiming{},
 		lengthEstimators: map[ident.ServiceName]*memory.LengthEstimator{},
+		longestWaits:     map[ident.ServiceName]*recentMaximum{},
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -150,6 +150,9 @@
 // newStream returns a stream that has forwarded no event.
 func newStream(e *exchange) *stream {
 	s := &stream{exchange: e, resumed: e.request.LastEventID != ""}
+	if e.route.Retryable() {
+		e.recordDeadline(e.service.Name, e.request.Timeout)
+	}
 	if events, err := strconv.Atoi(e.request.LastEventID); err == nil && s.disaggregated() && events > 0 {
 		// Most endpoints number their events, so that the id gives the number of
 		// tokens generated.
--- a/table/table.go
+++ b/table/table.go
@@ -104,6 +104,8 @@
 	Document *Document
 	Services map[ident.ServiceName]Service
 	Limits   Limits
+	// LongestStream is the longest timeout of a route with resumable streams.
+	LongestStream time.Duration
 	// routes holds the routes of each host, longest prefix first.
 	routes map[string][]Route
 	// priorities holds the priority of the most urgent caller and route to each service.
@@ -138,6 +140,9 @@
 	callers := newCallerPriorities(d)
 	for _, r := range d.Routes {
 		t.routes[r.Host] = append(t.routes[r.Host], r)
+		if r.Kind == Streaming && r.Resumable {
+			t.LongestStream = max(t.LongestStream, r.Timeout)
+		}
 		priority := callers.on(r)
 		for _, s := range r.WeightedServices {
 			if highest, known := t.priorities[s.Service]; !known || priority < highest {
