pool: a version that came and went between two lists counts if another process knows it

What callers could see: a relay that was frozen or cut off lists the endpoints anew, as the store has no changes from then any more. A version whose engines came and went in between is in neither list, and a stream that another relay had begun there was taken up at the only version known.

Cause: a history that ends before the relay's own revision was taken to run no version that the relay did not know; its ended versions were adopted, its running ones were not.

Fix: a running version of such a history counts as ended now, if this process has neither a member nor an end of it.

Evidence, before: go test ./pool -run TestSoftwareVersions, "a version that came and went between two lists ran at a process that lags behind": v1 is taken for the single version. Found by reading; no run of the fleet tests showed it. After: it passes, the mutant fails it, and a version whose end is known stays ended.

--- a/mutant/origin.go
+++ b/mutant/origin.go
@@ -157,4 +157,11 @@
 		mutated:   "if !p.loaded {",
 		pkg:       "relay", test: "TestTakeUpAfterLongDeadline",
 	},
+	{
+		guarantee: "a version that came and went between two lists counts, if another process knows it",
+		file:      "pool/history.go",
+		original:  "\t\tp.addMissed(h.Running, now)\n",
+		mutated:   "",
+		pkg:       "pool", test: "TestSoftwareVersions",
+	},
 }
--- a/pool/history.go
+++ b/pool/history.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"crocusstep/ident"
@@ -107,6 +108,7 @@
 		p.addRunning(h.Running, now)
 	}
 	if h.To >= p.covered.from {
+		p.addMissed(h.Running, now)
 		p.extend(h, now)
 	}
 }
@@ -158,6 +160,16 @@
 	}
 }
 
+// addMissed records versions that ran within the part of the past that this process covers, but of
+// which it knows no process: they came and went between two of its lists, at an unknown time.
+func (p *Pool) addMissed(running []ServiceVersion, now time.Time) {
+	for _, v := range running {
+		if p.versions[v.Service][v.Version].IsZero() && !slices.Contains(p.running.of(p.members, p.revision), v) {
+			p.versions.record(Endpoint{Service: v.Service, Version: v.Version}, now)
+		}
+	}
+}
+
 // addRunning records versions that ran at a revision that this process has no state of. Those
 // without a process have ended at an unknown time since.
 func (p *Pool) addRunning(running []ServiceVersion, now time.Time) {
--- a/pool/version_test.go
+++ b/pool/version_test.go
@@ -116,6 +116,24 @@
 				p.AdoptHistoryWith(&History{Age: span, From: 2, To: 3, Running: []ServiceVersion{{Service: "s", Version: "v3"}}}, nil, 5)
 			},
 		},
+		{
+			testName: "a version that came and went between two lists ran at a process that lags behind",
+			run: func(p *Pool) {
+				time.Sleep(span)
+				p.ApplySnapshot([]Endpoint{ofVersion("a", 1, "v1")}, 20, false)
+				p.AdoptHistory(&History{Age: time.Minute, From: 2, To: 12, Running: []ServiceVersion{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}}})
+			},
+		},
+		{
+			testName: "the end of a version that ran at a process that lags behind is known",
+			run: func(p *Pool) {
+				p.ApplyChanges([]Change{{Endpoint: ofVersion("b", 1, "v2")}}, 6, false)
+				remove(p, "b", 7)
+				time.Sleep(span)
+				p.AdoptHistory(&History{Age: time.Minute, From: 2, To: 6, Running: []ServiceVersion{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}}})
+			},
+			single: "v1",
+		},
 		{
 			testName: "what ran before the snapshot of a peer is unknown",
 			run: func(p *Pool) {
