--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,6 +59,9 @@
 	// Refresh exchanges state with the hubs. It reports whether most of them have responded; nil
 	// means that there are none.
 	Refresh func(context.Context) bool
+	// Acknowledge tells the hubs of software versions that most of them may not know; nil means
+	// that there are none.
+	Acknowledge func(context.Context)
 	// EndpointChanges returns the changes of the endpoints' records after a revision, and the
 	// revision up to which these are all. It may be nil.
 	EndpointChanges func(ctx context.Context, since pool.Revision) ([]pool.Change, pool.Revision, error)
@@ -95,6 +98,9 @@
 	prefillTimings map[ident.EndpointName]keeper.PrefillTiming
 	// lengthEstimators estimates the output lengths of each service's requests.
 	lengthEstimators map[ident.ServiceName]*memory.LengthEstimator
+	// longestWaits holds the longest deadline of the callers of each service's streams that may
+	// be taken up.
+	longestWaits map[ident.ServiceName]*recentMaximum
 }
 
 // NewRelay returns a relay that refuses all requests until it has a table.
@@ -113,6 +119,7 @@
 		loads:            map[ident.ServiceName]*serviceLoad{},
 		prefillTimings:   map[ident.EndpointName]keeper.PrefillTiming{},
 		lengthEstimators: map[ident.ServiceName]*memory.LengthEstimator{},
+		longestWaits:     map[ident.ServiceName]*recentMaximum{},
 	}
 }
 
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -201,7 +201,7 @@
 // prefilled.
 func (w *stallWatch) prepare(ctx context.Context) (next *reservation, cached *CachedPrompt, err error) {
 	s := w.stream
-	candidates := s.decodeCandidates()
+	candidates := s.decodeCandidates(ctx)
 	for _, m := range candidates[:min(maxDecodeTries, len(candidates))] {
 		if m.Suspended {
 			break
