mutant: two texts follow the code that they change

The mutants of "a connection remembers a limited number of ids" and "a connection whose refused body has come serves the next request" named text that later edits had changed, so that they could not be applied (go run ./mutant client: ERROR, 0 times). Both do now: go run ./mutant client kills all six; TestConnectionAfterUnknownCaller fails with the other one, applied by hand (4 cases).

--- a/mutant/response.go
+++ b/mutant/response.go
@@ -33,8 +33,8 @@
 	{
 		guarantee: "a connection remembers a limited number of ids",
 		file:      "client/conn.go",
-		original:  "len(k.carried) >= maxCarried || ",
-		mutated:   "",
+		original:  "k.faulty || len(k.carried) >= maxCarried {",
+		mutated:   "k.faulty {",
 		pkg:       "client", test: "TestCarriedIDsAreLimited",
 	},
 	{
--- a/mutant/workspace.go
+++ b/mutant/workspace.go
@@ -40,8 +40,8 @@
 	{
 		guarantee: "a connection whose refused body has come serves the next request",
 		file:      "platform/caller_handler.go",
-		original:  "\t\t\t_ = control.SetReadDeadline(time.Time{})\n\t\t\treturn\n",
-		mutated:   "",
+		original:  "SetReadDeadline(time.Now().Add(skippedBodyTimeout))",
+		mutated:   "SetReadDeadline(time.Now())",
 		pkg:       "platform", test: "TestConnectionAfterUnknownCaller",
 	},
 	{
