--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -160,7 +160,7 @@
 	{
 		guarantee: "rejected prefills count as retries",
 		file:      "relay/prefill.go",
-		original:  "if !s.allowSend(ctx) {",
+		original:  "if !s.allowPrefill(ctx) {",
 		mutated:   "if false {",
 		pkg:       "relay", test: "TestNoPrefillBeyondRetries",
 	},
