crash: a blocked request is tried by one relay after the other

Sound requests on these workers got 502, and the service had no worker for 2 s.

Cause: each crash counted against its request for a minute, so that all relays forgot the same crashes in the same moment and let the request through, each until it had heard of the new ones. The class: evidence that expires at all processes at once. Parts of prompts had tries for this; requests did not.

TestTracker failed with `expired crashes do not count` turned round (see below).

Now the crashes that block a request count for four hours, also at processes that learn of them later (Report.Blocked). A relay tries it after a minute and up to eight more that differ by relay, and four times as late after a try that crashed an endpoint. After two such tries it stays blocked until its crashes expire: the users allow three, and one is left for relays that try at the same moment. A crash of a blocked request goes to all hubs at once. That a request completed is told the others, which unblock it, too, so that the longer delays cost a sound one little: before, each relay had to find that out.

Changed test: TestTracker's case `expired crashes do not count` demanded the fault, three crashes forgotten after a minute. In its place: the block holds after that minute, three crashes within a minute block, two and an expired one don't, and the crashes of a blocked request expire after four hours.

Measured: TestBlockedRequestIsTriedAlone plays an hour with 3, 6, 30 and 300 relays; its bound is the users' three. Four further mutants killed.

Not covered: over more than four hours a request that keeps coming is tried anew each time that its crashes expire; a sound request that is aboard two more crashes by chance stays refused for four hours unless another run of it completes.

--- a/crash/part.go
+++ b/crash/part.go
@@ -26,9 +26,11 @@
 // PartID identifies a part of prompts that several prompts may share.
 type PartID string
 
-// Sound reports that an output was begun for a prompt with a part.
+// Sound reports that an output was begun for a prompt with a part, or that a request completed.
 type Sound struct {
-	Part PartID `json:"part"`
+	// Part is empty in the report on a request.
+	Part    PartID      `json:"part,omitempty"`
+	Request Fingerprint `json:"request,omitempty"`
 	// Age is the time since then.
 	Age time.Duration `json:"age-ns"`
 }
@@ -185,7 +187,8 @@
 func (t *Tracker) TryProbe(f Fingerprint, parts []PartID, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.requestBlocked(f, now) {
+	blocked := t.requestBlocked(f, now)
+	if blocked && t.requests[f].quarantined(now, t.probeDelay) {
 		return false
 	}
 	blocking := t.blockingParts(parts)
@@ -195,6 +198,9 @@
 	for _, p := range blocking {
 		p.probedAt = now
 	}
+	if blocked {
+		t.requests[f].probedAt = now
+	}
 	return true
 }
 
@@ -219,10 +225,12 @@
 	defer t.mutex.Unlock()
 	for _, s := range sounds {
 		t.recordSound(s.Part, now.Add(-s.Age))
+		t.recordSuccess(s.Request, now.Add(-s.Age))
 	}
 }
 
-// Sounds returns the reports on parts that were in the prompts of several crashes.
+// Sounds returns the reports on parts that were in the prompts of several crashes, and on requests
+// that were blocked.
 func (t *Tracker) Sounds(now time.Time) []Sound {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -232,5 +240,10 @@
 			list = append(list, Sound{Part: id, Age: now.Sub(p.soundAt)})
 		}
 	}
+	for f, r := range t.requests {
+		if !r.succeededAt.IsZero() && r.hasBlocked() {
+			list = append(list, Sound{Request: f, Age: now.Sub(r.succeededAt)})
+		}
+	}
 	return list
 }
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -16,8 +16,11 @@
 	// maxCrashes is the number of recent crashes after which a request, or prompts with a
 	// part, are blocked.
 	maxCrashes = 3
-	// requestCrashTTL is how long a crash counts against a request.
+	// requestCrashTTL is how long a crash counts against a request. Crashes of a blocked request count
+	// for blockedCrashTTL: they outlast each quarantine, so that no request is let through at all
+	// relays at once because they forget its crashes.
 	requestCrashTTL = time.Minute
+	blockedCrashTTL = 4 * time.Hour
 	// partCrashTTL is how long a crash counts against a part of a prompt. It is longer than
 	// quarantine, so that a single crash after it blocks the part again.
 	partCrashTTL = 10 * time.Minute
@@ -49,6 +52,8 @@
 	// Parts are the shared parts of the request's prompt. They are empty if its output had
 	// begun, as another request is the cause then.
 	Parts []PartID `json:"parts,omitempty"`
+	// Blocked is set if the request was blocked, for which the crash alone is evidence enough then.
+	Blocked bool `json:"blocked,omitempty"`
 	// Age is the time since the crash; a timestamp would need synchronized clocks.
 	Age time.Duration `json:"age-ns"`
 }
@@ -82,19 +87,15 @@
 
 func (c *storedCrash) expired(now time.Time) bool {
 	ttl := requestCrashTTL
-	if len(c.Parts) > 0 {
+	switch {
+	case c.Blocked:
+		ttl = blockedCrashTTL
+	case len(c.Parts) > 0:
 		ttl = partCrashTTL
 	}
 	return now.Sub(c.at) > ttl
 }
 
-// request is what is known of a request that was in a crash.
-type request struct {
-	crashes map[crashKey]*storedCrash
-	// succeededAt is when the request last completed; earlier crashes do not count.
-	succeededAt time.Time
-}
-
 // Tracker counts crashes by request and by part of a prompt. It is safe for concurrent use.
 type Tracker struct {
 	mutex sync.Mutex
@@ -122,8 +123,12 @@
 func (t *Tracker) RecordSuccess(f Fingerprint, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if r, known := t.requests[f]; known {
-		r.succeededAt = now
+	t.recordSuccess(f, now)
+}
+
+func (t *Tracker) recordSuccess(f Fingerprint, at time.Time) {
+	if r, known := t.requests[f]; known && at.After(r.succeededAt) {
+		r.succeededAt = at
 	}
 }
 
@@ -132,7 +137,13 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	stored := &storedCrash{Report: r, at: now.Add(-r.Age)}
-	if _, known := t.crashes[stored.key()]; !known && !stored.expired(now.Add(minRemaining)) {
+	if r.Age > partCrashTTL {
+		stored.Parts = nil
+	}
+	switch known, found := t.crashes[stored.key()]; {
+	case found:
+		known.Blocked = known.Blocked || r.Blocked
+	case !stored.expired(now.Add(minRemaining)):
 		t.add(stored)
 	}
 	if len(t.crashes) > maxStoredCrashes {
@@ -153,6 +164,7 @@
 		t.requests[c.Fingerprint] = r
 	}
 	r.crashes[c.key()] = c
+	r.markBlocked()
 	t.addParts(c)
 }
 
@@ -164,20 +176,6 @@
 	return t.requestBlocked(f, now) || len(t.blockingParts(parts)) > 0
 }
 
-func (t *Tracker) requestBlocked(f Fingerprint, now time.Time) bool {
-	r, known := t.requests[f]
-	if !known {
-		return false
-	}
-	recent := 0
-	for _, c := range r.crashes {
-		if now.Sub(c.at) < requestCrashTTL && c.at.After(r.succeededAt) {
-			recent++
-		}
-	}
-	return recent >= maxCrashes
-}
-
 // Crashes returns all crashes that have not expired.
 func (t *Tracker) Crashes(now time.Time) []Report {
 	t.mutex.Lock()
@@ -208,7 +206,7 @@
 }
 
 // expire deletes expired crashes, and then the oldest until the limit holds, first those
-// that count against no part.
+// that count against no part and no blocked request.
 func (t *Tracker) expire(now time.Time) {
 	var remaining []*storedCrash
 	for _, c := range t.crashes {
@@ -216,6 +214,10 @@
 			t.remove(c)
 			continue
 		}
+		if len(c.Parts) > 0 && now.Sub(c.at) > partCrashTTL {
+			t.removeParts(c)
+			c.Parts = nil
+		}
 		remaining = append(remaining, c)
 	}
 	excess := len(remaining) - maxStoredCrashes
@@ -223,7 +225,7 @@
 		return
 	}
 	slices.SortFunc(remaining, func(a, b *storedCrash) int {
-		return cmp.Or(cmp.Compare(min(len(a.Parts), 1), min(len(b.Parts), 1)), a.at.Compare(b.at))
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), a.at.Compare(b.at))
 	})
 	for _, c := range remaining[:excess] {
 		t.remove(c)
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -32,9 +32,32 @@
 			crashes:  []Report{{Fingerprint: "f", Attempt: "1"}, {Fingerprint: "g", Attempt: "2"}, {Fingerprint: "h", Attempt: "3"}},
 		},
 		{
-			testName: "expired crashes do not count",
+			testName: "three crashes within their time block",
+			crashes: []Report{
+				{Fingerprint: "f", Attempt: "1", Age: requestCrashTTL - minRemaining},
+				{Fingerprint: "f", Attempt: "2", Age: time.Second},
+				{Fingerprint: "f", Attempt: "3"},
+			},
+			blocked: true,
+		},
+		{
+			testName: "two crashes and an expired one do not block",
+			crashes: []Report{
+				{Fingerprint: "f", Attempt: "1", Age: requestCrashTTL},
+				{Fingerprint: "f", Attempt: "2", Age: time.Second},
+				{Fingerprint: "f", Attempt: "3"},
+			},
+		},
+		{
+			testName: "a block does not end by itself, at all trackers at once",
 			crashes:  []Report{{Fingerprint: "f", Attempt: "1"}, {Fingerprint: "f", Attempt: "2"}, {Fingerprint: "f", Attempt: "3"}},
 			elapsed:  requestCrashTTL,
+			blocked:  true,
+		},
+		{
+			testName: "the crashes of a blocked request expire at last",
+			crashes:  []Report{{Fingerprint: "f", Attempt: "1"}, {Fingerprint: "f", Attempt: "2"}, {Fingerprint: "f", Attempt: "3"}},
+			elapsed:  blockedCrashTTL + time.Second,
 		},
 	}
 	for _, s := range scenarios {
--- a/mutant/crash.go
+++ b/mutant/crash.go
@@ -16,4 +16,32 @@
 		mutated:   "stored.expired(now)",
 		pkg:       "crash", test: "TestExpiredCrashStaysExpired",
 	},
+	{
+		guarantee: "the crashes of a blocked request do not expire at all relays at once",
+		file:      "crash/tracker.go",
+		original:  "\tcase c.Blocked:\n",
+		mutated:   "\tcase c.Blocked && ttl < 0:\n",
+		pkg:       "crash", test: "TestTracker|TestBlock",
+	},
+	{
+		guarantee: "relays try a blocked request one after the other",
+		file:      "crash/request.go",
+		original:  "requestDelayFactor*delay)",
+		mutated:   "0*delay)",
+		pkg:       "crash", test: "TestBlockedRequestIsTriedAlone",
+	},
+	{
+		guarantee: "a request that completed is unblocked at all relays",
+		file:      "crash/part.go",
+		original:  "\t\tt.recordSuccess(s.Request, now.Add(-s.Age))\n",
+		mutated:   "",
+		pkg:       "crash", test: "TestSoundRequestIsUnblocked",
+	},
+	{
+		guarantee: "a process that restarted learns of blocked requests",
+		file:      "crash/tracker.go",
+		original:  "\tr.markBlocked()\n",
+		mutated:   "",
+		pkg:       "crash", test: "TestTracker|TestBlock",
+	},
 }
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -51,14 +51,15 @@
 	}
 	count := e.crashes.RecordCrash(report, time.Now())
 	e.probing = false
-	if len(report.Parts) > 0 {
+	blocked := e.suspended() != nil
+	if len(report.Parts) > 0 || blocked {
 		select {
-		case e.partCrashed <- struct{}{}:
+		case e.crashed <- struct{}{}:
 		default:
 		}
 	}
 	e.Log.Info("an endpoint broke off with the request aboard", "request", e.request.Attempt, "endpoint", e.endpoint,
-		"fingerprint", report.Fingerprint, "count", count, "parts", report.Parts, "blocked", e.suspended() != nil, "error", err)
+		"fingerprint", report.Fingerprint, "count", count, "parts", report.Parts, "blocked", blocked, "error", err)
 }
 
 // countTryEvents counts events of the current try. Once the output has begun, the parts of
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -134,7 +134,7 @@
 		case <-timer.C:
 		case <-g.announce:
 			everyone = true
-		case <-g.relay.partCrashed:
+		case <-g.relay.crashed:
 			everyone = true
 		}
 		timer.Stop()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -70,10 +70,10 @@
 	config  Config
 	table   atomic.Pointer[table.Table]
 	crashes *crash.Tracker
-	// partCrashed holds one entry if a crash with parts of a prompt is to be sent to all
-	// hubs.
-	partCrashed chan struct{}
-	origins     *originLog
+	// crashed holds one entry if a crash is to be sent to all hubs: of a prompt with parts, or of
+	// a blocked request.
+	crashed chan struct{}
+	origins *originLog
 	// waitEstimator distinguishes returning callers from new ones.
 	waitEstimator *retry.WaitEstimator
 	quotas        *quotas
@@ -101,7 +101,7 @@
 		Common:           c,
 		config:           config,
 		crashes:          crash.NewTracker(),
-		partCrashed:      make(chan struct{}, 1),
+		crashed:          make(chan struct{}, 1),
 		origins:          newOriginLog(),
 		quotas:           newQuotas(config.Quotas),
 		retryLimiters:    map[ident.ServiceName]*retry.Limiter{},
