relay: tries at endpoints have a file of their own

The types and methods of a try move to try.go unchanged, and two mutants follow. go test ./relay passes.

--- a/mutant/cost.go
+++ b/mutant/cost.go
@@ -67,7 +67,7 @@
 	},
 	{
 		guarantee: "all relays hear of an engine whose prompts cannot be fetched",
-		file:      "relay/serve_stream.go",
+		file:      "relay/try.go",
 		original:  "\t\ts.reportLapse(cached.Endpoint)\n",
 		mutated:   "",
 		pkg:       "relay", test: "TestLapseIsReported",
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -250,7 +250,7 @@
 	},
 	{
 		guarantee: "a prefill engine whose prompts lapse is left",
-		file:      "relay/serve_stream.go",
+		file:      "relay/try.go",
 		original:  "s.config.Pool.Begin(cached.Endpoint, 0)(pool.Failed, 0)",
 		mutated:   "_ = cached",
 		pkg:       "relay", test: "TestLapsedHandles",
