Gossip: peers get the crashes that they have not heard of, not all

Cause: since relays compare crashes by content, two processes differ as long as any of 103 relays learns of a new crash, and each difference was answered with all crashes. Change: a relay states how long ago it heard a hub's crashes, and remembers when it told the hub its own; only what was learned since is sent. A peer that differs for another reason, as after a restart, gets all. TestMissingCrashes; TestDifferentCrashesOfEqualNumber still passes.

--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -68,6 +68,8 @@
 type storedCrash struct {
 	Report
 	at time.Time
+	// learnedAt is when this tracker last learned something of the crash.
+	learnedAt time.Time
 }
 
 func (c *storedCrash) key() crashKey { return crashKey{c.Fingerprint, c.Attempt} }
@@ -136,13 +138,14 @@
 func (t *Tracker) RecordCrash(r Report, now time.Time) int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	stored := &storedCrash{Report: r, at: now.Add(-r.Age)}
+	stored := &storedCrash{Report: r, at: now.Add(-r.Age), learnedAt: now}
 	if r.Age > partCrashTTL {
 		stored.Parts = nil
 	}
 	switch known, found := t.crashes[stored.key()]; {
+	case found && r.Blocked && !known.Blocked:
+		known.Blocked, known.learnedAt = true, now
 	case found:
-		known.Blocked = known.Blocked || r.Blocked
 	case !stored.expired(now.Add(minRemaining)):
 		t.add(stored)
 	}
@@ -177,12 +180,19 @@
 }
 
 // Crashes returns all crashes that have not expired.
-func (t *Tracker) Crashes(now time.Time) []Report {
+func (t *Tracker) Crashes(now time.Time) []Report { return t.CrashesSince(time.Time{}, now) }
+
+// CrashesSince returns the crashes that have not expired and of which the tracker has learned since
+// a time.
+func (t *Tracker) CrashesSince(since, now time.Time) []Report {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.expire(now)
-	list := make([]Report, 0, len(t.crashes))
+	var list []Report
 	for _, c := range t.crashes {
+		if c.learnedAt.Before(since) {
+			continue
+		}
 		listed := c.Report
 		listed.Age = now.Sub(c.at)
 		list = append(list, listed)
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -53,9 +53,11 @@
 		}
 	}
 	out.AddEndpoints(h.endpoints, in.Digest.Endpoints)
-	if in.Digest.LacksCrashes(out.Digest) {
-		out.Crashes = h.crashes.Crashes(now)
+	heardAt := time.Time{}
+	if in.HeardAge > 0 {
+		heardAt = now.Add(-in.HeardAge)
 	}
+	out.Crashes = MissingCrashes(h.crashes, in.Digest, heardAt, now)
 	return out
 }
 
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -31,6 +31,23 @@
 	return other.Crashes.Count > 0 && d.Crashes != other.Crashes
 }
 
+// heardMargin is subtracted from the time of a peer's last exchange, as messages take a while.
+const heardMargin = time.Second
+
+// MissingCrashes returns the crashes that a peer with a digest may lack, if it has heard of all that
+// were known at a time. A peer that differs for another reason, as after a restart, gets all.
+func MissingCrashes(known *crash.Tracker, theirs Digest, heardAt, now time.Time) []crash.Report {
+	own := NewDigest(known, now)
+	if !theirs.LacksCrashes(own) {
+		return nil
+	}
+	recent := known.CrashesSince(heardAt.Add(-heardMargin), now)
+	if len(recent) == 0 || theirs.Crashes.Count+len(recent) < own.Crashes.Count {
+		return known.Crashes(now)
+	}
+	return recent
+}
+
 // Message carries state from one process to another, without the parts that the
 // receiver has.
 type Message struct {
@@ -46,6 +63,9 @@
 	// History is what the sender knows of the endpoints' software versions of the past.
 	History *pool.History  `json:"history,omitempty"`
 	Crashes []crash.Report `json:"crashes,omitempty"`
+	// HeardAge is the time since the last exchange in which the sender heard the receiver's crashes,
+	// zero if there was none.
+	HeardAge time.Duration `json:"heard-age-ns,omitempty"`
 	// Sounds are the parts of prompts in crashes that are sound.
 	Sounds []crash.Sound `json:"sounds,omitempty"`
 	// Peers is the number of processes that have recently sent the hub a message,
--- a/mutant/crash.go
+++ b/mutant/crash.go
@@ -44,4 +44,11 @@
 		mutated:   "",
 		pkg:       "crash", test: "TestTracker|TestBlock",
 	},
+	{
+		guarantee: "a peer gets the crashes that it has not heard of, not all",
+		file:      "gossip/message.go",
+		original:  "known.CrashesSince(heardAt.Add(-heardMargin), now)",
+		mutated:   "known.CrashesSince(heardAt.Add(-time.Hour), now)",
+		pkg:       "gossip", test: "TestMissingCrashes",
+	},
 }
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -66,7 +66,9 @@
 	// announce holds one entry if there is a change to send to all hubs immediately.
 	announce chan struct{}
 	// recent holds the hubs of the present endpoints and those of shortly before.
-	recent       recentHubs
+	recent recentHubs
+	// heard and told hold when this relay last heard the crashes that a hub knows, and told it its own.
+	heard, told  contacts
 	refresher    refresher
 	acknowledger acknowledger
 	gap          gap
@@ -182,16 +184,20 @@
 // exchange sends this relay's state to a hub and applies what the hub returns. It returns the
 // revision of the endpoints that the hub then knows, or an error if the hub did not respond.
 func (g *Gossip) exchange(ctx context.Context, hub pool.Endpoint) (known pool.Revision, err error) {
-	out := &gossip.Message{Sender: g.self, Digest: g.digest(), History: g.pool.History(), Sounds: g.relay.crashes.Sounds(time.Now())}
+	began := time.Now()
+	out := &gossip.Message{Sender: g.self, Digest: g.digest(), History: g.pool.History(), Sounds: g.relay.crashes.Sounds(began), HeardAge: g.heard.age(hub.Address, began)}
 	response, err := g.keepers.Exchange(ctx, hub.Address, out)
 	if err != nil {
 		g.Log.Info("gossip exchange with a keeper failed", "endpoint", hub.Name, "error", err)
 		return 0, err
 	}
 	g.apply(&response, hub)
+	g.heard.record(hub.Address, began)
 	g.closeGap(ctx, response.History, hub)
 	known = response.Digest.Endpoints
-	if !g.fill(out, response.Digest) {
+	filled := time.Now()
+	if !g.fill(out, response.Digest, hub) {
+		g.told.record(hub.Address, filled)
 		return known, nil
 	}
 	response, sendErr := g.keepers.Exchange(ctx, hub.Address, out)
@@ -199,6 +205,7 @@
 		g.Log.Info("sending changes to a keeper failed", "endpoint", hub.Name, "error", sendErr)
 		return known, nil
 	}
+	g.told.record(hub.Address, filled)
 	return response.Digest.Endpoints, nil
 }
 
@@ -212,15 +219,13 @@
 }
 
 // fill adds to a message what the keeper lacks; it reports whether it lacks anything.
-func (g *Gossip) fill(out *gossip.Message, theirs gossip.Digest) bool {
+func (g *Gossip) fill(out *gossip.Message, theirs gossip.Digest, hub pool.Endpoint) bool {
 	out.Digest, out.History = g.digest(), g.pool.History()
 	if out.Digest.Table > theirs.Table {
 		out.Table = g.relay.Table().Document
 	}
 	out.AddEndpoints(g.pool, theirs.Endpoints)
-	if theirs.LacksCrashes(out.Digest) {
-		out.Crashes = g.relay.crashes.Crashes(time.Now())
-	}
+	out.Crashes = gossip.MissingCrashes(g.relay.crashes, theirs, g.told.at(hub.Address), time.Now())
 	return out.Table != nil || out.Endpoints != nil || out.Changes != nil || out.Crashes != nil
 }
 
