--- a/intake/conn.go
+++ b/intake/conn.go
@@ -38,6 +38,8 @@
 	mutex sync.Mutex
 	// waits is set while no part of a request was read whose response is still to be sent.
 	waits bool
+	// handled is set while the request that was read has reached the handler; never while waits is.
+	handled bool
 	// ends is set once the connection ends as soon as it waits.
 	ends bool
 	// deadline is the read deadline that the server has set.
@@ -72,6 +74,20 @@
 	return c.Conn.Close()
 }
 
+// handle is called when a request reaches the handler.
+func (c *conn) handle() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.waits, c.handled = false, true
+}
+
+// isPartlyRead reports whether a part of a request was read that has not reached the handler.
+func (c *conn) isPartlyRead() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.waits && !c.handled
+}
+
 // CloseWrite closes the sending side, like that of net.TCPConn.
 func (c *conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -101,7 +117,7 @@
 func (c *conn) await() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.waits = true
+	c.waits, c.handled = true, false
 }
 
 // receive is called when a part of a request was read.
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -31,17 +31,27 @@
 	listeners []net.Listener
 	// conns holds the open connections.
 	conns map[*conn]bool
+	// partlyRead counts the connections that ended in the shutdown with a part of a request read
+	// that had not reached the handler.
+	partlyRead int
 	// empty is closed once no connection is open in a shutdown.
 	empty chan struct{}
 }
 
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
 // NewServer returns a server that serves as configured, except for the contexts and the states
 // of its connections. In a shutdown each response closes its connection.
 func NewServer(server *http.Server) *Server {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Server{Server: server, cancel: cancel, conns: map[*conn]bool{}, empty: make(chan struct{})}
 	handler := server.Handler
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.handle()
+		}
 		if s.isClosing() {
 			w.Header().Set("Connection", "close")
 		}
@@ -106,6 +116,14 @@
 	return s.Server.Close()
 }
 
+// PartlyRead returns how many connections ended in the shutdown with a part of a request read that
+// had not reached the handler.
+func (s *Server) PartlyRead() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.partlyRead
+}
+
 func (s *Server) isClosing() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -144,6 +162,9 @@
 	defer s.mutex.Unlock()
 	if s.conns[c] {
 		delete(s.conns, c)
+		if s.closing && c.isPartlyRead() {
+			s.partlyRead++
+		}
 		s.checkEmpty()
 	}
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -291,3 +291,30 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+// TestPartlyRead guards against requests that are lost in a shutdown and counted as never read, and
+// against idle connections that are counted as lost requests.
+func TestPartlyRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(respond)
+		answered, _ := s.dial(t)
+		_, _, err := exchange(answered)
+		assert.NilError(t, err)
+		s.dial(t)
+		for _, earlier := range []int{0, 1} {
+			partly, _ := s.dial(t)
+			for range earlier {
+				_, _, err := exchange(partly)
+				assert.NilError(t, err)
+			}
+			_, err = io.WriteString(partly, request[:10])
+			assert.NilError(t, err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, s.Shutdown(ctx), context.DeadlineExceeded)
+		synctest.Wait()
+		assert.Equal(t, s.PartlyRead(), 2)
+		time.Sleep(time.Minute)
+	})
+}
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -228,5 +228,6 @@
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.Log.Warn("requests were still in flight at the end of the grace period", "error", err)
 	}
+	s.Log.Info("connections of callers ended", "partly-read", s.callers.PartlyRead())
 	s.relay.Wait()
 }
