A stopping relay goes by the time that a request takes

Cause: the relay took each request of whose deadline a third was left, and callers wait much longer than most requests take: a stream of 19,000 predicted tokens was taken with 4.1 s left. Class: work is accepted by what its sender allows, not by what it needs.

Relays now learn how long calls take, and the time that each engine takes for a token. In a stop a stream is taken if the output that it most likely does not exceed (19 in 20) ends in time at an engine's pace; slower engines are passed over, and the request is refused as not run before anything is reserved if there is none. Calls go by the longest one of the last minutes. While nothing was seen, a third of the time counts as before.

--- a/memory/length_estimate.go
+++ b/memory/length_estimate.go
@@ -66,6 +66,27 @@
 	return remaining
 }
 
+// longestQuantile is the share of outputs that are no longer than Longest.
+const longestQuantile = 0.95
+
+// Longest returns the length that the output most likely does not exceed, given the tokens
+// generated so far.
+func (l LengthEstimate) Longest(generated ident.TokenCount) ident.TokenCount {
+	median, spread := math.Max(1, float64(l.Median)), math.Max(0.01, l.Spread)
+	tail := 1 - longestQuantile
+	if generated > 0 {
+		tail *= normalTail(math.Log(float64(generated)/median) / spread)
+	}
+	longest := float64(generated) * math.Exp(spread)
+	if tail > 1e-9 {
+		longest = median * math.Exp(spread*math.Sqrt2*math.Erfcinv(2*tail))
+	}
+	if l.Limit > 0 {
+		longest = math.Min(longest, float64(l.Limit))
+	}
+	return max(generated, ident.TokenCount(longest))
+}
+
 // normalTail is the probability that a standard normal variable exceeds z.
 func normalTail(z float64) float64 { return 0.5 * math.Erfc(z/math.Sqrt2) }
 
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -69,10 +69,24 @@
 	{
 		guarantee: "a relay that stops takes no request that it will cut",
 		file:      "relay/drain.go",
-		original:  "if endsAt == nil ||",
-		mutated:   "if endsAt == nil || true ||",
+		original:  "if endsAt == nil {",
+		mutated:   "if endsAt == nil || true {",
 		pkg:       "relay", test: "TestDrain",
 	},
+	{
+		guarantee: "a relay that stops goes by the time that a request takes",
+		file:      "relay/drain.go",
+		original:  "if needed == 0 {",
+		mutated:   "if needed >= 0 {",
+		pkg:       "relay", test: "TestDrainByDuration",
+	},
+	{
+		guarantee: "a relay that stops sends streams to engines that are fast enough",
+		file:      "relay/reserve.go",
+		original:  "s.completing(s.decodeCandidates(ctx))",
+		mutated:   "s.decodeCandidates(ctx), (*fault.Refusal)(nil)",
+		pkg:       "relay", test: "TestDrainByDuration",
+	},
 	{
 		guarantee: "a relay that stops answers the requests that it reads",
 		file:      "start/relay_server.go",
--- a/relay/drain.go
+++ b/relay/drain.go
@@ -6,26 +6,76 @@
 	"time"
 
 	"crocusstep/fault"
+	"crocusstep/pool"
 )
 
 // minDrainRetryAfter is the shortest Retry-After of a relay that stops: others serve already.
 const minDrainRetryAfter = 100 * time.Millisecond
 
-// minTimeShare is the least share of a request's time that must be left until the relay stops:
-// most requests need a small part of their time.
+// minTimeShare is the least share of a request's time that must be left until the relay stops
+// while nothing is known of how long such requests take: most need a small part of their time.
 const minTimeShare = 1.0 / 3
 
 // Drain makes the relay refuse requests that it may not complete until the given time, at which
 // its process cancels them.
 func (r *Relay) Drain(end time.Time) { r.endsAt.Store(&end) }
 
-// refuseBeforeEnd refuses a request that came too late before the relay stops.
-func (e *exchange) refuseBeforeEnd() *fault.Refusal {
+// refuseBeforeEnd refuses a request that came too late before the relay stops. The request most
+// likely takes no longer than needed, which is zero if that is unknown.
+func (e *exchange) refuseBeforeEnd(needed time.Duration) *fault.Refusal {
 	endsAt := e.endsAt.Load()
-	if endsAt == nil || time.Until(*endsAt).Seconds() >= minTimeShare*e.timeLeft().Seconds() {
+	if endsAt == nil {
 		return nil
 	}
-	return fault.New(fault.Draining, "the relay stops").WithRetryAfter(e.retryAfterJitter(minDrainRetryAfter))
+	left := time.Until(*endsAt)
+	if needed == 0 {
+		needed = time.Duration(minTimeShare * float64(e.timeLeft()))
+	}
+	if left >= min(needed, e.timeLeft()) {
+		return nil
+	}
+	return fault.New(fault.Draining, "the relay stops in %s, the request may take %s", left.Round(time.Millisecond), needed.Round(time.Millisecond)).
+		WithRetryAfter(e.retryAfterJitter(minDrainRetryAfter))
+}
+
+// refuseCallBeforeEnd refuses a plain request that the relay may not complete until it stops.
+func (e *exchange) refuseCallBeforeEnd() *fault.Refusal {
+	return e.refuseBeforeEnd(time.Duration(e.durations.service(e.service.Name).longest.highest()))
+}
+
+// refuseStreamBeforeEnd refuses a stream that the relay may not complete until it stops, at an engine
+// or, if m is nil, at any. A stream that may have run goes on as long as it can.
+func (s *stream) refuseStreamBeforeEnd(m *pool.Member) *fault.Refusal {
+	switch {
+	case s.endsAt.Load() == nil, s.started, s.executions > 0:
+		return nil
+	case !s.disaggregated():
+		return s.refuseCallBeforeEnd()
+	}
+	output := s.longestOutput(m)
+	if output == 0 {
+		return s.refuseBeforeEnd(0)
+	}
+	return s.refuseBeforeEnd(pool.PrefillTime(s.request.Prompt.Tokens) + transferAllowance + output)
+}
+
+// completing returns the engines at which the stream most likely ends before the relay stops, or a
+// refusal if there is none.
+func (s *stream) completing(members []pool.Member) (list []pool.Member, refusal *fault.Refusal) {
+	if s.endsAt.Load() == nil {
+		return members, nil
+	}
+	for _, m := range members {
+		if late := s.refuseStreamBeforeEnd(&m); late != nil {
+			refusal = late
+			continue
+		}
+		list = append(list, m)
+	}
+	if len(list) > 0 {
+		return list, nil
+	}
+	return nil, refusal
 }
 
 // refuseAtGraceEnd replaces the refusal of a request that the relay itself has cancelled, as its
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -11,8 +13,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"crocusstep/cost"
 	"crocusstep/fault"
 	"crocusstep/ident"
+	"crocusstep/pool"
 )
 
 // newTestRequest returns a request that arrives now, with a prompt if its service has engines.
@@ -65,6 +69,94 @@
 	}
 }
 
+// TestDrainByDuration guards against a relay that stops and goes by the time of the caller, not by
+// the time that its request takes: it cuts long streams, and refuses short requests.
+func TestDrainByDuration(t *testing.T) {
+	process := cost.Process{Version: "v1"}
+	scenarios := []struct {
+		testName string
+		path     string
+		// perToken holds the paces of the engines; the output has most likely no more than 8,000 tokens.
+		perToken map[ident.EndpointName]time.Duration
+		// longest is the longest duration of a call.
+		longest, left time.Duration
+		refused       bool
+		// decode is the engine that must be used, if set.
+		decode string
+	}{
+		{"a stream that most likely ends before the relay", "/read/x", map[ident.EndpointName]time.Duration{"d1": 500 * time.Microsecond}, 0, 4500 * time.Millisecond, false, ""},
+		{"a stream that would be cut, with much time left", "/read/x", map[ident.EndpointName]time.Duration{"d1": time.Millisecond}, 0, 7300 * time.Millisecond, true, ""},
+		{"a short stream, with little time left", "/read/x", map[ident.EndpointName]time.Duration{"d1": 100 * time.Microsecond}, 0, 1500 * time.Millisecond, false, ""},
+		{"one engine is too slow", "/read/x", map[ident.EndpointName]time.Duration{"d1": time.Millisecond, "d2": 500 * time.Microsecond}, 0, 5 * time.Second, false, "decode at d2"},
+		{"all engines are too slow", "/read/x", map[ident.EndpointName]time.Duration{"d1": time.Millisecond, "d2": time.Millisecond}, 0, 7 * time.Second, true, ""},
+		{"a call that ends in time, with little time left", "/action/x", nil, 100 * time.Millisecond, 300 * time.Millisecond, false, ""},
+		{"a call that may take longer than the relay has", "/action/x", nil, 2 * time.Second, 1500 * time.Millisecond, true, ""},
+		{"a call whose caller waits no longer than the relay has", "/action/x", nil, 5 * time.Second, 3 * time.Second, false, ""},
+		{"a plain stream that may take longer than the relay has", "/plain-stream/x", nil, 2 * time.Second, 1500 * time.Millisecond, true, ""},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				backend := &fakeBackend{}
+				r := newTestRelay(t, backend)
+				for name, perToken := range s.perToken {
+					r.durations.service("model").paces.Observe(name, process, perToken, time.Now())
+				}
+				r.durations.service("plain").longest.record(int(s.longest), time.Now())
+				r.Drain(time.Now().Add(s.left))
+				timeout := 14 * time.Second
+				if s.path == "/action/x" {
+					timeout = 3 * time.Second
+				}
+				refusal := r.Serve(t.Context(), newTestRequest(s.path, timeout), httptest.NewRecorder())
+				r.Wait()
+				if !s.refused {
+					assert.Assert(t, refusal == nil)
+					assert.Assert(t, s.decode == "" || slices.Contains(backend.sent, s.decode), "%v", backend.sent)
+					return
+				}
+				assert.Assert(t, refusal != nil)
+				assert.Equal(t, refusal.Code, fault.Draining)
+				assert.Equal(t, refusal.Outcome, fault.NotExecuted)
+				assert.Equal(t, len(backend.sent), 0)
+				assert.Equal(t, backend.granted, backend.released)
+			})
+		})
+	}
+}
+
+// TestPaceIsLearned guards against paces that are taken from the time before the first event, or
+// from too few events.
+func TestPaceIsLearned(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		events   int
+		pace     time.Duration
+	}{
+		{"a long output", 41, time.Millisecond},
+		{"too short an output", paceEvents - 1, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRelay(t, &fakeBackend{})
+				e := &exchange{Relay: r, request: newTestRequest("/read/x", time.Minute), service: r.Table().Services["model"]}
+				e.service.Name = "model"
+				output := &stream{exchange: e, source: pool.Endpoint{Name: "d1", Version: "v1"}}
+				time.Sleep(time.Second)
+				for id := range s.events {
+					output.recordEvents(fmt.Appendf(nil, "id: %d\ndata: x\n\n", id+1))
+					if id < s.events-1 {
+						time.Sleep(61 * time.Millisecond)
+					}
+				}
+				output.observePace()
+				assert.Equal(t, r.durations.service("model").paces.Of("d1", cost.Process{Version: "v1"}, time.Now()), s.pace)
+			})
+		})
+	}
+}
+
 // TestGraceEnd guards against requests that get no response, or are logged as left by their
 // caller, as the relay cancels them at the end of its grace period.
 func TestGraceEnd(t *testing.T) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -103,6 +103,16 @@
 		e.ending = e.findEnding(ctx, refusal)
 	}()
 	e.retryLimiter(e.service.Name).RecordRequest(e.request.Arrived)
+	serve, refusal := e.serveCall, (*fault.Refusal)(nil)
+	if e.route.Kind == table.Streaming {
+		s := newStream(e)
+		serve, refusal = s.serve, s.refuseStreamBeforeEnd(nil)
+	} else {
+		refusal = e.refuseCallBeforeEnd()
+	}
+	if refusal != nil {
+		return refusal
+	}
 	if refusal := e.chargeQuota(ctx); refusal != nil {
 		return refusal
 	}
@@ -110,10 +120,7 @@
 	if refusal := e.admit(); refusal != nil {
 		return refusal
 	}
-	if e.route.Kind == table.Streaming {
-		return e.serveStream(ctx)
-	}
-	return e.serveCall(ctx)
+	return serve(ctx)
 }
 
 func (e *exchange) timeLeft() time.Duration { return time.Until(e.deadline) }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,6 +81,7 @@
 	waitEstimator *retry.WaitEstimator
 	quotas        *quotas
 	learned       *learnedCosts
+	durations     *durations
 	// endsAt is when the process stops, nil while it is not stopping.
 	endsAt atomic.Pointer[time.Time]
 	tasks  common.Tasks
@@ -115,6 +116,7 @@
 		retryLimiters:    map[ident.ServiceName]*retry.Limiter{},
 		waitEstimator:    retry.NewWaitEstimator(),
 		learned:          newLearnedCosts(),
+		durations:        newDurations(),
 		unreachableUntil: map[ident.EndpointName]time.Time{},
 		loads:            map[ident.ServiceName]*serviceLoad{},
 		prefillTimings:   map[ident.EndpointName]keeper.PrefillTiming{},
@@ -183,9 +185,7 @@
 		deadline:     request.Arrived.Add(min(request.Timeout, route.Timeout) - deadlineMargin),
 	}
 	e.service.Name = service
-	if refusal = e.refuseBeforeEnd(); refusal == nil {
-		refusal = e.serve(ctx)
-	}
+	refusal = e.serve(ctx)
 	e.log(refusal)
 	return refusal
 }
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -54,7 +54,10 @@
 	s.order = s.order.AskedFirst()
 	deadline := time.Now().Add(window)
 	best, shortest := pool.Member{}, time.Duration(-1)
-	members := s.decodeCandidates(ctx)
+	members, refusal := s.completing(s.decodeCandidates(ctx))
+	if refusal != nil {
+		return nil, refusal
+	}
 	if len(members) == 0 {
 		return nil, s.noEndpoint()
 	}
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -18,12 +18,12 @@
 // errNoRetry means that the request may not be sent again for now.
 var errNoRetry = errors.New("no request may be sent once more")
 
-// serveStream serves a streaming request. It reserves memory at a decode endpoint
+// serve serves a streaming request. It reserves memory at a decode endpoint
 // first, so that no prefill is wasted, then prefills the prompt and forwards the
 // output.
-func (e *exchange) serveStream(ctx context.Context) *fault.Refusal {
+func (s *stream) serve(ctx context.Context) *fault.Refusal {
+	e := s.exchange
 	refusal := e.noEndpoint()
-	s := newStream(e)
 	defer s.returnPrepaidSends()
 	defer s.dropNext()
 	defer func() {
@@ -127,6 +127,9 @@
 		return err
 	}
 	defer func() { s.endReservation(res) }()
+	if refusal := s.refuseStreamBeforeEnd(&res.member); refusal != nil {
+		return refusal
+	}
 	reserved := time.Now()
 	var cached *CachedPrompt
 	if cached, err = s.prefillFor(ctx, res, s.prefillWindow()); err != nil {
@@ -211,6 +214,7 @@
 	stop := s.watchForStall(ctx, s.executions, res.try.abort)
 	err := s.forward(response)
 	stop()
+	s.observePace()
 	s.recordTry(ctx, res, err)
 	if err != nil && s.next == nil {
 		s.recordCrash(ctx, errors.Join(client.ErrResponseLost, err))
