intake: an incomplete response to HTTP/1.0 ends with a reset

What callers saw: a caller with HTTP/1.0 has the end of a response without length, a stream, by the end of its connection. The relay reset the connection only where it gave a response up itself. At the end of the grace period, after a panic of a handler that doesn't recover (an entry's), and when its process was killed or crashed, the connection ended with a FIN and the caller had a complete 200 with a short body.

Cause: whoever gives up a response has to see to the reset, and nobody does when the process just ends. Class: a response whose end is marked by the same event as its failure.

Change: package intake lets each close of a connection be a reset from the start of a request with HTTP/1.0 until its handler has returned. The kernel applies it also for a process that is gone.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -16,6 +16,12 @@
 // of a shutdown.
 const flushTime = 300 * time.Millisecond
 
+// The arguments of SetLinger that make Close reset a connection, or send what is left.
+const (
+	lingerReset   = 0
+	lingerDefault = -1
+)
+
 // Server is an HTTP server. The Shutdown of net/http closes connections whose next request has
 // been received, and drops the requests that are read once it has begun.
 type Server struct {
@@ -45,9 +51,14 @@
 		if s.isClosing() {
 			w.Header().Set("Connection", "close")
 		}
+		if !r.ProtoAtLeast(1, 1) {
+			serveUnframed(handler, w, r)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	server.ConnState = func(c net.Conn, state http.ConnState) {
 		if tracked, ok := c.(*conn); ok && state == http.StateIdle {
 			tracked.await()
@@ -56,6 +67,24 @@
 	return s
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// serveUnframed serves a request with HTTP/1.0, whose response may end with its connection. Until
+// the handler has returned, any end of the connection is a reset, also that of the process, so
+// that an incomplete response never looks complete.
+func serveUnframed(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		handler.ServeHTTP(w, r)
+		return
+	}
+	// If it fails, the connection is broken already.
+	_ = c.SetLinger(lingerReset)
+	handler.ServeHTTP(w, r)
+	_ = c.SetLinger(lingerDefault)
+}
+
 // Serve accepts connections until the server is shut down or closed.
 func (s *Server) Serve(l net.Listener) error {
 	s.mutex.Lock()
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -38,6 +38,20 @@
 		mutated:   "_ = fault.ErrGraceEnded",
 		pkg:       "intake", test: "TestGraceEnd",
 	},
+	{
+		guarantee: "an incomplete response to HTTP/1.0 ends with a reset",
+		file:      "intake/intake.go",
+		original:  "_ = c.SetLinger(lingerReset)",
+		mutated:   "_ = lingerReset",
+		pkg:       "intake", test: "TestUnfinishedResponse",
+	},
+	{
+		guarantee: "a complete response to HTTP/1.0 is not reset",
+		file:      "intake/intake.go",
+		original:  "_ = c.SetLinger(lingerDefault)",
+		mutated:   "_ = lingerDefault",
+		pkg:       "intake", test: "TestWholeResponseIsNotReset",
+	},
 	{
 		guarantee: "a request that the relay cancels at the end of its grace period is answered",
 		file:      "relay/exchange.go",
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -26,9 +26,9 @@
 	},
 	{
 		guarantee: "a truncated response resets a connection with HTTP/1.0",
-		file:      "platform/caller_handler.go",
-		original:  "\t\t_ = tcp.SetLinger(0)\n",
-		mutated:   "\t\t_ = tcp\n",
+		file:      "intake/intake.go",
+		original:  "_ = c.SetLinger(lingerReset)",
+		mutated:   "_ = lingerReset",
 		pkg:       "platform", test: "TestTruncatedStreamHTTP10",
 	},
 	{
