engine: a response counts only if it is complete

What callers would see: none of it directly. An import into an engine counted as done once the head of its response had arrived, also if the engine crashed while it sent the rest; the decode that followed then failed. A prefill or a list of requests counted once its JSON value was complete.

Cause: the client decoded the first value of the body, or nothing, and closed the rest unread. Class: a success is taken from a part of a response. The other clients of the own interface were read for it: package wire reads bodies completely, agents read those of plain services completely.

Change: a response that isn't a stream is read to its end before it is decoded, up to 4 MiB. An end that comes too soon is an engine's crash (engine.IsCrash) as in a stream.

Evidence: TestCutResponse cuts the responses of a server on 127.0.0.1 at each byte, by FIN and by reset. Before, 4 of 5 calls succeeded with a part (an import and a cancel without their body, a prefill and a list without the last byte); decodes did not. Now none does.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -19,6 +19,9 @@
 	"crocusstep/ident"
 )
 
+// maxResponseBytes limits a response other than a stream.
+const maxResponseBytes = 4 << 20
+
 // KVHandle identifies a KV cache that an engine keeps for a short time.
 type KVHandle string
 
@@ -198,11 +201,23 @@
 	if err != nil {
 		return err
 	}
+	return decodeResponse(response, result)
+}
+
+// decodeResponse reads a response completely and decodes it, unless the result is nil: the engine
+// may have crashed after it has sent a part.
+func decodeResponse(response *http.Response, result any) error {
 	defer func() { _ = response.Body.Close() }()
-	if result == nil {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	switch {
+	case err != nil:
+		return err
+	case len(body) > maxResponseBytes:
+		return errors.New("the engine's response is too long")
+	case result == nil:
 		return nil
 	}
-	return json.NewDecoder(response.Body).Decode(result)
+	return json.Unmarshal(body, result)
 }
 
 func (c *Client) post(ctx context.Context, path string, request any) (*http.Response, error) {
@@ -230,11 +245,11 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = response.Body.Close() }()
 	if err := statusError(response.StatusCode); err != nil {
+		_ = response.Body.Close()
 		return err
 	}
-	return json.NewDecoder(response.Body).Decode(result)
+	return decodeResponse(response, result)
 }
 
 func statusError(status int) error {
--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -3,6 +3,13 @@
 // ownInterfaceMutants holds one mutant for each mechanism behind a guarantee of the product's
 // own interface.
 var ownInterfaceMutants = []mutant{
+	{
+		guarantee: "an engine's response counts only if it is complete",
+		file:      "engine/engine.go",
+		original:  "\tcase err != nil:\n\t\treturn err\n\tcase len(body)",
+		mutated:   "\tcase err == io.EOF:\n\t\treturn err\n\tcase len(body)",
+		pkg:       "engine", test: "TestCutResponse",
+	},
 	{
 		guarantee: "a shard's write depends on the version that was read",
 		file:      "ledger/writer.go",
