platform: a part of the store's response is no shorter list

What callers would see: endpoints that are gone from a relay's pool at once, until the next list. A response of the store without length and chunks that ended with its connection could count as whole though a part was missing: its last object was skipped as one that cannot be read, and so removed, and those after it were missing.

Cause: objects that JSON decoding rejects are skipped, so that odd entries of other writers don't hide sound ones. Where the text ends inside the last object, brackets of that object can close the list: cut after '{"x":[1,2]}', ']' ends the list and '}' the response. Class: a text that is read with tolerance, taken for complete without a sign of its end. Bodies with a length or chunks were safe, as net/http checks their end.

Evidence: TestCutStoreResponse cuts responses at each byte, by FIN and by reset.

--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -3,6 +3,13 @@
 // usersPlatformMutants holds one mutant for each mechanism behind a guarantee on the users'
 // platform.
 var usersPlatformMutants = []mutant{
+	{
+		guarantee: "a part of the store's response is no shorter list",
+		file:      "platform/store.go",
+		original:  "client.FramingOf(response) == client.FramedByClose && !json.Valid(data)",
+		mutated:   "client.FramingOf(response) == \"none\"",
+		pkg:       "platform", test: "TestCutStoreResponse",
+	},
 	{
 		guarantee: "an abandoned request resets its connection",
 		file:      "client/conn.go",
