relay: a response to HEAD states no length of its own

What callers saw: Content-Length: 0 in each response to a HEAD request, as if the response to a GET had an empty body.

Cause: the relay drops the endpoint's length, as one of the connection, and states that of the body that it has read. Class: an empty body that is framed as whole.

Change: none is stated for HEAD, as HTTP allows.

Evidence: TestCutHead for HEAD failed before in 7 of 7 forms with the whole head, now in none.

--- a/relay/call.go
+++ b/relay/call.go
@@ -163,7 +163,9 @@
 	e.firstPartAt = time.Now()
 	e.status = r.status
 	e.copyHeader(r.header)
-	e.writer.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	if e.request.Method != http.MethodHead {
+		e.writer.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	}
 	e.writer.WriteHeader(r.status)
 	// A failed write means that the caller has disconnected.
 	_, _ = e.writer.Write(r.body)
