client: a head with the ids of two requests belongs to neither

What callers would see: the body of an earlier response, with the head of their own. An endpoint that cuts a head and then writes an earlier response once more on the connection merges the two: a line that was cut goes on with the second status line, and the length is that of the copy. The id of the request stands first, so that the response was accepted.

Cause: of several ids in a response only the first was compared. Class: a part of one response that is completed by another one.

Change: a response that echoes different ids is lost, and its connection with it.

Evidence: TestMergedHeads cuts a head at each of its bytes before a copy; 18 cuts gave the body of the copy before, none does now. The mutant is killed. Not noticed: two heads of one request that merge, of which the second one's length and body then count with the first one's status.

--- a/client/conn.go
+++ b/client/conn.go
@@ -165,6 +165,11 @@
 		if err != nil {
 			return nil, errors.Join(ErrResponseLost, context.Cause(ctx), err)
 		}
+		ids := response.Header.Values(echo)
+		if slices.ContainsFunc(ids, func(id string) bool { return id != ids[0] }) {
+			// The head was cut, and that of another response follows.
+			return nil, errors.Join(ErrResponseLost, errors.New("the response belongs to several requests"))
+		}
 		if k.isResponseTo(r, response, echo) {
 			return response, nil
 		}
--- a/mutant/response.go
+++ b/mutant/response.go
@@ -2,6 +2,13 @@
 
 // responseMutants holds one mutant for each mechanism that tells which request a response belongs to.
 var responseMutants = []mutant{
+	{
+		guarantee: "a head with the ids of two requests belongs to neither",
+		file:      "client/conn.go",
+		original:  "return id != ids[0]",
+		mutated:   "return id == \"\" && id != ids[0]",
+		pkg:       "client", test: "TestMergedHeads",
+	},
 	{
 		guarantee: "no connection carries two requests with one id",
 		file:      "client/client.go",
