client: chunks with HTTP/1.0 are no body

What callers would see: a 200 whose body is chunks as they were sent, with their sizes, and any part of them as a whole body, framed with its length.

Cause: http.ReadResponse drops the transfer encoding of a response with HTTP/1.0, which has none, and takes the body for one that ends with its connection, or for one of the stated length. Class: a framing that a head states and nobody reads. HTTP asks to treat the framing of such a response as faulty (RFC 9112, 6.1).

Change: the client looks for the header in the head of a response with HTTP/1.0, and takes the response for lost.

HTTP/1.0 without the header works as before (TestCutResponse). net/http's clients, which agents and keepers use, have the same gap with plain services and engines that speak HTTP/1.0 with chunks; it is left open. No such endpoint was seen.

--- a/client/conn.go
+++ b/client/conn.go
@@ -69,6 +69,9 @@
 	reader io.Reader
 	// remaining is the number of bytes that may be read, negative if there is no limit.
 	remaining int
+	// records is set while the bytes read are added to recorded.
+	records  bool
+	recorded []byte
 }
 
 // Read implements io.Reader.
@@ -83,6 +86,9 @@
 	if l.remaining > 0 {
 		l.remaining -= n
 	}
+	if l.records {
+		l.recorded = append(l.recorded, p[:n]...)
+	}
 	return n, err
 }
 
@@ -196,13 +202,46 @@
 	k.limited.remaining = maxHeadBytes
 	defer func() { k.limited.remaining = -1 }()
 	for {
-		response, err := http.ReadResponse(k.reader, &http.Request{Method: method})
+		response, err := k.readOneHead(method)
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
 	}
 }
 
+// protoHTTP10 begins a response with HTTP/1.0.
+const protoHTTP10 = "HTTP/1.0"
+
+// errChunksInHTTP10 means that a response with HTTP/1.0 states an encoding of its body, which shows
+// that its end is not that of its connection (RFC 9112, 6.1).
+var errChunksInHTTP10 = errors.New("the response has a transfer encoding, which HTTP/1.0 lacks")
+
+// readOneHead reads the head of the next response. http.ReadResponse ignores a transfer encoding
+// with HTTP/1.0.
+func (k *conn) readOneHead(method string) (*http.Response, error) {
+	first, err := k.reader.Peek(len(protoHTTP10))
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil, io.ErrUnexpectedEOF
+	case err != nil:
+		return nil, err
+	case string(first) != protoHTTP10:
+		return http.ReadResponse(k.reader, &http.Request{Method: method})
+	}
+	buffered, _ := k.reader.Peek(k.reader.Buffered())
+	k.limited.recorded, k.limited.records = bytes.Clone(buffered), true
+	defer func() { k.limited.recorded, k.limited.records = nil, false }()
+	response, err := http.ReadResponse(k.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	head := k.limited.recorded[:len(k.limited.recorded)-k.reader.Buffered()]
+	if bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")) {
+		return nil, errChunksInHTTP10
+	}
+	return response, nil
+}
+
 // send writes a request. It returns before a large body is written.
 func (k *conn) send(r *Request) error {
 	k.written = make(chan error, 1)
--- a/mutant/response.go
+++ b/mutant/response.go
@@ -2,6 +2,13 @@
 
 // responseMutants holds one mutant for each mechanism that tells which request a response belongs to.
 var responseMutants = []mutant{
+	{
+		guarantee: "chunks with HTTP/1.0 are no body",
+		file:      "client/conn.go",
+		original:  "[]byte(\"\\ntransfer-encoding:\")",
+		mutated:   "[]byte(\"\\nno-encoding:\")",
+		pkg:       "client", test: "TestChunksInHTTP10",
+	},
 	{
 		guarantee: "a head with the ids of two requests belongs to neither",
 		file:      "client/conn.go",
