--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -3,6 +3,13 @@
 // usersPlatformMutants holds one mutant for each mechanism behind a guarantee on the users'
 // platform.
 var usersPlatformMutants = []mutant{
+	{
+		guarantee: "a part of the store's response is no shorter list",
+		file:      "platform/store.go",
+		original:  "client.FramingOf(response) == client.FramedByClose && !json.Valid(data)",
+		mutated:   "client.FramingOf(response) == \"none\"",
+		pkg:       "platform", test: "TestCutStoreResponse",
+	},
 	{
 		guarantee: "an abandoned request resets its connection",
 		file:      "client/conn.go",
@@ -26,9 +33,9 @@
 	},
 	{
 		guarantee: "a truncated response resets a connection with HTTP/1.0",
-		file:      "platform/caller_handler.go",
-		original:  "\t\t_ = tcp.SetLinger(0)\n",
-		mutated:   "\t\t_ = tcp\n",
+		file:      "intake/intake.go",
+		original:  "_ = c.SetLinger(lingerReset)",
+		mutated:   "_ = lingerReset",
 		pkg:       "platform", test: "TestTruncatedStreamHTTP10",
 	},
 	{
