A stopping entry refuses requests that it can't complete

What callers saw: requests that came late in a planned stop of an entry were passed on, and ended at the shutdown timeout: actions with 502 and an unknown outcome, lookups with 504, streams with an error event after a part of their text.

Cause: the entry knew only that it drains, not when it ends, and served whatever its open connections and new connections in the leave delay brought.

Change: Drain gets the time at which the process cancels requests. A request is refused at once, with 503 draining and a Retry-After, if it needs more time than is left: an action its patience, as a cut leaves its outcome unknown; a lookup what lookups of its service take, or the whole-answer target; a stream the first token and the predicted output at the measured pace, or the targets and the largest output. The outcome of a refused action is unknown as long as the ledger was not checked, as for all refusals by an entry. Package fleet serves with package intake, as the processes do, so that its stops cancel requests as theirs.

Evidence: TestStoppedEntryRefusesLateRequests failed before for an action (502, 'the grace period of the shutdown has ended'), a lookup (504 'no answer in time') and a stream (200, cut), each sent 1.1 s before the end. TestStoppedEntryServesWhatItCanComplete guards the other side: 1.5 s before the end what takes less is served.

Why it works: the decision compares the time that is left with what the request needs, not with a share of anything.

--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -78,6 +78,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	service := c.document.Service
+	if refusal := c.refuseBeforeEnd(c.expectedTime()); refusal != nil {
+		c.finish(refusal)
+		return
+	}
 	if !c.startWaiting(service, c.document.Limits.Waiting) {
 		c.finish(fault.New(fault.Overloaded, "%d requests wait already", c.document.Limits.Waiting).WithRetryAfter(c.withJitter(0)))
 		return
@@ -92,6 +96,7 @@
 		err = c.writer.complete(c.assembler, c.tokens)
 	}
 	if err == nil {
+		c.learnDurations()
 		c.finish(nil)
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,8 +56,9 @@
 	affinity        *route.Affinity
 	burn            *burn.Tracker
 	inflightLookups singleflight.Group
-	draining        atomic.Bool
-	tasks           common.Tasks
+	// endsAt is when requests are cancelled as the process stops; nil before the drain.
+	endsAt atomic.Pointer[time.Time]
+	tasks  common.Tasks
 
 	mutex   sync.Mutex
 	random  *rand.Rand
@@ -66,6 +67,8 @@
 	linkLimiters map[ident.ServiceName]*rate.Limiter
 	// waiting counts each service's requests that have no first token yet.
 	waiting map[ident.ServiceName]int
+	// durations holds what was learned of each service's requests.
+	durations map[ident.ServiceName]*durations
 }
 
 // NewEntry returns an entry; Run does its background work.
@@ -85,6 +88,7 @@
 		budgets:      map[ident.ServiceName]*retry.Budget{},
 		linkLimiters: map[ident.ServiceName]*rate.Limiter{},
 		waiting:      map[ident.ServiceName]int{},
+		durations:    map[ident.ServiceName]*durations{},
 	}
 }
 
@@ -98,11 +102,7 @@
 }
 
 // Ready reports whether the load balancer should send requests to this entry.
-func (e *Entry) Ready() bool { return e.docs.Loaded() && e.roster.Loaded() && !e.draining.Load() }
-
-// StartDraining makes the entry unready, so that the load balancer stops
-// sending requests. Requests that still arrive are served.
-func (e *Entry) StartDraining() { e.draining.Store(true) }
+func (e *Entry) Ready() bool { return e.docs.Loaded() && e.roster.Loaded() && !e.draining() }
 
 // BurnHandler serves this process's series for the burn report.
 func (e *Entry) BurnHandler() http.Handler {
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"crocusstep/caller"
+	"crocusstep/conf"
 	"crocusstep/entry"
 	"crocusstep/ident"
 	"crocusstep/memnet"
@@ -78,16 +79,18 @@
 	f.Platform.RemoveInstance(name)
 }
 
-// StopEntry shuts an entry down gracefully; requests that have not ended by the
-// timeout are aborted. The load balancer, which here is the callers' choice from
-// EntryNames, stops sending requests to the entry immediately.
-func (f *Fleet) StopEntry(name ident.InstanceName, timeout time.Duration) {
+// StopEntry shuts an entry down gracefully. The load balancer, which here is the
+// callers' choice from EntryNames, stops sending requests to the entry immediately;
+// callers that keep its address are served until the delay has passed.
+func (f *Fleet) StopEntry(name ident.InstanceName, shutdown conf.Shutdown) {
 	f.mutex.Lock()
 	e := f.entries[name]
 	delete(f.entries, name)
 	f.mutex.Unlock()
-	e.entry.StartDraining()
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	endsAt := time.Now().Add(shutdown.ShutdownDelay.Std() + shutdown.Timeout.Std())
+	e.entry.Drain(endsAt)
+	time.Sleep(shutdown.ShutdownDelay.Std())
+	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
 	_ = e.process.server.Shutdown(ctx)
 	f.kill(e.process)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"crocusstep/docset"
 	"crocusstep/fake"
 	"crocusstep/ident"
+	"crocusstep/intake"
 	"crocusstep/memnet"
 	"crocusstep/meter"
 	"crocusstep/platform"
@@ -80,7 +81,7 @@
 	host   memnet.Host
 	ctx    context.Context
 	cancel context.CancelFunc
-	server *http.Server
+	server *intake.Server
 	done   chan struct{}
 	// onKill is called after the process was killed, unless it is nil.
 	onKill func()
@@ -142,7 +143,7 @@
 }
 
 func (f *Fleet) listen(p *process, address ident.Address, handler http.Handler) {
-	p.server = &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(f.config.Log.Handler(), slog.LevelDebug)}
+	p.server = intake.NewServer(&http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(f.config.Log.Handler(), slog.LevelDebug)})
 	listener := f.Network.Listen(p.host, string(address))
 	go func() {
 		defer close(p.done)
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -13,7 +13,9 @@
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
+	"crocusstep/conf"
 	"crocusstep/ident"
+	"crocusstep/parser"
 )
 
 // maxLeavingDelay bounds how long an endpoint receives new requests after it is marked as
@@ -136,7 +138,7 @@
 		for i, name := range []ident.InstanceName{"e1", "e2"} {
 			assert.NilError(t, f.AddEntry(ident.InstanceName(fmt.Sprint("new", i)), "cascadia-west"))
 			time.Sleep(10 * time.Second)
-			f.StopEntry(name, time.Minute)
+			f.StopEntry(name, conf.Shutdown{Timeout: parser.Duration(time.Minute)})
 		}
 		l.stop()
 		t.Logf("%d chat requests, %d actions, %d lookups", l.chats, l.actions, l.lookups)
--- a/fleet/requests_test.go
+++ b/fleet/requests_test.go
@@ -16,11 +16,16 @@
 
 // newHalvorsen starts the deployment of the example Halvorsen with two entries.
 func newHalvorsen(t *testing.T) *Fleet {
+	t.Helper()
+	return newHalvorsenWith(t, fake.PlainServiceConfig{ExecutionTime: 20 * time.Millisecond, ResponseDelay: 5 * time.Millisecond})
+}
+
+func newHalvorsenWith(t *testing.T, plain fake.PlainServiceConfig) *Fleet {
 	t.Helper()
 	f, err := NewFleet(Config{
 		Platform:     fake.PlatformConfig{Latency: 3 * time.Millisecond, InstanceLag: 4 * time.Second},
 		Engine:       fake.DefaultEngineConfig(nil),
-		PlainService: fake.PlainServiceConfig{ExecutionTime: 20 * time.Millisecond, ResponseDelay: 5 * time.Millisecond},
+		PlainService: plain,
 		Seed:         1,
 
 		RestartDelay: time.Second,
--- a/mutant/main.go
+++ b/mutant/main.go
@@ -53,6 +53,7 @@
 		originMutants,
 		quotaMutants,
 		responseMutants,
+		stopMutants,
 		workspaceMutants,
 	) {
 		if len(os.Args) < 2 || slices.Contains(os.Args[1:], m.pkg) {
--- a/start/agent_command.go
+++ b/start/agent_command.go
@@ -43,7 +43,7 @@
 	drainCtx, cancel := context.WithTimeout(context.Background(), settings.Shutdown.Timeout.Std())
 	defer cancel()
 	a.Drain(drainCtx)
-	p.shutDown(settings.Shutdown.Timeout.Std(), peers, admin)
+	p.shutDown(time.Now().Add(settings.Shutdown.Timeout.Std()), peers, admin)
 	return nil
 }
 
--- a/start/entry_command.go
+++ b/start/entry_command.go
@@ -43,9 +43,10 @@
 	}
 	p.Log.Info("entry is up", "listen", settings.Listen)
 	<-p.stopRequested
-	e.StartDraining()
+	endsAt := time.Now().Add(settings.Shutdown.ShutdownDelay.Std() + settings.Shutdown.Timeout.Std())
+	e.Drain(endsAt)
 	time.Sleep(settings.Shutdown.ShutdownDelay.Std())
-	p.shutDown(settings.Shutdown.Timeout.Std(), callers, admin)
+	p.shutDown(endsAt, callers, admin)
 	return nil
 }
 
--- a/start/process.go
+++ b/start/process.go
@@ -222,10 +222,10 @@
 	return server, p.serve(settings.Listen, server)
 }
 
-// shutDown waits for requests in flight up to the timeout and then closes the
+// shutDown waits for requests in flight until the deadline and then closes the
 // servers.
-func (p *process) shutDown(timeout time.Duration, servers ...*intake.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+func (p *process) shutDown(endsAt time.Time, servers ...*intake.Server) {
+	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
