An entry that cancels requests at its end says what became of them

What callers saw: at the shutdown timeout of an entry a lookup that an endpoint was running was refused with 504 and outcome not-run; a prompt that waited for a prefill got 502 'context canceled' instead of a 503; a stream ended with the error endpoint-failed 'context canceled', as if an endpoint had failed.

Cause: the cancellation by the entry's own server was not told from a caller that has left or a patience that is over.

Change: where the cause of the cancellation is fault.ErrGraceEnded, a call gets 502 with an unknown outcome, and a prompt 503 draining not-run before its prefill, 502 unknown after, answer-cut in mid-stream. Refusals that were known at that moment stay.

Evidence: TestStoppedEntryAnswersCalls failed before (lookup: 504 != 502), TestStoppedEntryAnswersChats too (waiting: 502 endpoint-failed; stream: endpoint-failed). The action held before as well: 502, unknown, one run after a repetition at another entry; the test keeps that.

--- a/entry/call_helper.go
+++ b/entry/call_helper.go
@@ -61,6 +61,14 @@
 		return wire.CallResponse{}, refusal
 	}
 	c.retryBudget(c.document.Service).Deposit(c.document.Retries.BudgetPercent)
+	response, err := c.run(ctx)
+	if err != nil && cancelledAtGraceEnd(ctx, err) {
+		err = fault.NewUnknown(fault.EndpointFailed, "the entry stopped before the response")
+	}
+	return response, err
+}
+
+func (c *callExchange) run(ctx context.Context) (wire.CallResponse, error) {
 	if c.call.Class == spec.Action {
 		return c.runAction(ctx)
 	}
@@ -107,7 +115,7 @@
 		response, _ := result.Val.(wire.CallResponse)
 		return response, result.Err
 	case <-ctx.Done():
-		return wire.CallResponse{}, fault.New(fault.PatienceExceeded, "no answer in time").WithRetryAfter(c.withJitter(0))
+		return wire.CallResponse{}, context.Cause(ctx)
 	}
 }
 
--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -165,6 +165,9 @@
 	if errors.Is(context.Cause(ctx), errFirstTokenTimeout) {
 		return c.withOutcome(fault.New(fault.PatienceExceeded, "no token within %s", c.document.Targets.Patience).WithRetryAfter(c.withJitter(0)))
 	}
+	if cancelledAtGraceEnd(ctx, err) {
+		return c.refusalAtGraceEnd()
+	}
 	refusal := fault.AsRefusal(err)
 	if refusal.Code == fault.Internal {
 		refusal = fault.New(fault.EndpointFailed, "%v", err)
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -42,9 +42,22 @@
 	return fault.New(fault.Draining, "the entry stops").WithRetryAfter(e.withJitter(0))
 }
 
-// isGraceEnded reports whether the entry itself has cancelled a request, as its process stops.
-func isGraceEnded(ctx context.Context) bool {
-	return errors.Is(context.Cause(ctx), fault.ErrGraceEnded)
+// cancelledAtGraceEnd reports whether a request failed because its process stops, rather than by
+// a refusal.
+func cancelledAtGraceEnd(ctx context.Context, err error) bool {
+	return errors.Is(context.Cause(ctx), fault.ErrGraceEnded) && fault.AsRefusal(err).Code == fault.Internal
+}
+
+// refusalAtGraceEnd returns the refusal of a request that the entry itself has cancelled.
+func (c *chatExchange) refusalAtGraceEnd() *fault.Refusal {
+	refusal := fault.New(fault.Draining, "the entry stopped before the request was sent")
+	switch {
+	case c.assembler.Next() > 0:
+		refusal = fault.NewUnknown(fault.ResponseTruncated, "the entry stopped before the end of the response")
+	case c.prefillStarted:
+		refusal = fault.NewUnknown(fault.EndpointFailed, "the entry stopped before the response")
+	}
+	return refusal.WithRetryAfter(c.withJitter(0))
 }
 
 // learn passes the durations of a service to a function, which may change them.
--- a/fleet/stop_test.go
+++ b/fleet/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,91 @@
 	return result
 }
 
+// TestStoppedEntryAnswersCalls guards against responses at the shutdown timeout of an entry that
+// claim that a call has not run, and against an action that runs again when it is repeated.
+func TestStoppedEntryAnswersCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSlowHalvorsen(t, 5*time.Second)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		var action, lookup caller.CallResult
+		tasks.Go(func() { action = renew(t, f, "e1", "7") })
+		tasks.Go(func() {
+			var err error
+			lookup, err = f.Caller("e1").Call(context.Background(), "renewal-desk", http.MethodGet, "/permits/7/status", "", "")
+			assert.Check(t, err, "the lookup has no response")
+		})
+		time.Sleep(time.Second)
+		f.StopEntry("e1", shutdownAfter(0, time.Second))
+		tasks.Wait()
+		for name, result := range map[string]caller.CallResult{"action": action, "lookup": lookup} {
+			assert.Assert(t, result.Problem != nil, "%s", name)
+			assert.Equal(t, result.Status, http.StatusBadGateway, "%s: %s", name, result.Problem.Detail)
+			assert.Equal(t, result.Problem.Outcome, fault.Unknown, "%s", name)
+		}
+		repeated := renew(t, f, "e2", "7")
+		assert.Equal(t, repeated.Status, http.StatusCreated, "%+v", repeated.Problem)
+		assert.Equal(t, len(actionRuns(f)), 1)
+	})
+}
+
+// actionRuns returns the actions that endpoints have executed.
+func actionRuns(f *Fleet) []fake.Run {
+	var runs []fake.Run
+	for _, e := range f.Endpoints("renewal-desk") {
+		for _, run := range e.PlainService.Runs() {
+			if run.Method == http.MethodPost {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+// TestStoppedEntryAnswersChats guards against responses at the shutdown timeout of an entry that
+// don't tell a prompt that waited from one that has run and from a stream that is cut.
+func TestStoppedEntryAnswersChats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		results := map[string]*caller.ChatResult{}
+		send := func(name, prompt string) {
+			result := &caller.ChatResult{}
+			results[name] = result
+			tasks.Go(func() {
+				var err error
+				*result, err = f.Caller("e1").Chat(context.Background(), "packet-reading", prompt, true)
+				assert.Check(t, err, "%s has no response", name)
+			})
+		}
+		send("stream", "a packet length=400")
+		awaitDecode(f)
+		// Both prefill endpoints are busy for almost 3 s.
+		send("prefill 1", strings.Repeat("a ", 29_000))
+		send("prefill 2", strings.Repeat("b ", 29_000))
+		time.Sleep(500 * time.Millisecond)
+		send("waiting", "a packet")
+		time.Sleep(500 * time.Millisecond)
+		f.StopEntry("e1", shutdownAfter(0, 500*time.Millisecond))
+		tasks.Wait()
+		expected := map[string]fault.Problem{
+			"stream":    {Status: http.StatusBadGateway, Code: fault.ResponseTruncated, Outcome: fault.Unknown},
+			"prefill 1": {Status: http.StatusBadGateway, Code: fault.EndpointFailed, Outcome: fault.Unknown},
+			"prefill 2": {Status: http.StatusBadGateway, Code: fault.EndpointFailed, Outcome: fault.Unknown},
+			"waiting":   {Status: http.StatusServiceUnavailable, Code: fault.Draining, Outcome: fault.NotExecuted},
+		}
+		for name, want := range expected {
+			got := results[name].Problem
+			assert.Check(t, got != nil && !results[name].Complete, "%s: %+v", name, results[name])
+			if got != nil {
+				assert.Check(t, got.Status == want.Status && got.Code == want.Code && got.Outcome == want.Outcome, "%s: %+v", name, got)
+			}
+		}
+		assert.Assert(t, results["waiting"].Problem.RetryAfterSeconds > 0)
+	})
+}
+
 // TestStoppedEntryRefusesLateRequests guards against requests that a stopping entry passes on
 // though it can't complete them before its shutdown timeout.
 func TestStoppedEntryRefusesLateRequests(t *testing.T) {
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -9,6 +9,20 @@
 		mutated:   "true",
 		pkg:       "fleet", test: "TestStoppedEntryRefusesLateRequests",
 	},
+	{
+		guarantee: "a call that an entry cancels at its end may have run",
+		file:      "entry/call_helper.go",
+		original:  "if err != nil && cancelledAtGraceEnd(ctx, err) {",
+		mutated:   "if false {",
+		pkg:       "fleet", test: "TestStoppedEntryAnswersCalls",
+	},
+	{
+		guarantee: "a prompt that an entry cancels at its end before the prefill has not run",
+		file:      "entry/chat_helper.go",
+		original:  "if cancelledAtGraceEnd(ctx, err) {",
+		mutated:   "if false {",
+		pkg:       "fleet", test: "TestStoppedEntryAnswersChats",
+	},
 	{
 		guarantee: "a stopping entry goes by how long requests of the service take",
 		file:      "entry/drain.go",
