Chats go on elsewhere if their agent ends them at its shutdown timeout

What callers saw: a stream that was under way at the shutdown timeout of its agent ended with the error 'cancelled' (499), although a killed agent's streams go on at other endpoints.

Cause: the agent took the cancellation by its own server for an entry that has left, and told the entry 'cancelled', which no entry retries.

Change: a step of a chat that the agent itself has cancelled is refused as draining, which entries retry.

A prefill and prompts that wait for a slot (TestStoppedAgentHandsWaitersOver) were handed over before as well; the tests keep that.

Why it works: the cause of the cancellation tells the process's end from a closed connection; the engine is told to cancel before the refusal is sent, so that no two engines work on the stream.

--- a/agent/controller.go
+++ b/agent/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -56,12 +57,12 @@
 
 func (a *Agent) serveReservePrefill(w http.ResponseWriter, r *http.Request, request wire.ReservePrefillRequest) {
 	err := a.reservePrefill(r.Context(), request)
-	writeJSON(w, wire.Response{Load: a.load(), Fault: refusalOf(err)})
+	writeJSON(w, wire.Response{Load: a.load(), Fault: a.chatRefusal(r.Context(), err)})
 }
 
 func (a *Agent) serveReserveDecode(w http.ResponseWriter, r *http.Request, request wire.ReserveDecodeRequest) {
 	err := a.reserveDecode(r.Context(), request)
-	writeJSON(w, wire.Response{Load: a.load(), Fault: refusalOf(err)})
+	writeJSON(w, wire.Response{Load: a.load(), Fault: a.chatRefusal(r.Context(), err)})
 }
 
 func (a *Agent) serveRelease(w http.ResponseWriter, _ *http.Request, request wire.ReleaseRequest) {
@@ -73,7 +74,7 @@
 	result, err := a.prefill(r.Context(), request)
 	writeJSON(w, wire.PrefillResponse{
 		Load:   a.load(),
-		Fault:  refusalOf(err),
+		Fault:  a.chatRefusal(r.Context(), err),
 		Source: a.config.EndpointAddress,
 		Result: result,
 	})
@@ -109,11 +110,20 @@
 		Request: request.Info.Request,
 		Attempt: request.Info.Attempt,
 		Kind:    wire.FaultFrame,
-		Fault:   refusalOf(err),
+		Fault:   a.chatRefusal(r.Context(), err),
 		Load:    &load,
 	})
 }
 
+// chatRefusal converts an error of a step of a chat. If the agent itself has cancelled it, as its
+// process stops, the entry goes on at another endpoint.
+func (a *Agent) chatRefusal(ctx context.Context, err error) *fault.Refusal {
+	if err != nil && errors.Is(context.Cause(ctx), fault.ErrGraceEnded) {
+		return a.drainingRefusal()
+	}
+	return refusalOf(err)
+}
+
 func refusalOf(err error) *fault.Refusal {
 	if err == nil {
 		return nil
--- a/fleet/stop_test.go
+++ b/fleet/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -39,6 +40,71 @@
 	return result
 }
 
+// TestStoppedAgentHandsChatsOver guards against a planned stop of an agent that ends chats at the
+// shutdown timeout, though another endpoint could go on.
+func TestStoppedAgentHandsChatsOver(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		prompt   string
+		// working waits until an endpoint works on the prompt and returns its name.
+		working func(f *Fleet) ident.EndpointName
+	}{
+		{"decode", "a packet length=400", func(f *Fleet) ident.EndpointName { return awaitDecode(f).Name }},
+		{"prefill", strings.Repeat("a ", 29_000), func(f *Fleet) ident.EndpointName {
+			time.Sleep(500 * time.Millisecond)
+			for _, e := range f.Endpoints("reading-prefill") {
+				if len(e.Engine().Requests()) > 0 {
+					return e.Name
+				}
+			}
+			return ""
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHalvorsen(t)
+				defer f.Close()
+				var tasks conc.WaitGroup
+				tasks.Go(func() {
+					_, err := sendChat(f, "e1", s.prompt)
+					assert.Check(t, err)
+				})
+				f.StopAgent(s.working(f), time.Second)
+				tasks.Wait()
+			})
+		})
+	}
+}
+
+// TestStoppedAgentHandsWaitersOver guards against prompts that end at the shutdown timeout of the
+// agent at which they wait, as if their callers had left.
+func TestStoppedAgentHandsWaitersOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		send := func(prompt string) {
+			tasks.Go(func() {
+				chat, err := f.Caller("e1").Chat(context.Background(), "packet-reading", prompt, true)
+				assert.Check(t, err)
+				// A prompt that can't meet its target at the other endpoint is refused as such.
+				assert.Check(t, chat.Problem == nil || chat.Problem.Code == fault.TargetUnreachable, "%+v", chat.Problem)
+			})
+		}
+		for _, word := range []string{"a ", "b "} {
+			send(strings.Repeat(word, 29_000))
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i := range 4 {
+			send(fmt.Sprint("packet ", i))
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.StopAgent("p1", 500*time.Millisecond)
+		tasks.Wait()
+	})
+}
+
 // TestStoppedEntryAnswersCalls guards against responses at the shutdown timeout of an entry that
 // claim that a call has not run, and against an action that runs again when it is repeated.
 func TestStoppedEntryAnswersCalls(t *testing.T) {
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -23,6 +23,13 @@
 		mutated:   "if false {",
 		pkg:       "fleet", test: "TestStoppedEntryAnswersChats",
 	},
+	{
+		guarantee: "a stream goes on elsewhere if its agent ends it at the shutdown timeout",
+		file:      "agent/controller.go",
+		original:  "if err != nil && errors.Is(context.Cause(ctx), fault.ErrGraceEnded) {",
+		mutated:   "if false {",
+		pkg:       "fleet", test: "TestStoppedAgentHandsChatsOver",
+	},
 	{
 		guarantee: "a stopping entry goes by how long requests of the service take",
 		file:      "entry/drain.go",
