An agent that stops ends at its shutdown timeout

What callers saw: a planned stop of an agent took shutdown.timeout twice while a call was under way, and with an action under way up to the service's patience more. A platform that kills after the timeout then ends the process in the middle of responses, and what the agent waited for in the end was of no use: it could no longer record it.

Cause: Drain and the shutdown of the servers had a timeout each, and the run of an action, which is detached from its caller, outlived the writers of the ledger, for which the end of the process waits.

Change: one deadline for both, and a run ends with its ledger. Its record stays 'started', so that a repetition gets an unknown outcome.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -148,7 +148,11 @@
 		Store:           f.Store(p.host),
 		Keyring:         f.keyring,
 	})
-	go a.Run()
+	p.tasksDone = make(chan struct{})
+	go func() {
+		defer close(p.tasksDone)
+		a.Run()
+	}()
 	f.listen(p, agentAddress(e.Name), a.Handler())
 	e.mutex.Lock()
 	e.agent = a
@@ -198,8 +202,8 @@
 	f.Platform.SetInstance(f.instance(f.endpoints[name], store.Leaving))
 }
 
-// StopAgent drains an agent and shuts it down. Requests that have not ended by the
-// timeout are aborted.
+// StopAgent drains an agent and shuts it down, as its process does at a signal. Requests
+// that have not ended by the timeout are aborted. It returns when the process has ended.
 func (f *Fleet) StopAgent(name ident.EndpointName, timeout time.Duration) {
 	e := f.endpoints[name]
 	f.MarkLeaving(name)
@@ -208,6 +212,8 @@
 	p, _ := e.processes()
 	e.Agent().Drain(ctx)
 	_ = p.server.Shutdown(ctx)
+	p.cancel()
+	<-p.tasksDone
 	f.kill(p)
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -83,6 +83,8 @@
 	cancel context.CancelFunc
 	server *intake.Server
 	done   chan struct{}
+	// tasksDone is closed when the background work has ended, unless it is nil.
+	tasksDone chan struct{}
 	// onKill is called after the process was killed, unless it is nil.
 	onKill func()
 }
--- a/fleet/stop_test.go
+++ b/fleet/stop_test.go
@@ -105,6 +105,35 @@
 	})
 }
 
+// TestStoppedAgentEndsInTime guards against an agent that waits for an action beyond its shutdown
+// timeout, when it can neither answer nor record it any more.
+func TestStoppedAgentEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSlowHalvorsen(t, 8*time.Second)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		tasks.Go(func() {
+			result := renew(t, f, "e1", "7")
+			assert.Check(t, result.Problem != nil && result.Problem.Outcome == fault.Unknown, "%+v", result)
+		})
+		time.Sleep(500 * time.Millisecond)
+		for _, e := range f.Endpoints("renewal-desk") {
+			if e.Agent().InFlight() == 0 {
+				continue
+			}
+			began := time.Now()
+			f.StopAgent(e.Name, time.Second)
+			assert.Assert(t, time.Since(began) < 2*time.Second, "the agent took %s to stop", time.Since(began))
+		}
+		tasks.Wait()
+		result := renew(t, f, "e1", "7")
+		assert.Assert(t, result.Problem != nil && result.Problem.Outcome == fault.Unknown, "%+v", result)
+		// The service executes the call though its caller has left.
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, len(actionRuns(f)), 1)
+	})
+}
+
 // TestStoppedEntryAnswersCalls guards against responses at the shutdown timeout of an entry that
 // claim that a call has not run, and against an action that runs again when it is repeated.
 func TestStoppedEntryAnswersCalls(t *testing.T) {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -131,7 +131,8 @@
 	}
 	if first {
 		// The run is detached from the caller's context, so that an action is
-		// completed even if its caller disconnects.
+		// completed even if its caller disconnects. It ends with the ledger, which
+		// could not record its response any more.
 		if !l.tasks.Go(func() { l.execute(context.WithoutCancel(ctx), e, action, call) }) {
 			return result, fault.NewUnknown(fault.Draining, "the agent is shutting down").WithRetryAfter(unavailableRetryAfter)
 		}
@@ -159,6 +160,9 @@
 }
 
 func (l *Ledger) execute(ctx context.Context, e *execution, action Action, call CallFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(l.ctx, cancel)()
 	e.result, e.err = l.startAndCall(ctx, action, call)
 	l.mutex.Lock()
 	delete(l.running, actionKey{service: action.Service, key: action.Key})
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -30,6 +30,20 @@
 		mutated:   "if false {",
 		pkg:       "fleet", test: "TestStoppedAgentHandsChatsOver",
 	},
+	{
+		guarantee: "an agent waits for no action beyond its shutdown timeout",
+		file:      "ledger/ledger.go",
+		original:  "\tdefer context.AfterFunc(l.ctx, cancel)()\n",
+		mutated:   "",
+		pkg:       "fleet", test: "TestStoppedAgentEndsInTime",
+	},
+	{
+		guarantee: "an agent takes its shutdown timeout once",
+		file:      "start/agent_command.go",
+		original:  "p.shutDown(endsAt, peers, admin)",
+		mutated:   "p.shutDown(time.Now().Add(settings.Shutdown.Timeout.Std()), peers, admin)",
+		pkg:       "start", test: "TestAgentStopEndsInTime",
+	},
 	{
 		guarantee: "a stopping entry goes by how long requests of the service take",
 		file:      "entry/drain.go",
--- a/start/agent_command.go
+++ b/start/agent_command.go
@@ -40,10 +40,11 @@
 	}
 	p.Log.Info("agent is up", "endpoint", settings.Endpoint, "listen", settings.Listen)
 	<-p.stopRequested
-	drainCtx, cancel := context.WithTimeout(context.Background(), settings.Shutdown.Timeout.Std())
+	endsAt := time.Now().Add(settings.Shutdown.Timeout.Std())
+	drainCtx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
 	a.Drain(drainCtx)
-	p.shutDown(time.Now().Add(settings.Shutdown.Timeout.Std()), peers, admin)
+	p.shutDown(endsAt, peers, admin)
 	return nil
 }
 
