An agent that stops records what became of its actions

What callers saw: an action whose response reached its agent just after the shutdown timeout had an unknown outcome for good, though the agent had the response. Actions that waited for a slot at that time never ran, and could not be repeated: their records said that they may have run (409 action-in-progress, then action-outcome-unknown).

Cause: the writers of the ledger ended with the process, before the responses and the removals of the records of calls that were not sent.

Change: after the end of the requests no call starts any more, and the ledger has 0.5 s to record the actions that end in it, and to remove the records of those that waited.

Evidence: TestStoppedAgentRecordsActions failed before (409 where the recorded response is due).

Why it works: the requests have their responses by then (an unknown outcome), so nothing waits for the records but the process; a repetition at another agent reads them.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -81,6 +81,9 @@
 	down  atomic.Bool
 	tasks common.Tasks
 	ctx   context.Context
+	// starts ends when no call may start any more; stopStarts ends it.
+	starts     context.Context
+	stopStarts context.CancelFunc
 }
 
 // NewAgent returns an agent whose background work stops when the context ends.
@@ -106,6 +109,7 @@
 		active:       attempts{ids: map[ident.AttemptID]bool{}},
 		ctx:          ctx,
 	}
+	a.starts, a.stopStarts = context.WithCancel(ctx)
 	a.calls = newCallLimiters()
 	a.registrar = roster.NewRegistrar(c, config.Store, store.Instance{
 		Name:     config.Instance,
@@ -145,6 +149,19 @@
 	a.ledger.Flush(ctx)
 }
 
+// recordTime is how long actions that are in progress at the end of a shutdown have for their
+// responses and records.
+const recordTime = 500 * time.Millisecond
+
+// EndActions records the actions that end soon, after the end of the requests. Those that wait
+// for a slot don't start.
+func (a *Agent) EndActions() {
+	a.stopStarts()
+	ctx, cancel := context.WithTimeout(a.ctx, recordTime)
+	defer cancel()
+	a.ledger.Flush(ctx)
+}
+
 // Draining reports whether the agent refuses new work.
 func (a *Agent) Draining() bool { return a.draining.Load() }
 
--- a/agent/call_helper.go
+++ b/agent/call_helper.go
@@ -12,6 +12,7 @@
 
 	"crocusstep/fault"
 	"crocusstep/ledger"
+	"crocusstep/queue"
 	"crocusstep/spec"
 	"crocusstep/store"
 	"crocusstep/wire"
@@ -79,7 +80,7 @@
 func (a *Agent) callWithLimit(ctx context.Context, request wire.CallRequest, token store.Version) (wire.CallResponse, error) {
 	l := a.calls.limiter(callKey{service: request.Info.Service, class: request.Class}, request.Limit)
 	waiter := newWaiter(request.Info, 1)
-	if err := l.Acquire(ctx, waiter, request.MaxWait, request.MaxWait+time.Second); err != nil {
+	if err := a.awaitSlot(ctx, l, waiter, request.MaxWait); err != nil {
 		return wire.CallResponse{}, errors.Join(ledger.ErrNotSent, err)
 	}
 	l.Confirm(waiter.Attempt)
@@ -89,6 +90,14 @@
 	return a.send(ctx, request, token)
 }
 
+// awaitSlot waits for a slot as long as calls may start.
+func (a *Agent) awaitSlot(ctx context.Context, l *queue.Limiter, waiter queue.Waiter, maxWait time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(a.starts, cancel)()
+	return l.Acquire(ctx, waiter, maxWait, maxWait+time.Second)
+}
+
 func (a *Agent) send(ctx context.Context, call wire.CallRequest, token store.Version) (result wire.CallResponse, err error) {
 	url := "http://" + string(a.config.EndpointAddress) + call.Path
 	request, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
--- a/fleet/stop_test.go
+++ b/fleet/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -134,6 +135,63 @@
 	})
 }
 
+// TestStoppedAgentRecordsActions guards against an action whose response reaches its agent just
+// after the shutdown timeout, and whose outcome stays unknown.
+func TestStoppedAgentRecordsActions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSlowHalvorsen(t, 2*time.Second)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		tasks.Go(func() { renew(t, f, "e1", "7") })
+		time.Sleep(800 * time.Millisecond)
+		for _, e := range f.Endpoints("renewal-desk") {
+			if e.Agent().InFlight() > 0 {
+				f.StopAgent(e.Name, time.Second)
+			}
+		}
+		tasks.Wait()
+		result := renew(t, f, "e1", "7")
+		assert.Equal(t, result.Status, http.StatusCreated, "%+v", result.Problem)
+		assert.Assert(t, result.Replayed)
+		assert.Equal(t, len(actionRuns(f)), 1)
+	})
+}
+
+// TestStoppedAgentForgetsWaitingActions guards against actions that waited for a slot of an agent
+// at its shutdown timeout, never ran, and can't be repeated as their records say that they may
+// have.
+func TestStoppedAgentForgetsWaitingActions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 90
+		f := newSlowHalvorsen(t, 8*time.Second)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		for i := range count {
+			tasks.Go(func() { renew(t, f, "e1", strconv.Itoa(i)) })
+		}
+		time.Sleep(500 * time.Millisecond)
+		assert.Assert(t, f.Endpoint("r2").Agent().InFlight() > 16, "no action waits")
+		f.StopAgent("r2", time.Second)
+		tasks.Wait()
+		// Each round fits the 16 slots of the two other agents.
+		for i := range count {
+			if i%8 == 0 {
+				tasks.Wait()
+			}
+			tasks.Go(func() { renew(t, f, "e1", strconv.Itoa(i)) })
+		}
+		tasks.Wait()
+		runs := map[string]int{}
+		for _, run := range actionRuns(f) {
+			runs[run.Body]++
+		}
+		assert.Equal(t, len(runs), count, "actions that had waited did not run when they were repeated")
+		for body, n := range runs {
+			assert.Equal(t, n, 1, "%s", body)
+		}
+	})
+}
+
 // TestStoppedEntryAnswersCalls guards against responses at the shutdown timeout of an entry that
 // claim that a call has not run, and against an action that runs again when it is repeated.
 func TestStoppedEntryAnswersCalls(t *testing.T) {
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -44,6 +44,20 @@
 		mutated:   "p.shutDown(time.Now().Add(settings.Shutdown.Timeout.Std()), peers, admin)",
 		pkg:       "start", test: "TestAgentStopEndsInTime",
 	},
+	{
+		guarantee: "an agent records the actions that end soon after its shutdown timeout",
+		file:      "agent/agent.go",
+		original:  "\tctx, cancel := context.WithTimeout(a.ctx, recordTime)",
+		mutated:   "\tctx, cancel := context.WithTimeout(a.ctx, 0)",
+		pkg:       "fleet", test: "TestStoppedAgentRecordsActions",
+	},
+	{
+		guarantee: "actions that wait at an agent's shutdown timeout are as if never sent",
+		file:      "agent/agent.go",
+		original:  "\ta.stopStarts()\n",
+		mutated:   "",
+		pkg:       "fleet", test: "TestStoppedAgentForgetsWaitingActions",
+	},
 	{
 		guarantee: "a stopping entry goes by how long requests of the service take",
 		file:      "entry/drain.go",
--- a/start/agent_command.go
+++ b/start/agent_command.go
@@ -45,6 +45,7 @@
 	defer cancel()
 	a.Drain(drainCtx)
 	p.shutDown(endsAt, peers, admin)
+	a.EndActions()
 	return nil
 }
 
