A lost response to a reservation is no crash by its prompt

What callers saw: a prompt was suspected, and after three times blocked (422 request-blocked), as agents closed the kept connections on which entries asked for a slot for it; agents that stop or restart do so.

Cause: any response of an agent that is lost counted as a crash by the prompt, though a reservation carries none.

Change: a failed reservation excludes the endpoint from the request, as before, and counts no crash.

Evidence: TestLostReservationIsNoCrash failed before (crashedEndpoint 'e1' after a connection that closed without a response). TestPoisonRequest holds: prompts that crash engines are still stopped.

Why it works: an engine runs a prompt only from the prefill on.

--- a/entry/chat_reserve.go
+++ b/entry/chat_reserve.go
@@ -142,7 +142,7 @@
 		info.Deadline = c.prefillDeadline(m)
 		done := c.roster.TrackRequest(m.Instance.Endpoint, c.tokens)
 		response, err := wire.Call[wire.Response](ctx, c.config.Peers, m.Instance.Address, wire.ReservePrefillPath, wire.ReservePrefillRequest{Info: info, Tokens: c.tokens})
-		err = c.checkResponse(ctx, m, response.Load, response.Fault, err)
+		err = c.checkReservation(ctx, m, response, err)
 		if err == nil {
 			r.prefill = m
 			r.prefillDone = done
@@ -207,6 +207,16 @@
 		MaxWait:     maxWait,
 		HoldTimeout: holdTimeout,
 	})
+	return c.checkReservation(ctx, m, response, err)
+}
+
+// checkReservation is checkResponse for a reservation: no prompt was sent, so none has crashed
+// the endpoint.
+func (c *chatExchange) checkReservation(ctx context.Context, m roster.Member, response wire.Response, err error) error {
+	if err != nil && ctx.Err() == nil {
+		c.recordFailure(m, false)
+		return err
+	}
 	return c.checkResponse(ctx, m, response.Load, response.Fault, err)
 }
 
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -58,6 +58,13 @@
 		mutated:   "",
 		pkg:       "fleet", test: "TestStoppedAgentForgetsWaitingActions",
 	},
+	{
+		guarantee: "a lost reservation does not count as a crash by its prompt",
+		file:      "entry/chat_reserve.go",
+		original:  "c.recordFailure(m, false)",
+		mutated:   "c.recordFailure(m, true)",
+		pkg:       "entry", test: "TestLostReservationIsNoCrash",
+	},
 	{
 		guarantee: "a stopping entry goes by how long requests of the service take",
 		file:      "entry/drain.go",
