A lookup whose response was lost is not refused as not run

What callers saw: a lookup whose agent closed the connection, or did not respond within the patience, was refused with outcome not-run (502, 504), though an endpoint may have run it.

Cause: an error without an outcome of its own became a refusal of work that was not executed; only actions were corrected. The last of several attempts decided, whatever had become of the ones before.

Change: the outcome is not-run only if no attempt can have run: the agent was not reached, or said so.

Evidence: TestLostLookupMayHaveRun failed before ('not-run' != 'unknown').

--- a/entry/call_helper.go
+++ b/entry/call_helper.go
@@ -130,6 +130,7 @@
 func (c *callExchange) runLookup(ctx context.Context) (wire.CallResponse, error) {
 	ranked := route.RankLookup(c.eligibleMembers(), c.newRand())
 	var failure error = fault.New(fault.NoEndpoint, "the pool has no endpoint").WithRetryAfter(time.Second)
+	mayHaveRun := false
 	for i, m := range ranked[:min(c.document.Retries.Attempts, len(ranked))] {
 		if i > 0 && !c.retryBudget(c.document.Service).TryAcquire() {
 			break
@@ -139,13 +140,24 @@
 			return response, nil
 		}
 		failure = err
+		mayHaveRun = mayHaveRun || !neverRan(err)
 		if ctx.Err() != nil {
 			break
 		}
 	}
+	if mayHaveRun && neverRan(failure) {
+		adjusted := *c.refusalFor(failure)
+		adjusted.Outcome = fault.Unknown
+		failure = &adjusted
+	}
 	return wire.CallResponse{}, failure
 }
 
+// neverRan reports whether the failure of a call shows that it has not run.
+func neverRan(err error) bool {
+	return errors.Is(err, wire.ErrNotSent) || fault.AsRefusal(err).Outcome == fault.NotExecuted
+}
+
 func (c *callExchange) callAgent(ctx context.Context, m roster.Member, limit int) (wire.CallResponse, error) {
 	endpoint := m.Instance.Endpoint
 	done := c.roster.TrackRequest(endpoint, 0)
@@ -221,10 +233,13 @@
 func (c *callExchange) refusalFor(err error) *fault.Refusal {
 	refusal := fault.AsRefusal(err)
 	if refusal.Code == fault.Internal {
-		refusal = fault.New(fault.EndpointFailed, "%v", err)
+		refusal = fault.NewUnknown(fault.EndpointFailed, "%v", err)
+		if neverRan(err) {
+			refusal.Outcome = fault.NotExecuted
+		}
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
-		refusal = fault.New(fault.PatienceExceeded, "no answer within %s", c.document.Targets.Patience)
+		refusal = fault.NewUnknown(fault.PatienceExceeded, "no answer within %s", c.document.Targets.Patience)
 	}
 	adjusted := refusal.WithRetryAfter(max(refusal.RetryAfter, c.withJitter(0)))
 	if refusal.Code == fault.KeyReused || refusal.Code == fault.ActionUnknown {
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -65,6 +65,13 @@
 		mutated:   "c.recordFailure(m, true)",
 		pkg:       "entry", test: "TestLostReservationIsNoCrash",
 	},
+	{
+		guarantee: "a lookup whose response was lost may have run",
+		file:      "entry/call_helper.go",
+		original:  "refusal = fault.NewUnknown(fault.EndpointFailed, \"%v\", err)",
+		mutated:   "refusal = fault.New(fault.EndpointFailed, \"%v\", err)",
+		pkg:       "entry", test: "TestLostLookupMayHaveRun",
+	},
 	{
 		guarantee: "a stopping entry goes by how long requests of the service take",
 		file:      "entry/drain.go",
