No transport sends a call once more

What would be seen: an action that runs twice, as net/http resends requests that bear an idempotency key when a kept connection closes before the response, and the agent sets that header. GetBody is nil, which prevents it for calls with a body only. It can't happen: each call has a connection of its own, for another reason so far; the comment and a mutant now say so. Requests of entries to agents are POSTs with a body without GetBody and without the header.

--- a/agent/call_helper.go
+++ b/agent/call_helper.go
@@ -115,7 +115,8 @@
 		request.Header.Set("Idempotency-Key", string(call.Key))
 	}
 	request.Header.Set("X-Request-Id", string(call.Info.Request))
-	// No id tells the response from a copy of an earlier one on the connection.
+	// No id tells the response from a copy of an earlier one on the connection, and the transport
+	// sends a call with a key and no body once more if a kept connection closes.
 	request.Close = true
 	response, err := a.config.HTTP.Do(request)
 	if err != nil {
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -72,6 +72,13 @@
 		mutated:   "refusal = fault.New(fault.EndpointFailed, \"%v\", err)",
 		pkg:       "entry", test: "TestLostLookupMayHaveRun",
 	},
+	{
+		guarantee: "the transport resends no action",
+		file:      "agent/call_helper.go",
+		original:  "request.Close = true",
+		mutated:   "request.Close = false",
+		pkg:       "agent", test: "TestActionIsNotResent",
+	},
 	{
 		guarantee: "a stopping entry goes by how long requests of the service take",
 		file:      "entry/drain.go",
