--- a/entry/call_helper.go
+++ b/entry/call_helper.go
@@ -57,7 +57,18 @@
 func (c *callExchange) serve(ctx context.Context) (wire.CallResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.document.Targets.Patience.Std())
 	defer cancel()
+	if refusal := c.refuseBeforeEnd(c.expectedTime()); refusal != nil {
+		return wire.CallResponse{}, refusal
+	}
 	c.retryBudget(c.document.Service).Deposit(c.document.Retries.BudgetPercent)
+	response, err := c.run(ctx)
+	if err != nil && cancelledAtGraceEnd(ctx, err) {
+		err = fault.NewUnknown(fault.EndpointFailed, "the entry stopped before the response")
+	}
+	return response, err
+}
+
+func (c *callExchange) run(ctx context.Context) (wire.CallResponse, error) {
 	if c.call.Class == spec.Action {
 		return c.runAction(ctx)
 	}
@@ -104,7 +115,7 @@
 		response, _ := result.Val.(wire.CallResponse)
 		return response, result.Err
 	case <-ctx.Done():
-		return wire.CallResponse{}, fault.New(fault.PatienceExceeded, "no answer in time").WithRetryAfter(c.withJitter(0))
+		return wire.CallResponse{}, context.Cause(ctx)
 	}
 }
 
@@ -119,6 +130,7 @@
 func (c *callExchange) runLookup(ctx context.Context) (wire.CallResponse, error) {
 	ranked := route.RankLookup(c.eligibleMembers(), c.newRand())
 	var failure error = fault.New(fault.NoEndpoint, "the pool has no endpoint").WithRetryAfter(time.Second)
+	mayHaveRun := false
 	for i, m := range ranked[:min(c.document.Retries.Attempts, len(ranked))] {
 		if i > 0 && !c.retryBudget(c.document.Service).TryAcquire() {
 			break
@@ -128,13 +140,24 @@
 			return response, nil
 		}
 		failure = err
+		mayHaveRun = mayHaveRun || !neverRan(err)
 		if ctx.Err() != nil {
 			break
 		}
 	}
+	if mayHaveRun && neverRan(failure) {
+		adjusted := *c.refusalFor(failure)
+		adjusted.Outcome = fault.Unknown
+		failure = &adjusted
+	}
 	return wire.CallResponse{}, failure
 }
 
+// neverRan reports whether the failure of a call shows that it has not run.
+func neverRan(err error) bool {
+	return errors.Is(err, wire.ErrNotSent) || fault.AsRefusal(err).Outcome == fault.NotExecuted
+}
+
 func (c *callExchange) callAgent(ctx context.Context, m roster.Member, limit int) (wire.CallResponse, error) {
 	endpoint := m.Instance.Endpoint
 	done := c.roster.TrackRequest(endpoint, 0)
@@ -210,10 +233,13 @@
 func (c *callExchange) refusalFor(err error) *fault.Refusal {
 	refusal := fault.AsRefusal(err)
 	if refusal.Code == fault.Internal {
-		refusal = fault.New(fault.EndpointFailed, "%v", err)
+		refusal = fault.NewUnknown(fault.EndpointFailed, "%v", err)
+		if neverRan(err) {
+			refusal.Outcome = fault.NotExecuted
+		}
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
-		refusal = fault.New(fault.PatienceExceeded, "no answer within %s", c.document.Targets.Patience)
+		refusal = fault.NewUnknown(fault.PatienceExceeded, "no answer within %s", c.document.Targets.Patience)
 	}
 	adjusted := refusal.WithRetryAfter(max(refusal.RetryAfter, c.withJitter(0)))
 	if refusal.Code == fault.KeyReused || refusal.Code == fault.ActionUnknown {
@@ -234,6 +260,9 @@
 	if within {
 		sample.WithinTarget = 1
 	}
+	if err == nil && c.call.Class == spec.Lookup {
+		c.learn(c.document.Service, func(d *durations) { d.lookup.Add(elapsed.Seconds(), time.Now()) })
+	}
 	if err != nil {
 		outcome = string(c.refusalFor(err).Code)
 	}
