relay: another response behind a broken stream is no part of it

Callers of a stream could find the status line, the head and the text of an error in the middle of their events, and the stream ended as if it were complete where that error's text filled the rest of a length or ended with the connection.

Cause: an endpoint, or a proxy before it, that breaks off in the middle of a body whose end is not reached (a length, a long chunk, the close of the connection) and writes its error on the same connection. Those bytes are a part of the body by its framing. The head ends with an empty line, so the splitter took what came up to there for an event, and the relay checked no event before it forwarded it. Class: bytes are taken for a part of a message because of where they stand.

Package event now parses each complete event. A line that is neither a field nor a comment, a field of a head behind a status line, or a block of unknown fields alone is malformed; the response counts as broken off there, so that a resumable stream goes on elsewhere and any other is aborted visibly. Data that speaks of responses stays data.

--- a/event/splitter.go
+++ b/event/splitter.go
@@ -48,11 +48,13 @@
 	return false
 }
 
-// completeBytes returns the number of bytes up to the end of the last complete event: an
-// empty line after a line end.
+// boundaries end an event: an empty line after a line end.
+var boundaries = []string{"\n\n", "\r\r", "\n\r\n"}
+
+// completeBytes returns the number of bytes up to the end of the last complete event.
 func completeBytes(data []byte) int {
 	complete := 0
-	for _, boundary := range []string{"\n\n", "\r\r", "\n\r\n"} {
+	for _, boundary := range boundaries {
 		if i := bytes.LastIndex(data, []byte(boundary)); i >= 0 {
 			complete = max(complete, i+len(boundary))
 		}
@@ -60,18 +62,6 @@
 	return complete
 }
 
-// IDs returns the last id in a series of complete events, or an empty one, and the number
-// of ids.
-func IDs(events []byte) (last string, count int) {
-	for line := range lines(events) {
-		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
-			last = string(bytes.TrimSpace(id))
-			count++
-		}
-	}
-	return last, count
-}
-
 // lines returns the lines that are not empty, without their ends.
 func lines(data []byte) iter.Seq[[]byte] {
 	return func(yield func([]byte) bool) {
--- a/event/splitter_test.go
+++ b/event/splitter_test.go
@@ -38,14 +38,6 @@
 	}
 }
 
-func TestIDs(t *testing.T) {
-	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
-		last, count := IDs([]byte(strings.ReplaceAll("id: 1\ndata: id: 7\n\nid:2\ndata: x\n\ndata: y\n\n", "\n", lineEnd)))
-		assert.Equal(t, last, "2")
-		assert.Equal(t, count, 2)
-	}
-}
-
 // TestSplitterParts adds streams in parts of any size: no byte may be lost or returned
 // twice, and only complete events are returned.
 func TestSplitterParts(t *testing.T) {
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -24,6 +24,13 @@
 		mutated:   "",
 		pkg:       "platform", test: "TestTruncatedStreamIsNeverComplete",
 	},
+	{
+		guarantee: "another response behind a broken stream is no part of it",
+		file:      "event/event.go",
+		original:  "if !standard && (!hasValue || afterStatus || !isName(name)) {",
+		mutated:   "if !standard && (!hasValue || afterStatus && false || !isName(name)) {",
+		pkg:       "platform", test: "TestFailureBehindBrokenStream",
+	},
 	{
 		guarantee: "a truncated response resets a connection with HTTP/1.0",
 		file:      "platform/caller_handler.go",
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -65,8 +65,7 @@
 	for {
 		n, err := response.Body.Read(buffer)
 		if events := splitter.Add(buffer[:n]); len(events) > 0 {
-			began = true
-			if err := s.forwardEvents(response, events); err != nil {
+			if err := s.forwardEvents(response, events, &began); err != nil {
 				return err
 			}
 		}
@@ -86,14 +85,34 @@
 	}
 }
 
-// forwardEvents forwards complete events, unless the stream has moved to another endpoint.
-func (s *stream) forwardEvents(response *Response, events []byte) error {
+// forwardEvents forwards complete events, unless the stream has moved to another endpoint, up to the
+// first that is malformed. Began is set with the first event of the response.
+func (s *stream) forwardEvents(response *Response, events []byte, began *bool) error {
 	if !s.stall.resume() {
 		return errMoved
 	}
 	defer s.stall.release()
-	s.recordEvents(events)
-	return s.write(response, events)
+	valid, count, last := 0, 0, ""
+	var invalid error
+	for e, err := range event.All(events) {
+		if err != nil {
+			invalid = errors.Join(client.ErrResponseLost, err)
+			break
+		}
+		valid += len(e.Text)
+		*began = true
+		if e.ID != "" {
+			last = e.ID
+			count++
+		}
+	}
+	if valid > 0 {
+		s.recordEvents(last, count)
+		if err := s.write(response, events[:valid]); err != nil {
+			return err
+		}
+	}
+	return invalid
 }
 
 // write sends a part of the stream to the caller.
@@ -141,8 +160,8 @@
 	s.Meter.RecordTimeToFirstToken(s.service.Name, s.firstPartAt.Sub(s.request.Arrived))
 }
 
-// recordEvents records the last event id and the gap before the events.
-func (s *stream) recordEvents(events []byte) {
+// recordEvents records a number of events with ids, the last of these, and the gap before the events.
+func (s *stream) recordEvents(last string, count int) {
 	now := time.Now()
 	if !s.lastEvent.IsZero() {
 		s.Meter.RecordInterTokenLatency(s.service.Name, now.Sub(s.lastEvent))
@@ -154,7 +173,6 @@
 		s.beginVersion()
 		s.versions = append(s.versions, s.source.Version)
 	}
-	last, count := event.IDs(events)
 	s.countTryEvents(max(count, 1))
 	if count > 0 {
 		s.request.LastEventID = last
