relay: an empty response ends no stream that goes on

A stream whose first endpoint broke off could end as complete at its caller although events were missing: the next endpoint answered 204, or 200 with comments or empty lines alone, or with an empty body although a part of the next event had already arrived.

Class: an end is taken for complete without evidence.

Only events with an id or data count. An empty rest is believed only if no part of another event has arrived, and a stream resumes only with the status that its caller got. An empty 200 behind a break between two events is still an end: the endpoint states that there is no more.

--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -31,6 +31,20 @@
 		mutated:   "if !standard && (!hasValue || afterStatus && false || !isName(name)) {",
 		pkg:       "platform", test: "TestFailureBehindBrokenStream",
 	},
+	{
+		guarantee: "an empty response is not the rest of a stream whose next event has begun",
+		file:      "relay/stream.go",
+		original:  "return !s.hasMore && s.request",
+		mutated:   "return s.request",
+		pkg:       "platform", test: "TestBrokenStreamAndFailure",
+	},
+	{
+		guarantee: "comments are no events",
+		file:      "relay/stream.go",
+		original:  "*began = *began || !e.Blank",
+		mutated:   "*began = true",
+		pkg:       "platform", test: "TestBrokenStreamAndFailure",
+	},
 	{
 		guarantee: "a truncated response resets a connection with HTTP/1.0",
 		file:      "platform/caller_handler.go",
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -39,6 +39,8 @@
 	stall *stallWatch
 	// next holds the try at the endpoint that the stream has moved to; it may be nil.
 	next *reservation
+	// hasMore is set once a part of an event was received after the last one that was forwarded.
+	hasMore bool
 	// hasMoved is set once the stream has left a silent endpoint for another one.
 	hasMoved bool
 }
@@ -59,7 +61,11 @@
 	if !response.hasEvents() {
 		return s.forwardWhole(response)
 	}
+	if s.started && response.Status != s.status {
+		return errors.Join(client.ErrResponseLost, errors.New("the endpoint resumed a stream with another status"))
+	}
 	var splitter event.Splitter
+	defer func() { s.hasMore = s.hasMore || splitter.Unfinished() }()
 	began := false
 	buffer := make([]byte, readBufferBytes)
 	for {
@@ -100,14 +106,16 @@
 			break
 		}
 		valid += len(e.Text)
-		*began = true
+		*began = *began || !e.Blank
 		if e.ID != "" {
 			last = e.ID
 			count++
 		}
 	}
 	if valid > 0 {
-		s.recordEvents(last, count)
+		if *began {
+			s.recordEvents(last, count)
+		}
 		if err := s.write(response, events[:valid]); err != nil {
 			return err
 		}
@@ -141,10 +149,10 @@
 	return nil
 }
 
-// mayBeEmpty reports whether a response without an event may be complete: if the caller has
+// mayBeEmpty reports whether a response without an event may be complete: if the caller may have
 // all events already, and the response marks its end.
 func (s *stream) mayBeEmpty(response *Response) bool {
-	return s.request.LastEventID != "" && response.Framing != client.FramedByClose
+	return !s.hasMore && s.request.LastEventID != "" && response.Framing != client.FramedByClose
 }
 
 // startResponse sends the response header before the first event.
@@ -176,6 +184,7 @@
 	s.countTryEvents(max(count, 1))
 	if count > 0 {
 		s.request.LastEventID = last
+		s.hasMore = false
 		s.countEvents(count)
 	}
 }
