relay: a stream goes on at the next event only

Callers of a resumable stream got events twice, none at all for a part of it, or events of two runs joined, and the end of a complete stream: where its first endpoint had broken off and the next one started over, repeated the last event, left some out, or sent events without ids, all as a signed 200.

Cause: the relay asked for the events after the last one and forwarded what came. The position of what came was in its ids, and nobody compared them. After events without ids it asked for the stream from its start and joined that. Class: the receiver takes what it has asked for as what it has got.

The relay keeps the sequence of the ids over all tries, and from the caller's Last-Event-ID on. Where an event without an id was forwarded, no try goes on. A response that does not fit counts as broken off.

--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -41,10 +41,17 @@
 	{
 		guarantee: "comments are no events",
 		file:      "relay/stream.go",
-		original:  "*began = *began || !e.Blank",
-		mutated:   "*began = true",
+		original:  "\t\tif !e.Blank {\n\t\t\t*began = true",
+		mutated:   "\t\tif true {\n\t\t\t*began = true",
 		pkg:       "platform", test: "TestBrokenStreamAndFailure",
 	},
+	{
+		guarantee: "a stream goes on at the next event only",
+		file:      "relay/sequence.go",
+		original:  "if step <= 0 ||",
+		mutated:   "if",
+		pkg:       "platform", test: "TestBrokenStreamContinuation",
+	},
 	{
 		guarantee: "a truncated response resets a connection with HTTP/1.0",
 		file:      "platform/caller_handler.go",
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -36,7 +36,7 @@
 			return e.finalRefusal(ctx, refusal)
 		}
 	}
-	for tries := 0; s.next != nil || tries < maxSends && e.mayRetry(ctx); tries++ {
+	for tries := 0; s.next != nil || tries < maxSends && !s.sequence.lost && e.mayRetry(ctx); tries++ {
 		err := s.attempt(ctx)
 		if err == nil {
 			return nil
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -155,7 +155,7 @@
 	w.setCancelMove(cancel)
 	defer w.setCancelMove(nil)
 	s := w.stream
-	if len(w.progress) > 0 || s.sends >= maxSends || s.executions+w.uncounted >= s.route.MaxEndpoints {
+	if len(w.progress) > 0 || s.sequence.lost || s.sends >= maxSends || s.executions+w.uncounted >= s.route.MaxEndpoints {
 		return false
 	}
 	endpoint, source, tryEvents := s.endpoint, s.source, s.tryEvents
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -41,6 +41,8 @@
 	next *reservation
 	// hasMore is set once a part of an event was received after the last one that was forwarded.
 	hasMore bool
+	// sequence holds the events that were forwarded.
+	sequence sequence
 	// hasMoved is set once the stream has left a silent endpoint for another one.
 	hasMoved bool
 }
@@ -92,30 +94,32 @@
 }
 
 // forwardEvents forwards complete events, unless the stream has moved to another endpoint, up to the
-// first that is malformed. Began is set with the first event of the response.
+// first that does not follow those before. Began is set with the first event of the response.
 func (s *stream) forwardEvents(response *Response, events []byte, began *bool) error {
 	if !s.stall.resume() {
 		return errMoved
 	}
 	defer s.stall.release()
-	valid, count, last := 0, 0, ""
+	valid, count := 0, 0
 	var invalid error
 	for e, err := range event.All(events) {
+		if err == nil && !e.Blank {
+			err = s.sequence.add(e, !*began)
+		}
 		if err != nil {
 			invalid = errors.Join(client.ErrResponseLost, err)
 			break
 		}
 		valid += len(e.Text)
-		*began = *began || !e.Blank
-		if e.ID != "" {
-			last = e.ID
+		if !e.Blank {
+			*began = true
 			count++
 		}
 	}
+	if count > 0 {
+		s.recordEvents(count)
+	}
 	if valid > 0 {
-		if *began {
-			s.recordEvents(last, count)
-		}
 		if err := s.write(response, events[:valid]); err != nil {
 			return err
 		}
@@ -168,8 +172,9 @@
 	s.Meter.RecordTimeToFirstToken(s.service.Name, s.firstPartAt.Sub(s.request.Arrived))
 }
 
-// recordEvents records a number of events with ids, the last of these, and the gap before the events.
-func (s *stream) recordEvents(last string, count int) {
+// recordEvents records a number of events that end with the last of the sequence, and the gap before
+// them.
+func (s *stream) recordEvents(count int) {
 	now := time.Now()
 	if !s.lastEvent.IsZero() {
 		s.Meter.RecordInterTokenLatency(s.service.Name, now.Sub(s.lastEvent))
@@ -181,18 +186,17 @@
 		s.beginVersion()
 		s.versions = append(s.versions, s.source.Version)
 	}
-	s.countTryEvents(max(count, 1))
-	if count > 0 {
-		s.request.LastEventID = last
-		s.hasMore = false
-		s.countEvents(count)
-	}
+	s.countTryEvents(count)
+	s.countEvents(count)
+	s.request.LastEventID = s.sequence.last
+	s.hasMore = false
 }
 
 // newStream returns a stream that has forwarded no event.
 func newStream(e *exchange) *stream {
 	s := &stream{exchange: e, resumed: e.request.LastEventID != ""}
 	if e.route.Retryable() {
+		s.sequence.last = e.request.LastEventID
 		e.recordDeadline(e.service.Name, e.request.Timeout)
 	}
 	if events, err := strconv.Atoi(e.request.LastEventID); err == nil && s.disaggregated() && events > 0 {
