engine: an error in a decode stream is no token

An engine that broke a stream off with a line of JSON could do harm at the product's own interface. At the start of an output, {"error": ...}, {} or null counted as the first token: the output went on elsewhere from the second, and the caller got a complete answer without its beginning; a text in that line was shown as output. At any place an error with a position was a token, a reason such as "error" or "abort" made the output complete, with finish_reason and [DONE], and a text beside the reason was lost.

Cause: a missing position decodes as 0, unknown members are ignored, and each reason was passed on. Class: a default value stands for something that was never said.

A line needs a position and must have no error; only "stop" and "length" end an output. Everything else fails the attempt, which another engine takes over at the next token.

Sound before: status codes, text, HTML or a whole head in the stream, cut lines, other positions, a wrong count at the end.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -68,6 +69,35 @@
 	Finish string `json:"finish,omitempty"`
 }
 
+// finishReasons are those of complete outputs. Engines also end outputs that they have aborted.
+var finishReasons = []string{"stop", "length"}
+
+// errNoToken means that a line of a decode stream is no token, such as an error.
+var errNoToken = errors.New("the engine sent a line that is no token")
+
+// decodeToken decodes a line of a decode stream. A line without a position must not count as
+// the first token.
+func decodeToken(line []byte) (token Token, err error) {
+	defer fault.Annotate(&err, "decode a token")
+	var parsed struct {
+		Token
+		Position *ident.TokenCount `json:"position"`
+		Error    any               `json:"error"`
+	}
+	if err := json.Unmarshal(line, &parsed); err != nil {
+		return token, err
+	}
+	token = parsed.Token
+	switch {
+	case parsed.Position == nil || parsed.Error != nil:
+		return token, errNoToken
+	case token.Finish != "" && (token.Text != "" || !slices.Contains(finishReasons, token.Finish)):
+		return token, fmt.Errorf("%w: it ends the output with %q", errNoToken, token.Finish)
+	}
+	token.Position = *parsed.Position
+	return token, nil
+}
+
 // RunningRequest is a request that holds memory in an engine.
 type RunningRequest struct {
 	Attempt ident.AttemptID `json:"attempt"`
@@ -167,8 +197,8 @@
 	defer func() { _ = response.Body.Close() }()
 	lines := bufio.NewScanner(response.Body)
 	for lines.Scan() {
-		var token Token
-		if err := json.Unmarshal(lines.Bytes(), &token); err != nil {
+		token, err := decodeToken(lines.Bytes())
+		if err != nil {
 			return err
 		}
 		if err := receive(token); err != nil {
--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -3,6 +3,20 @@
 // ownInterfaceMutants holds one mutant for each mechanism behind a guarantee of the product's
 // own interface.
 var ownInterfaceMutants = []mutant{
+	{
+		guarantee: "an engine's error is no token",
+		file:      "engine/engine.go",
+		original:  "case parsed.Position == nil || parsed.Error != nil:",
+		mutated:   "case false:",
+		pkg:       "agent", test: "TestBrokenDecode",
+	},
+	{
+		guarantee: "an output that its engine has aborted is not complete",
+		file:      "engine/engine.go",
+		original:  "|| !slices.Contains(finishReasons, token.Finish)",
+		mutated:   "|| !slices.Contains(finishReasons, \"stop\")",
+		pkg:       "agent", test: "TestBrokenDecode",
+	},
 	{
 		guarantee: "a shard's write depends on the version that was read",
 		file:      "ledger/writer.go",
