agent: a redirect is the response of its endpoint

A caller of a plain service that answers with a redirect got the response of the place that it names instead, as a plain 200; an action that was answered 301, 302 or 303 went there as a GET on top of it, which nobody had asked for.

Cause: the agent's client follows redirects, as net/http does by default. Found while looking for places where bytes of another response stand in for those of the endpoint; the class is a response of somebody else.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -86,6 +86,7 @@
 // NewAgent returns an agent whose background work stops when the context ends.
 func NewAgent(ctx context.Context, c *common.Common, config Config) *Agent {
 	incarnation := ident.NewNonce()
+	config.HTTP = withoutRedirects(config.HTTP)
 	a := &Agent{
 		Common:      c,
 		config:      config,
@@ -120,6 +121,13 @@
 	return a
 }
 
+// withoutRedirects returns a client like the given one that returns a redirect as the response.
+func withoutRedirects(c *http.Client) *http.Client {
+	direct := *c
+	direct.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &direct
+}
+
 // Run runs the agent's background tasks; it returns when they have stopped after
 // the end of the context.
 func (a *Agent) Run() {
--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -3,6 +3,13 @@
 // ownInterfaceMutants holds one mutant for each mechanism behind a guarantee of the product's
 // own interface.
 var ownInterfaceMutants = []mutant{
+	{
+		guarantee: "a redirect is the response of its endpoint",
+		file:      "agent/agent.go",
+		original:  "\tconfig.HTTP = withoutRedirects(config.HTTP)\n",
+		mutated:   "\t_ = withoutRedirects\n",
+		pkg:       "agent", test: "TestRedirectOfEndpoint",
+	},
 	{
 		guarantee: "an engine's error is no token",
 		file:      "engine/engine.go",
