--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -10,6 +10,27 @@
 		mutated:   "\tcase err == io.EOF:\n\t\treturn err\n\tcase len(body)",
 		pkg:       "engine", test: "TestCutResponse",
 	},
+	{
+		guarantee: "a redirect is the response of its endpoint",
+		file:      "agent/agent.go",
+		original:  "\tconfig.HTTP = withoutRedirects(config.HTTP)\n",
+		mutated:   "\t_ = withoutRedirects\n",
+		pkg:       "agent", test: "TestRedirectOfEndpoint",
+	},
+	{
+		guarantee: "an engine's error is no token",
+		file:      "engine/engine.go",
+		original:  "case parsed.Position == nil || parsed.Error != nil:",
+		mutated:   "case false:",
+		pkg:       "agent", test: "TestBrokenDecode",
+	},
+	{
+		guarantee: "an output that its engine has aborted is not complete",
+		file:      "engine/engine.go",
+		original:  "|| !slices.Contains(finishReasons, token.Finish)",
+		mutated:   "|| !slices.Contains(finishReasons, \"stop\")",
+		pkg:       "agent", test: "TestBrokenDecode",
+	},
 	{
 		guarantee: "a shard's write depends on the version that was read",
 		file:      "ledger/writer.go",
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -145,7 +144,7 @@
 				output := &stream{exchange: e, source: pool.Endpoint{Name: "d1", Version: "v1"}}
 				time.Sleep(time.Second)
 				for id := range s.events {
-					output.recordEvents(fmt.Appendf(nil, "id: %d\ndata: x\n\n", id+1))
+					output.recordEvents(1)
 					if id < s.events-1 {
 						time.Sleep(61 * time.Millisecond)
 					}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -41,6 +41,10 @@
 	stall *stallWatch
 	// next holds the try at the endpoint that the stream has moved to; it may be nil.
 	next *reservation
+	// hasMore is set once a part of an event was received after the last one that was forwarded.
+	hasMore bool
+	// sequence holds the events that were forwarded.
+	sequence sequence
 	// hasMoved is set once the stream has left a silent endpoint for another one.
 	hasMoved bool
 }
@@ -61,14 +65,17 @@
 	if !response.hasEvents() {
 		return s.forwardWhole(response)
 	}
+	if s.started && response.Status != s.status {
+		return errors.Join(client.ErrResponseLost, errors.New("the endpoint resumed a stream with another status"))
+	}
 	var splitter event.Splitter
+	defer func() { s.hasMore = s.hasMore || splitter.Unfinished() }()
 	began := false
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
 		if events := splitter.Add(buffer[:n]); len(events) > 0 {
-			began = true
-			if err := s.forwardEvents(response, events); err != nil {
+			if err := s.forwardEvents(response, events, &began); err != nil {
 				return err
 			}
 		}
@@ -88,14 +95,38 @@
 	}
 }
 
-// forwardEvents forwards complete events, unless the stream has moved to another endpoint.
-func (s *stream) forwardEvents(response *Response, events []byte) error {
+// forwardEvents forwards complete events, unless the stream has moved to another endpoint, up to the
+// first that does not follow those before. Began is set with the first event of the response.
+func (s *stream) forwardEvents(response *Response, events []byte, began *bool) error {
 	if !s.stall.resume() {
 		return errMoved
 	}
 	defer s.stall.release()
-	s.recordEvents(events)
-	return s.write(response, events)
+	valid, count := 0, 0
+	var invalid error
+	for e, err := range event.All(events) {
+		if err == nil && !e.Blank {
+			err = s.sequence.add(e, !*began)
+		}
+		if err != nil {
+			invalid = errors.Join(client.ErrResponseLost, err)
+			break
+		}
+		valid += len(e.Text)
+		if !e.Blank {
+			*began = true
+			count++
+		}
+	}
+	if count > 0 {
+		s.recordEvents(count)
+	}
+	if valid > 0 {
+		if err := s.write(response, events[:valid]); err != nil {
+			return err
+		}
+	}
+	return invalid
 }
 
 // write sends a part of the stream to the caller.
@@ -125,10 +156,10 @@
 	return nil
 }
 
-// mayBeEmpty reports whether a response without an event may be complete: if the caller has
+// mayBeEmpty reports whether a response without an event may be complete: if the caller may have
 // all events already, and the response marks its end.
 func (s *stream) mayBeEmpty(response *Response) bool {
-	return s.request.LastEventID != "" && response.Framing != client.FramedByClose
+	return !s.hasMore && s.request.LastEventID != "" && response.Framing != client.FramedByClose
 }
 
 // startResponse sends the response header before the first event.
@@ -144,8 +175,9 @@
 	s.Meter.RecordTimeToFirstToken(s.service.Name, s.firstPartAt.Sub(s.request.Arrived))
 }
 
-// recordEvents records the last event id and the gap before the events.
-func (s *stream) recordEvents(events []byte) {
+// recordEvents records a number of events that end with the last of the sequence, and the gap before
+// them.
+func (s *stream) recordEvents(count int) {
 	now := time.Now()
 	if !s.lastEvent.IsZero() {
 		s.Meter.RecordInterTokenLatency(s.service.Name, now.Sub(s.lastEvent))
@@ -158,18 +190,17 @@
 		s.beginVersion()
 		s.versions = append(s.versions, s.source.Version)
 	}
-	last, count := event.IDs(events)
-	s.countTryEvents(max(count, 1))
-	if count > 0 {
-		s.request.LastEventID = last
-		s.countEvents(count)
-	}
+	s.countTryEvents(count)
+	s.countEvents(count)
+	s.request.LastEventID = s.sequence.last
+	s.hasMore = false
 }
 
 // newStream returns a stream that has forwarded no event.
 func newStream(e *exchange) *stream {
 	s := &stream{exchange: e, resumed: e.request.LastEventID != ""}
 	if e.route.Retryable() {
+		s.sequence.last = e.request.LastEventID
 		e.recordDeadline(e.service.Name, e.request.Timeout)
 	}
 	if events, err := strconv.Atoi(e.request.LastEventID); err == nil && s.disaggregated() && events > 0 {
