--- a/event/event.go
+++ b/event/event.go
@@ -67,7 +67,7 @@
 		if !standard && (!hasValue || afterStatus || !isName(name)) {
 			return Event{}, ErrMalformed
 		}
-		afterStatus = statusLine.Match(line)
+		afterStatus = bytes.Contains(line, []byte("HTTP/1.")) && statusLine.Match(line)
 		hasOther = hasOther || !standard
 		switch string(name) {
 		case "id":
