gossip: routing tables are sent packed

Cause: each relay that the store turns away got each version of the table as JSON from a hub, each continuous watcher sent it to each hub, and the relays of the other region took it from the store as well. A table of 1,215 routes is about 0.3 MB, and the link between two regions, which all traffic shares, has 60 Mbit/s there. Exchanges across it exceeded their second; what had arrived of a table was dropped, and the next exchange began anew. Class: news to many whose size grows with the state rather than with the change, over a link that all share; when it is full, the timeouts add to its load.

Change: gossip carries tables compressed by gzip. A process packs a version once for all peers and unpacks only versions newer than its own; a hub hands on the bytes that it got, once it has read them. Digests say who reads packed tables, so that processes of an earlier build get JSON.

Not covered: hubs that are silent.

--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -6,7 +6,6 @@
 
 	"crocusstep/crash"
 	"crocusstep/pool"
-	"crocusstep/table"
 )
 
 // peerTTL is how long a process counts as a peer after its last message.
@@ -19,7 +18,8 @@
 	endpoints *pool.Pool
 
 	mutex sync.Mutex
-	table *table.Document
+	// table is one that can be read, or nil.
+	table *SharedTable
 	// peers holds the time of each sender's last message.
 	peers map[string]time.Time
 }
@@ -35,11 +35,9 @@
 		h.crashes.RecordCrash(c, now)
 	}
 	h.crashes.ApplySounds(in.Sounds, now)
+	h.adoptTable(in.SharedTable())
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if in.Table != nil && (h.table == nil || in.Table.Version > h.table.Version) {
-		h.table = in.Table
-	}
 	in.ApplyEndpoints(h.endpoints)
 	h.endpoints.AdoptHistory(in.History)
 	h.endpoints.RemoveLapsed(now, time.Time{})
@@ -47,9 +45,9 @@
 	out := &Message{Digest: NewDigest(h.crashes, now), Sounds: h.crashes.Sounds(now), Peers: len(h.peers), Rank: h.rank(in.Sender)}
 	out.History = h.endpoints.History()
 	if h.table != nil {
-		out.Digest.Table = h.table.Version
-		if h.table.Version > in.Digest.Table {
-			out.Table = h.table
+		out.Digest.Table = h.table.Version()
+		if h.table.Version() > in.Digest.Table {
+			out.AddTable(h.table, in.Digest)
 		}
 	}
 	out.AddEndpoints(h.endpoints, in.Digest.Endpoints)
@@ -61,6 +59,32 @@
 	return out
 }
 
+// adoptTable keeps a table that is newer and can be read.
+func (h *Hub) adoptTable(t *SharedTable) {
+	if t == nil {
+		return
+	}
+	h.mutex.Lock()
+	lacks := h.lacks(t)
+	h.mutex.Unlock()
+	if !lacks {
+		return
+	}
+	if _, err := t.Document(); err != nil {
+		return
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.lacks(t) {
+		h.table = t
+	}
+}
+
+// lacks is called with the mutex.
+func (h *Hub) lacks(t *SharedTable) bool {
+	return h.table == nil || t.Version() > h.table.Version()
+}
+
 func (h *Hub) updatePeers(sender string, now time.Time) {
 	if sender != "" {
 		h.peers[sender] = now
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -18,12 +18,14 @@
 	Crashes crash.Digest `json:"crash-digest"`
 	// CrashCount is the number of known crashes, which peers of an earlier build compare.
 	CrashCount int `json:"crashes"`
+	// ReadsPacked is set by processes that read packed tables; those of an earlier build do not.
+	ReadsPacked bool `json:"reads-packed-tables,omitempty"`
 }
 
 // NewDigest returns the digest of a process that knows some crashes and nothing else.
 func NewDigest(crashes *crash.Tracker, now time.Time) Digest {
 	known := crashes.Digest(now)
-	return Digest{Crashes: known, CrashCount: known.Count}
+	return Digest{Crashes: known, CrashCount: known.Count, ReadsPacked: true}
 }
 
 // LacksCrashes reports whether a process with this digest lacks some of the crashes of another one.
@@ -53,8 +55,10 @@
 type Message struct {
 	Digest Digest `json:"digest"`
 	// Sender is the name of the process, by which receivers count their peers.
-	Sender string          `json:"sender"`
-	Table  *table.Document `json:"table,omitempty"`
+	Sender string `json:"sender"`
+	// PackedTable and Table are the two forms of a table; AddTable chooses one.
+	PackedTable *PackedTable    `json:"packed-table,omitempty"`
+	Table       *table.Document `json:"table,omitempty"`
 	// Endpoints is a snapshot. Alternatively, Changes are the changes after the
 	// revision Since.
 	Endpoints []pool.Endpoint `json:"endpoints,omitempty"`
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -328,10 +328,31 @@
 	{
 		guarantee: "a hub returns the newest state",
 		file:      "gossip/hub.go",
-		original:  "in.Table.Version > h.table.Version",
+		original:  "t.Version() > h.table.Version()",
 		mutated:   "true",
 		pkg:       "gossip", test: "TestHubReturnsNewestState",
 	},
+	{
+		guarantee: "copies of a large table do not fill the link between two regions",
+		file:      "gossip/shared_table.go",
+		original:  "\tif receiver.ReadsPacked {\n",
+		mutated:   "\tif false {\n",
+		pkg:       "relay", test: "TestStormOfLargeTables",
+	},
+	{
+		guarantee: "a peer of an earlier build gets a table that it reads",
+		file:      "gossip/shared_table.go",
+		original:  "\tif receiver.ReadsPacked {\n",
+		mutated:   "\tif true {\n",
+		pkg:       "gossip", test: "TestTableForms",
+	},
+	{
+		guarantee: "a table that cannot be read replaces none",
+		file:      "gossip/hub.go",
+		original:  "\tif _, err := t.Document(); err != nil {\n",
+		mutated:   "\tif _, err := t.Document(); err != nil && false {\n",
+		pkg:       "gossip", test: "TestTableForms",
+	},
 	{
 		guarantee: "requests that can meet their target have priority",
 		file:      "admit/order.go",
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -65,6 +65,8 @@
 	lastContact atomic.Pointer[time.Time]
 	// announce holds one entry if there is a change to send to all hubs immediately.
 	announce chan struct{}
+	// shared is the newest table that was sent to a hub or learned from one, or nil.
+	shared atomic.Pointer[gossip.SharedTable]
 	// recent holds the hubs of the present endpoints and those of shortly before.
 	recent recentHubs
 	// heard and told hold when this relay last heard the crashes that a hub knows, and told it its own.
@@ -222,11 +224,11 @@
 func (g *Gossip) fill(out *gossip.Message, theirs gossip.Digest, hub pool.Endpoint) bool {
 	out.Digest, out.History = g.digest(), g.pool.History()
 	if out.Digest.Table > theirs.Table {
-		out.Table = g.relay.Table().Document
+		out.AddTable(g.sharedTable(), theirs)
 	}
 	out.AddEndpoints(g.pool, theirs.Endpoints)
 	out.Crashes = gossip.MissingCrashes(g.relay.crashes, theirs, g.told.at(hub.Address), time.Now())
-	return out.Table != nil || out.Endpoints != nil || out.Changes != nil || out.Crashes != nil
+	return out.PackedTable != nil || out.Table != nil || out.Endpoints != nil || out.Changes != nil || out.Crashes != nil
 }
 
 func (g *Gossip) apply(in *gossip.Message, hub pool.Endpoint) {
@@ -237,9 +239,7 @@
 		g.relay.crashes.RecordCrash(c, time.Now())
 	}
 	g.relay.crashes.ApplySounds(in.Sounds, time.Now())
-	if in.Table != nil && g.relay.SetTable(in.Table) {
-		g.Log.Info("routes learned from a peer", "table", in.Table.Version, "keeper", hub.Name)
-	}
+	g.applyTable(in.SharedTable(), hub)
 	defer g.pool.AdoptHistory(in.History)
 	if in.ApplyEndpoints(g.pool) {
 		g.Log.Info("endpoints learned from a peer", "revision", in.Digest.Endpoints, "keeper", hub.Name,
@@ -247,3 +247,29 @@
 		g.Announce()
 	}
 }
+
+func (g *Gossip) applyTable(t *gossip.SharedTable, hub pool.Endpoint) {
+	if current := g.relay.Table(); t == nil || current != nil && t.Version() <= current.Version {
+		return
+	}
+	d, err := t.Document()
+	if err != nil {
+		g.Log.Warn("a keeper sent routes that cannot be read", "keeper", hub.Name, "error", err)
+		return
+	}
+	if g.relay.SetTable(d) {
+		g.shared.Store(t)
+		g.Log.Info("routes learned from a peer", "table", d.Version, "keeper", hub.Name)
+	}
+}
+
+// sharedTable returns the relay's table, which is packed once for all hubs.
+func (g *Gossip) sharedTable() *gossip.SharedTable {
+	document := g.relay.Table().Document
+	if t := g.shared.Load(); t != nil && t.Version() == document.Version {
+		return t
+	}
+	t := gossip.ShareTable(document)
+	g.shared.Store(t)
+	return t
+}
