A stopping relay asks again after each wait whether a request ends in time

Callers would still see requests cut that came in time to a relay in its planned stop: it decided on arrival and when memory was reserved, and the waits after that took the time. A plain call waited for a permit or for an endpoint that rejected it late, a plain stream for a permit, a prompt for a prefill slot or a slow prefill, and a prompt whose engine rejected it went to a slower one.

Cause: the decision was made at a time of its own and not where a request is sent. Class: a check and the act that it allows are apart, with waits between.

Each send now asks again, as long as nothing has begun or may have run: a call after its permit, a prompt before the prefill and before the decode, and the next engine must be fast enough, too. What may have run goes on as before, also a stream that leaves a silent engine. The refusal is true (nothing was run, the prompt is freed), and the permit of a call is returned.

--- a/relay/call.go
+++ b/relay/call.go
@@ -37,9 +37,13 @@
 			}
 			break
 		}
-		if revoked := e.revoked(); revoked != nil {
+		final := e.revoked()
+		if final == nil {
+			final = e.refuseCallBeforeEnd()
+		}
+		if final != nil {
 			e.config.Pool.ReturnPermit(endpoint.Endpoint)
-			refusal = revoked
+			refusal = final
 			break
 		}
 		if !e.allowSend(ctx) {
--- a/relay/drain.go
+++ b/relay/drain.go
@@ -20,11 +20,12 @@
 // its process cancels them.
 func (r *Relay) Drain(end time.Time) { r.endsAt.Store(&end) }
 
-// refuseBeforeEnd refuses a request that came too late before the relay stops. The request most
-// likely takes no longer than needed, which is zero if that is unknown.
+// refuseBeforeEnd refuses a request that would be sent too late before the relay stops. The request
+// most likely takes no longer than needed, which is zero if that is unknown. One that may have run
+// goes on as long as it can.
 func (e *exchange) refuseBeforeEnd(needed time.Duration) *fault.Refusal {
 	endsAt := e.endsAt.Load()
-	if endsAt == nil {
+	if endsAt == nil || e.started || e.executions > 0 {
 		return nil
 	}
 	left := time.Until(*endsAt)
@@ -44,29 +45,34 @@
 }
 
 // refuseStreamBeforeEnd refuses a stream that the relay may not complete until it stops, at an engine
-// or, if m is nil, at any. A stream that may have run goes on as long as it can.
-func (s *stream) refuseStreamBeforeEnd(m *pool.Member) *fault.Refusal {
+// or, if m is nil, at any. Cached is nil while the prompt is to be prefilled. A stream that leaves a
+// silent engine is not refused, as it may have run there.
+func (s *stream) refuseStreamBeforeEnd(m *pool.Member, cached *CachedPrompt) *fault.Refusal {
 	switch {
-	case s.endsAt.Load() == nil, s.started, s.executions > 0:
+	case s.endsAt.Load() == nil, s.stall != nil:
 		return nil
 	case !s.disaggregated():
 		return s.refuseCallBeforeEnd()
 	}
-	output := s.longestOutput(m)
-	if output == 0 {
+	needed := s.longestOutput(m)
+	if needed == 0 {
 		return s.refuseBeforeEnd(0)
 	}
-	return s.refuseBeforeEnd(pool.PrefillTime(s.request.Prompt.Tokens) + transferAllowance + output)
+	needed += transferAllowance
+	if cached == nil {
+		needed += pool.PrefillTime(s.request.Prompt.Tokens)
+	}
+	return s.refuseBeforeEnd(needed)
 }
 
 // completing returns the engines at which the stream most likely ends before the relay stops, or a
 // refusal if there is none.
-func (s *stream) completing(members []pool.Member) (list []pool.Member, refusal *fault.Refusal) {
+func (s *stream) completing(members []pool.Member, cached *CachedPrompt) (list []pool.Member, refusal *fault.Refusal) {
 	if s.endsAt.Load() == nil {
 		return members, nil
 	}
 	for _, m := range members {
-		if late := s.refuseStreamBeforeEnd(&m); late != nil {
+		if late := s.refuseStreamBeforeEnd(&m, cached); late != nil {
 			refusal = late
 			continue
 		}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -106,7 +106,7 @@
 	serve, refusal := e.serveCall, (*fault.Refusal)(nil)
 	if e.route.Kind == table.Streaming {
 		s := newStream(e)
-		serve, refusal = s.serve, s.refuseStreamBeforeEnd(nil)
+		serve, refusal = s.serve, s.refuseStreamBeforeEnd(nil, nil)
 	} else {
 		refusal = e.refuseCallBeforeEnd()
 	}
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -69,7 +69,11 @@
 			}
 			s.sends++
 		}
-		if refusal := s.barred(); refusal != nil {
+		refusal := s.barred()
+		if refusal == nil {
+			refusal = s.refuseStreamBeforeEnd(&res.member, nil)
+		}
+		if refusal != nil {
 			s.config.Pool.ReturnPermit(next.member.Endpoint)
 			return nil, refusal
 		}
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -54,7 +54,7 @@
 	s.order = s.order.AskedFirst()
 	deadline := time.Now().Add(window)
 	best, shortest := pool.Member{}, time.Duration(-1)
-	members, refusal := s.completing(s.decodeCandidates(ctx))
+	members, refusal := s.completing(s.decodeCandidates(ctx), nil)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -127,7 +127,7 @@
 		return err
 	}
 	defer func() { s.endReservation(res) }()
-	if refusal := s.refuseStreamBeforeEnd(&res.member); refusal != nil {
+	if refusal := s.refuseStreamBeforeEnd(&res.member, nil); refusal != nil {
 		return refusal
 	}
 	reserved := time.Now()
@@ -232,7 +232,7 @@
 		return nil
 	}
 	s.tried[s.endpoint] = true
-	candidates := s.decodeCandidates(ctx)
+	candidates, _ := s.completing(s.decodeCandidates(ctx), cached)
 	for _, m := range candidates[:min(maxDecodeTries, len(candidates))] {
 		if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 {
 			return nil
--- a/relay/try.go
+++ b/relay/try.go
@@ -74,6 +74,9 @@
 	if refusal := s.barred(); refusal != nil {
 		return errors.Join(client.ErrNotSent, refusal)
 	}
+	if refusal := s.refuseStreamBeforeEnd(&res.member, cached); refusal != nil {
+		return errors.Join(client.ErrNotSent, refusal)
+	}
 	if !s.allowSend(ctx) {
 		return errors.Join(client.ErrNotSent, errNoRetry)
 	}
