Engines' paces count only events that arrive one after the other

In its stop a relay takes streams for which it knows an engine that is fast enough, and passes over the others. An engine counted as up to four times faster than it is when the first events of its stream arrived together, as after a pause of the relay, of the network or of a slow caller, or when comments came between the events: all of the output counted, but only the time after the first part. The streams then went to just this engine, and were cut.

Cause: events were counted by reads and from the first on, time from the first read on. Class: an estimate that errs to the unsafe side where its input is uneven.

The numbered events after the first part count now, and there must be seven of them. Comments after the last event still prolong the time, which errs to the safe side.

One mutant was added.

--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -108,6 +108,13 @@
 		mutated:   "if refusal := s.refuseStreamBeforeEnd(&res.member, cached); refusal != nil && false {",
 		pkg:       "relay", test: "TestDrainAfterWait",
 	},
+	{
+		guarantee: "events that arrived together do not make an engine faster",
+		file:      "relay/duration.go",
+		original:  "int64(s.firstEvents)*perEvent",
+		mutated:   "perEvent",
+		pkg:       "relay", test: "TestPaceOfUnevenStreams",
+	},
 	{
 		guarantee: "a relay that stops answers the requests that it reads",
 		file:      "start/relay_server.go",
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -157,6 +157,62 @@
 	}
 }
 
+// TestPaceOfUnevenStreams guards against engines that count as faster than they are, and get streams
+// that a stopping relay then cuts: events that arrive together were not made at once, and comments are
+// no output.
+func TestPaceOfUnevenStreams(t *testing.T) {
+	const interval = 61 * time.Millisecond
+	event := func(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
+	// together returns the first events of a stream as one part, and those after them alone.
+	together := func(first, all int) (parts []string) {
+		begin := ""
+		for id := 1; id <= first; id++ {
+			begin += event(id)
+		}
+		parts = append(parts, begin)
+		for id := first + 1; id <= all; id++ {
+			parts = append(parts, event(id))
+		}
+		return parts
+	}
+	beats := make([]string, 41)
+	for i := range beats {
+		beats[i] = ": ping\n\n"
+		if i%4 == 0 {
+			beats[i] = event(i/4 + 1)
+		}
+	}
+	scenarios := []struct {
+		testName string
+		parts    []string
+		pace     time.Duration
+	}{
+		{"events one by one", together(1, 41), time.Millisecond},
+		{"the first events together", together(30, 41), time.Millisecond},
+		{"too few events after those that came together", together(38, 41), 0},
+		{"all events together", together(41, 41), 0},
+		{"comments between the events", beats, 4 * time.Millisecond},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRelay(t, &fakeBackend{})
+				e := &exchange{Relay: r, request: newTestRequest("/read/x", time.Minute), service: r.Table().Services["model"]}
+				e.service.Name = "model"
+				output := &stream{exchange: e, source: pool.Endpoint{Name: "d1", Version: "v1"}}
+				for i, part := range s.parts {
+					if i > 0 {
+						time.Sleep(interval)
+					}
+					output.recordEvents([]byte(part))
+				}
+				output.observePace()
+				assert.Equal(t, r.durations.service("model").paces.Of("d1", cost.Process{Version: "v1"}, time.Now()), s.pace)
+			})
+		})
+	}
+}
+
 // TestGraceEnd guards against requests that get no response, or are logged as left by their
 // caller, as the relay cancels them at the end of its grace period.
 func TestGraceEnd(t *testing.T) {
--- a/relay/duration.go
+++ b/relay/duration.go
@@ -12,7 +12,8 @@
 const (
 	// durationWindow is how long the longest duration of a service's calls counts at least.
 	durationWindow = time.Minute
-	// paceEvents is the number of events from which on a try shows the pace of its engine.
+	// paceEvents is the number of events from which on a try shows the pace of its engine: one, and
+	// those that arrive after the first.
 	paceEvents = 8
 )
 
@@ -49,17 +50,19 @@
 	e.durations.service(e.service.Name).longest.record(int(duration), time.Now())
 }
 
-// observePace learns from the events of the current try.
+// observePace learns from the numbered events of the current try. The first ones may have been made
+// long before they arrived together, so only those after them count.
 func (s *stream) observePace() {
-	if !s.disaggregated() || s.tryEvents < paceEvents {
+	if !s.disaggregated() || s.tryEvents == 0 {
 		return
 	}
-	tokens := time.Duration(s.tryEvents-1) * time.Duration(s.service.Engine.TokensPerEvent)
-	if tokens <= 0 {
+	perEvent := int64(s.service.Engine.TokensPerEvent)
+	tokens := s.generated.Load() - s.tokensBefore - int64(s.firstEvents)*perEvent
+	if tokens <= 0 || tokens < (paceEvents-1)*perEvent {
 		return
 	}
 	process := cost.Process{StartMillis: s.source.StartMillis, Version: s.source.Version}
-	s.durations.service(s.service.Name).paces.Observe(s.source.Name, process, s.lastEvent.Sub(s.tryBegan)/tokens, time.Now())
+	s.durations.service(s.service.Name).paces.Observe(s.source.Name, process, s.lastEvent.Sub(s.tryBegan)/time.Duration(tokens), time.Now())
 }
 
 // longestOutput returns the time that an engine most likely does not exceed for the rest of the
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -76,6 +76,10 @@
 	generated atomic.Int64
 	// tryEvents is the number of events in the response of the current try.
 	tryEvents int
+	// firstEvents is the number of those that arrived together at its begin, tokensBefore the number
+	// of output tokens forwarded before it.
+	firstEvents  int
+	tokensBefore int64
 	// pinned is the software version that all events of the response must be of, empty if it is
 	// unknown. It is nil before the first event.
 	pinned atomic.Pointer[ident.SoftwareVersion]
