A stream of unknown length does not count as short in a stop

A stopping relay took streams with neither a limit nor a hint while no output of the service was learned, whatever the time left: the length was taken as one token. It refused streams taken up at their limit, which have nothing left to make: no output left was taken for a pace that is unknown.

Cause: one value, zero, meant both, and the median of an unknown length is one token. longestOutput now says whether pace and length are known.

TestDrainOfUnknownLength failed in two of seven cases before: with 1 s left a stream of unknown length was taken, and one whose limit is reached refused. One mutant was added, and one has its old text back.

--- a/memory/length_estimate.go
+++ b/memory/length_estimate.go
@@ -28,6 +28,10 @@
 	Limit ident.TokenCount `json:"limit"`
 }
 
+// IsKnown reports whether anything is known of the length: a limit, a caller's estimate or earlier
+// outputs. Without them the median is one token.
+func (l LengthEstimate) IsKnown() bool { return l.Limit > 0 || l.Median > 1 }
+
 // Run returns the memory use of a request with this output length, given the tokens
 // that it holds and those that it has generated.
 func (l LengthEstimate) Run(held, generated ident.TokenCount) Run {
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -76,8 +76,8 @@
 	{
 		guarantee: "a relay that stops goes by the time that a request takes",
 		file:      "relay/drain.go",
-		original:  "if needed == 0 {\n\t\tneeded = time",
-		mutated:   "if needed >= 0 {\n\t\tneeded = time",
+		original:  "if needed == 0 {",
+		mutated:   "if needed >= 0 {",
 		pkg:       "relay", test: "TestDrainByDuration",
 	},
 	{
@@ -115,6 +115,13 @@
 		mutated:   "perEvent",
 		pkg:       "relay", test: "TestPaceOfUnevenStreams",
 	},
+	{
+		guarantee: "a stream of unknown length does not count as short",
+		file:      "relay/duration.go",
+		original:  "|| !output.IsKnown()",
+		mutated:   "",
+		pkg:       "relay", test: "TestDrainOfUnknownLength",
+	},
 	{
 		guarantee: "a relay that stops answers the requests that it reads",
 		file:      "start/relay_server.go",
--- a/relay/drain.go
+++ b/relay/drain.go
@@ -54,8 +54,8 @@
 	case !s.disaggregated():
 		return s.refuseCallBeforeEnd()
 	}
-	needed := s.longestOutput(m)
-	if needed == 0 {
+	needed, known := s.longestOutput(m)
+	if !known {
 		return s.refuseBeforeEnd(0)
 	}
 	needed += transferAllowance
--- a/relay/drain_wait_test.go
+++ b/relay/drain_wait_test.go
@@ -15,6 +15,44 @@
 	"crocusstep/ident"
 )
 
+// TestDrainOfUnknownLength guards against streams of which nothing is known and that count as short, and
+// against streams taken up at their end that count as unknown.
+func TestDrainOfUnknownLength(t *testing.T) {
+	scenarios := []struct {
+		testName    string
+		prompt      Prompt
+		lastEventID string
+		hasNoPace   bool
+		left        time.Duration
+		refused     bool
+	}{
+		{testName: "a limit and a hint", prompt: Prompt{Tokens: 100, MaxOutput: 8000, EstimatedOutput: 4000}, left: 8500 * time.Millisecond},
+		{testName: "a limit only", prompt: Prompt{Tokens: 100, MaxOutput: 8000}, left: 7500 * time.Millisecond, refused: true},
+		{testName: "neither, with little time left", prompt: Prompt{Tokens: 100}, left: time.Second, refused: true},
+		{testName: "neither, with much time left", prompt: Prompt{Tokens: 100}, left: 5 * time.Second},
+		{testName: "an unknown pace, with little time left", prompt: Prompt{Tokens: 100, MaxOutput: 8000}, hasNoPace: true, left: 4 * time.Second, refused: true},
+		{testName: "a stream whose limit is reached", prompt: Prompt{Tokens: 100, MaxOutput: 8000}, lastEventID: "132", left: time.Second},
+		{testName: "a stream that begins", prompt: Prompt{Tokens: 100, MaxOutput: 8000}, lastEventID: "1", left: time.Second, refused: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRelay(t, &fakeBackend{})
+				if !s.hasNoPace {
+					r.durations.service("model").paces.Observe("d1", cost.Process{Version: "v1"}, time.Millisecond, time.Now())
+				}
+				request := newTestRequest("/resume/x", 14*time.Second)
+				request.Prompt, request.LastEventID = &s.prompt, s.lastEventID
+				e := &exchange{Relay: r, request: request, service: r.Table().Services["model"], deadline: request.Arrived.Add(request.Timeout)}
+				e.service.Name = "model"
+				r.Drain(time.Now().Add(s.left))
+				refusal := newStream(e).refuseStreamBeforeEnd(nil, nil)
+				assert.Equal(t, refusal != nil, s.refused, "%v", refusal)
+			})
+		})
+	}
+}
+
 // TestDrainAfterWait guards against requests that came in time before a relay stops, wait for a
 // permit, a slot or an endpoint that rejects them, and are sent when they can only be cut.
 func TestDrainAfterWait(t *testing.T) {
--- a/relay/duration.go
+++ b/relay/duration.go
@@ -66,11 +66,14 @@
 }
 
 // longestOutput returns the time that an engine most likely does not exceed for the rest of the
-// output, zero if its pace is unknown. The engine is the fastest one if m is nil.
-func (s *stream) longestOutput(m *pool.Member) time.Duration {
-	pace := s.pace(m)
+// output, unless its pace or the length is unknown. The engine is the fastest one if m is nil.
+func (s *stream) longestOutput(m *pool.Member) (longest time.Duration, known bool) {
+	pace, output := s.pace(m), s.estimateOutput()
+	if pace == 0 || !output.IsKnown() {
+		return 0, false
+	}
 	made := s.resumeTokens()
-	return time.Duration(s.estimateOutput().Longest(made)-made) * pace
+	return time.Duration(output.Longest(made)-made) * pace, true
 }
 
 // pace returns the time that an engine takes for a token, zero if it is unknown. What was seen of
