Lengths of any size do not overflow in a stop

A stopping relay took streams whose hint or limit was absurdly large, and cut them: the predicted length did not fit into a token count, or its time not into a duration, and the result was negative. Both are bounded now, far above any length or deadline.

TestDrainOfUnknownLength failed in both cases before, on amd64: hints of 2^63-1 and 2^45 tokens were taken with 5 s left.

--- a/memory/length_estimate.go
+++ b/memory/length_estimate.go
@@ -73,6 +73,9 @@
 // longestQuantile is the share of outputs that are no longer than Longest.
 const longestQuantile = 0.95
 
+// maxLength is above any length. A larger number may not fit into a token count.
+const maxLength = 1 << 40
+
 // Longest returns the length that the output most likely does not exceed, given the tokens
 // generated so far.
 func (l LengthEstimate) Longest(generated ident.TokenCount) ident.TokenCount {
@@ -88,7 +91,7 @@
 	if l.Limit > 0 {
 		longest = math.Min(longest, float64(l.Limit))
 	}
-	return max(generated, ident.TokenCount(longest))
+	return max(generated, ident.TokenCount(math.Min(longest, maxLength)))
 }
 
 // normalTail is the probability that a standard normal variable exceeds z.
--- a/relay/drain_wait_test.go
+++ b/relay/drain_wait_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -31,6 +32,8 @@
 		{testName: "neither, with little time left", prompt: Prompt{Tokens: 100}, left: time.Second, refused: true},
 		{testName: "neither, with much time left", prompt: Prompt{Tokens: 100}, left: 5 * time.Second},
 		{testName: "an unknown pace, with little time left", prompt: Prompt{Tokens: 100, MaxOutput: 8000}, hasNoPace: true, left: 4 * time.Second, refused: true},
+		{testName: "an absurd hint", prompt: Prompt{Tokens: 100, EstimatedOutput: math.MaxInt64}, left: 5 * time.Second, refused: true},
+		{testName: "an absurd hint and limit", prompt: Prompt{Tokens: 100, MaxOutput: 1 << 45, EstimatedOutput: 1 << 45}, left: 5 * time.Second, refused: true},
 		{testName: "a stream whose limit is reached", prompt: Prompt{Tokens: 100, MaxOutput: 8000}, lastEventID: "132", left: time.Second},
 		{testName: "a stream that begins", prompt: Prompt{Tokens: 100, MaxOutput: 8000}, lastEventID: "1", left: time.Second, refused: true},
 	}
--- a/relay/duration.go
+++ b/relay/duration.go
@@ -15,6 +15,8 @@
 	// paceEvents is the number of events from which on a try shows the pace of its engine: one, and
 	// those that arrive after the first.
 	paceEvents = 8
+	// maxOutputTime is above any deadline. Callers may state lengths of any size.
+	maxOutputTime = 24 * time.Hour
 )
 
 // durations holds how long the requests of each service take, as this relay has seen.
@@ -73,7 +75,8 @@
 		return 0, false
 	}
 	made := s.resumeTokens()
-	return time.Duration(output.Longest(made)-made) * pace, true
+	rest := float64(output.Longest(made)-made) * float64(pace)
+	return time.Duration(min(rest, float64(maxOutputTime))), true
 }
 
 // pace returns the time that an engine takes for a token, zero if it is unknown. What was seen of
