A stopping relay compares requests with others of their kind

Callers got a 503 for short calls in a planned stop when streams of the same service took long: the longest duration was kept by service, for calls, plain streams and streams to engines together, although the last are predicted by their length. A service with one stream of 5 s a minute refused calls of 3 s at most when 1.5 s were left.

Durations are kept by service and kind of route now, and streams to engines leave no duration. What counts as short is not looser for any kind: a call is still compared with the longest call of its service.

Two mutants were added.

--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -122,6 +122,20 @@
 		mutated:   "",
 		pkg:       "relay", test: "TestDrainOfUnknownLength",
 	},
+	{
+		guarantee: "streams of a service do not make its calls count as long",
+		file:      "relay/duration.go",
+		original:  "key := serviceKind{service: service, kind: kind}",
+		mutated:   "key := serviceKind{service: service}",
+		pkg:       "relay", test: "TestDurationsOfKinds",
+	},
+	{
+		guarantee: "streams to engines do not make other streams of their service count as long",
+		file:      "relay/duration.go",
+		original:  "if e.route.Kind == table.Streaming && e.disaggregated() {",
+		mutated:   "if false {",
+		pkg:       "relay", test: "TestDurationsOfKinds",
+	},
 	{
 		guarantee: "a relay that stops answers the requests that it reads",
 		file:      "start/relay_server.go",
--- a/relay/drain.go
+++ b/relay/drain.go
@@ -41,7 +41,7 @@
 
 // refuseCallBeforeEnd refuses a plain request that the relay may not complete until it stops.
 func (e *exchange) refuseCallBeforeEnd() *fault.Refusal {
-	return e.refuseBeforeEnd(time.Duration(e.durations.service(e.service.Name).longest.highest()))
+	return e.refuseBeforeEnd(time.Duration(e.durations.longestOf(e.service.Name, e.route.Kind).highest()))
 }
 
 // refuseStreamBeforeEnd refuses a stream that the relay may not complete until it stops, at an engine
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -17,6 +17,7 @@
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/pool"
+	"crocusstep/table"
 )
 
 // newTestRequest returns a request that arrives now, with a prompt if its service has engines.
@@ -100,9 +101,11 @@
 				backend := &fakeBackend{}
 				r := newTestRelay(t, backend)
 				for name, perToken := range s.perToken {
-					r.durations.service("model").paces.Observe(name, process, perToken, time.Now())
+					r.durations.pacesOf("model").Observe(name, process, perToken, time.Now())
+				}
+				for _, kind := range []table.Kind{table.Action, table.Streaming} {
+					r.durations.longestOf("plain", kind).record(int(s.longest), time.Now())
 				}
-				r.durations.service("plain").longest.record(int(s.longest), time.Now())
 				r.Drain(time.Now().Add(s.left))
 				timeout := 14 * time.Second
 				if s.path == "/action/x" {
@@ -151,7 +154,7 @@
 					}
 				}
 				output.observePace()
-				assert.Equal(t, r.durations.service("model").paces.Of("d1", cost.Process{Version: "v1"}, time.Now()), s.pace)
+				assert.Equal(t, r.durations.pacesOf("model").Of("d1", cost.Process{Version: "v1"}, time.Now()), s.pace)
 			})
 		})
 	}
@@ -207,7 +210,7 @@
 					output.recordEvents([]byte(part))
 				}
 				output.observePace()
-				assert.Equal(t, r.durations.service("model").paces.Of("d1", cost.Process{Version: "v1"}, time.Now()), s.pace)
+				assert.Equal(t, r.durations.pacesOf("model").Of("d1", cost.Process{Version: "v1"}, time.Now()), s.pace)
 			})
 		})
 	}
--- a/relay/drain_wait_test.go
+++ b/relay/drain_wait_test.go
@@ -14,6 +14,7 @@
 	"crocusstep/cost"
 	"crocusstep/fault"
 	"crocusstep/ident"
+	"crocusstep/table"
 )
 
 // TestDrainOfUnknownLength guards against streams of which nothing is known and that count as short, and
@@ -42,7 +43,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newTestRelay(t, &fakeBackend{})
 				if !s.hasNoPace {
-					r.durations.service("model").paces.Observe("d1", cost.Process{Version: "v1"}, time.Millisecond, time.Now())
+					r.durations.pacesOf("model").Observe("d1", cost.Process{Version: "v1"}, time.Millisecond, time.Now())
 				}
 				request := newTestRequest("/resume/x", 14*time.Second)
 				request.Prompt, request.LastEventID = &s.prompt, s.lastEventID
@@ -119,9 +120,11 @@
 						r.config.Pool.SetLimit(e, 10, time.Now(), time.Now())
 					}
 				}
-				r.durations.service("plain").longest.record(int(time.Second), time.Now())
-				r.durations.service("model").paces.Observe("d1", process, 500*time.Microsecond, time.Now())
-				r.durations.service("model").paces.Observe("d2", process, 750*time.Microsecond, time.Now())
+				for _, kind := range []table.Kind{table.Lookup, table.Action, table.Streaming} {
+					r.durations.longestOf("plain", kind).record(int(time.Second), time.Now())
+				}
+				r.durations.pacesOf("model").Observe("d1", process, 500*time.Microsecond, time.Now())
+				r.durations.pacesOf("model").Observe("d2", process, 750*time.Microsecond, time.Now())
 				r.Drain(time.Now().Add(s.left))
 				refusal := r.Serve(t.Context(), newTestRequest(s.path, 14*time.Second), httptest.NewRecorder())
 				r.Wait()
--- a/relay/duration.go
+++ b/relay/duration.go
@@ -7,6 +7,7 @@
 	"crocusstep/cost"
 	"crocusstep/ident"
 	"crocusstep/pool"
+	"crocusstep/table"
 )
 
 const (
@@ -21,35 +22,52 @@
 
 // durations holds how long the requests of each service take, as this relay has seen.
 type durations struct {
-	mutex    sync.Mutex
-	services map[ident.ServiceName]*serviceDurations
+	mutex sync.Mutex
+	// longest is in nanoseconds, of complete responses without a predictable length.
+	longest map[serviceKind]*recentMaximum
+	// paces are those of the engines that make predictable outputs.
+	paces map[ident.ServiceName]*cost.Paces
 }
 
-// serviceDurations is what was seen of one service.
-type serviceDurations struct {
-	// longest is in nanoseconds, of complete responses without a predictable length.
-	longest *recentMaximum
-	paces   *cost.Paces
+// serviceKind is what durations are learned by: streams of a service take longer than its calls.
+type serviceKind struct {
+	service ident.ServiceName
+	kind    table.Kind
 }
 
 func newDurations() *durations {
-	return &durations{services: map[ident.ServiceName]*serviceDurations{}}
+	return &durations{longest: map[serviceKind]*recentMaximum{}, paces: map[ident.ServiceName]*cost.Paces{}}
+}
+
+func (d *durations) longestOf(service ident.ServiceName, kind table.Kind) *recentMaximum {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	key := serviceKind{service: service, kind: kind}
+	m, ok := d.longest[key]
+	if !ok {
+		m = &recentMaximum{window: durationWindow}
+		d.longest[key] = m
+	}
+	return m
 }
 
-func (d *durations) service(name ident.ServiceName) *serviceDurations {
+func (d *durations) pacesOf(service ident.ServiceName) *cost.Paces {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	s, ok := d.services[name]
+	p, ok := d.paces[service]
 	if !ok {
-		s = &serviceDurations{longest: &recentMaximum{window: durationWindow}, paces: cost.NewPaces()}
-		d.services[name] = s
+		p = cost.NewPaces()
+		d.paces[service] = p
 	}
-	return s
+	return p
 }
 
-// observeDuration learns from a complete response.
+// observeDuration learns from a complete response without a predictable length.
 func (e *exchange) observeDuration(duration time.Duration) {
-	e.durations.service(e.service.Name).longest.record(int(duration), time.Now())
+	if e.route.Kind == table.Streaming && e.disaggregated() {
+		return
+	}
+	e.durations.longestOf(e.service.Name, e.route.Kind).record(int(duration), time.Now())
 }
 
 // observePace learns from the numbered events of the current try. The first ones may have been made
@@ -64,7 +82,7 @@
 		return
 	}
 	process := cost.Process{StartMillis: s.source.StartMillis, Version: s.source.Version}
-	s.durations.service(s.service.Name).paces.Observe(s.source.Name, process, s.lastEvent.Sub(s.tryBegan)/time.Duration(tokens), time.Now())
+	s.durations.pacesOf(s.service.Name).Observe(s.source.Name, process, s.lastEvent.Sub(s.tryBegan)/time.Duration(tokens), time.Now())
 }
 
 // longestOutput returns the time that an engine most likely does not exceed for the rest of the
@@ -83,7 +101,7 @@
 // its outputs goes before what its keeper says.
 func (s *stream) pace(m *pool.Member) time.Duration {
 	now := time.Now()
-	paces := s.durations.service(s.service.Name).paces
+	paces := s.durations.pacesOf(s.service.Name)
 	fastest, usual := paces.Range(now)
 	if m == nil {
 		return fastest
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -107,7 +107,7 @@
 }
 
 // disaggregated reports whether the request goes to prefill and decode engines.
-func (s *stream) disaggregated() bool { return s.request.Prompt != nil && s.service.Engine != nil }
+func (e *exchange) disaggregated() bool { return e.request.Prompt != nil && e.service.Engine != nil }
 
 // attempt makes one attempt at serving the request.
 func (s *stream) attempt(ctx context.Context) error {
