A relay stops within its grace period whatever its delay

A relay whose settings state a delay before its connections end that is longer than the grace period, as a changed file can bring into force at any time, still slept when the platform killed it: requests under way got no response, and nobody was refused after the end that its own decisions go by. The delay ends with the time for requests now.

TestRelayStopKeepsGrace failed before: the relay still ran 3 s after the signal, with a grace period of 2 s. Under the race detector it took 2.3 s at first, as that lets processes wait for 1 s at their end; the test turns this wait off for its relays, and keeps the bound. One mutant was added.

--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -136,6 +136,13 @@
 		mutated:   "if false {",
 		pkg:       "relay", test: "TestDurationsOfKinds",
 	},
+	{
+		guarantee: "a relay stops within its grace period whatever its delay",
+		file:      "start/relay_server.go",
+		original:  "min(settings.ShutdownDelay.Std(), time.Until(endsAt))",
+		mutated:   "settings.ShutdownDelay.Std()",
+		pkg:       "start", test: "TestRelayStopKeepsGrace",
+	},
 	{
 		guarantee: "a relay that stops answers the requests that it reads",
 		file:      "start/relay_server.go",
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -222,7 +222,8 @@
 	settings := s.shutdownSettings.Load()
 	endsAt := startedAt.Add(settings.GracePeriod.Std() - responseFlushTime)
 	s.relay.Drain(endsAt)
-	time.Sleep(settings.ShutdownDelay.Std())
+	// Settings may state a delay that is longer than the grace period.
+	time.Sleep(min(settings.ShutdownDelay.Std(), time.Until(endsAt)))
 	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
--- a/start/relay_signal_test.go
+++ b/start/relay_signal_test.go
@@ -35,7 +35,8 @@
 memory: 100MiB
 `, address, freeAddress(t), metricsPort, freeAddress(t), shutdown), 0o600))
 	command = exec.Command(os.Args[0], "relay", "--settings", settings)
-	command.Env = append(os.Environ(), runVariable+"=1")
+	// The race detector makes a process wait for 1 s at its end otherwise.
+	command.Env = append(os.Environ(), runVariable+"=1", "GORACE=atexit_sleep_ms=0")
 	assert.NilError(t, command.Start())
 	t.Cleanup(func() { _ = command.Process.Kill() })
 	for !isListening(address) {
@@ -84,6 +85,19 @@
 	}
 }
 
+// TestRelayStopKeepsGrace guards against a relay that still takes connections when it is killed, as
+// its settings state a longer delay than the grace period.
+func TestRelayStopKeepsGrace(t *testing.T) {
+	const grace = 2 * time.Second
+	command, _ := startRelay(t, "{leave-delay: 1h, grace: 2s}")
+	killed := time.AfterFunc(grace+time.Second, func() { _ = command.Process.Kill() })
+	defer killed.Stop()
+	stopped := time.Now()
+	assert.NilError(t, command.Process.Signal(syscall.SIGTERM))
+	assert.Equal(t, exitCode(command.Wait()), exitOK)
+	assert.Assert(t, time.Since(stopped) < grace, "%s", time.Since(stopped))
+}
+
 // readStatus reads a response completely and returns its status.
 func readStatus(t *testing.T, reader *bufio.Reader) int {
 	t.Helper()
