SIGHUP does not end entries and agents

Callers of an entry, and entries that call an agent, lost their requests without an answer when an operator told the process by SIGHUP that a file has changed: nothing handled the signal, so it killed the process. Relays and keepers handle it.

SIGHUP now has the peer keys read at once instead of at the next poll.

TestHangupKeepsServing failed before: signal: hangup. One mutant was added.

--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -164,6 +164,13 @@
 		mutated:   "if false {",
 		pkg:       "fleet", test: "TestPoisonRequest",
 	},
+	{
+		guarantee: "SIGHUP does not end entries and agents",
+		file:      "start/process.go",
+		original:  "\tsignal.Notify(hangups, syscall.SIGHUP)\n",
+		mutated:   "",
+		pkg:       "start", test: "TestHangupKeepsServing",
+	},
 	{
 		guarantee: "a draining agent refuses new requests",
 		file:      "agent/agent.go",
--- a/start/process.go
+++ b/start/process.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	// keysPollInterval is the time between two reads of the peer keys file.
+	// keysPollInterval is the time between two reads of the peer keys file; SIGHUP reloads it
+	// immediately.
 	keysPollInterval = 5 * time.Second
 	// exitForced is the exit code after a second signal: 128 + SIGINT.
 	exitForced = 130
@@ -46,8 +47,10 @@
 	cancel context.CancelFunc
 	// stopRequested is closed by the first signal to stop.
 	stopRequested chan struct{}
-	tasks         common.Tasks
-	http          *http.Client
+	// reload has a buffer of one; SIGHUP requests a reload of the peer keys.
+	reload chan struct{}
+	tasks  common.Tasks
+	http   *http.Client
 }
 
 func newProcess(settings conf.Log, location conf.Location, stderr io.Writer) (p *process, err error) {
@@ -63,6 +66,7 @@
 		ctx:           ctx,
 		cancel:        cancel,
 		stopRequested: make(chan struct{}),
+		reload:        make(chan struct{}, 1),
 		http:          socket.NewClient(),
 	}
 	p.watchSignals()
@@ -113,9 +117,19 @@
 	return a
 }
 
-// watchSignals begins a graceful shutdown at the first signal and exits at the
-// second.
+// watchSignals begins a graceful shutdown at the first signal to stop and exits at the
+// second. SIGHUP requests a reload.
 func (p *process) watchSignals() {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			select {
+			case p.reload <- struct{}{}:
+			default:
+			}
+		}
+	}()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -160,6 +174,7 @@
 		case <-p.ctx.Done():
 			return
 		case <-ticker.C:
+		case <-p.reload:
 		}
 		keys, err := readKeys(file)
 		if err == nil {
--- a/start/signal_test.go
+++ b/start/signal_test.go
@@ -77,6 +77,22 @@
 	return exitOK
 }
 
+// TestHangupKeepsServing guards against an entry that SIGHUP ends together with the requests in
+// flight: it means that files have changed.
+func TestHangupKeepsServing(t *testing.T) {
+	command := startEntry(t, "10ms")
+	done := make(chan error, 1)
+	go func() { done <- command.Wait() }()
+	assert.NilError(t, command.Process.Signal(syscall.SIGHUP))
+	select {
+	case err := <-done:
+		t.Fatalf("the entry has ended: %v", err)
+	case <-time.After(300 * time.Millisecond):
+	}
+	assert.NilError(t, command.Process.Signal(syscall.SIGTERM))
+	assert.Equal(t, exitCode(<-done), exitOK)
+}
+
 func TestSignals(t *testing.T) {
 	scenarios := []struct {
 		testName      string
