--- a/memory/length_estimate.go
+++ b/memory/length_estimate.go
@@ -28,6 +28,10 @@
 	Limit ident.TokenCount `json:"limit"`
 }
 
+// IsKnown reports whether anything is known of the length: a limit, a caller's estimate or earlier
+// outputs. Without them the median is one token.
+func (l LengthEstimate) IsKnown() bool { return l.Limit > 0 || l.Median > 1 }
+
 // Run returns the memory use of a request with this output length, given the tokens
 // that it holds and those that it has generated.
 func (l LengthEstimate) Run(held, generated ident.TokenCount) Run {
@@ -69,6 +73,9 @@
 // longestQuantile is the share of outputs that are no longer than Longest.
 const longestQuantile = 0.95
 
+// maxLength is above any length. A larger number may not fit into a token count.
+const maxLength = 1 << 40
+
 // Longest returns the length that the output most likely does not exceed, given the tokens
 // generated so far.
 func (l LengthEstimate) Longest(generated ident.TokenCount) ident.TokenCount {
@@ -84,7 +91,7 @@
 	if l.Limit > 0 {
 		longest = math.Min(longest, float64(l.Limit))
 	}
-	return max(generated, ident.TokenCount(longest))
+	return max(generated, ident.TokenCount(math.Min(longest, maxLength)))
 }
 
 // normalTail is the probability that a standard normal variable exceeds z.
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -16,6 +17,7 @@
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/pool"
+	"crocusstep/table"
 )
 
 // newTestRequest returns a request that arrives now, with a prompt if its service has engines.
@@ -99,9 +101,11 @@
 				backend := &fakeBackend{}
 				r := newTestRelay(t, backend)
 				for name, perToken := range s.perToken {
-					r.durations.service("model").paces.Observe(name, process, perToken, time.Now())
+					r.durations.pacesOf("model").Observe(name, process, perToken, time.Now())
+				}
+				for _, kind := range []table.Kind{table.Action, table.Streaming} {
+					r.durations.longestOf("plain", kind).record(int(s.longest), time.Now())
 				}
-				r.durations.service("plain").longest.record(int(s.longest), time.Now())
 				r.Drain(time.Now().Add(s.left))
 				timeout := 14 * time.Second
 				if s.path == "/action/x" {
@@ -150,7 +154,65 @@
 					}
 				}
 				output.observePace()
-				assert.Equal(t, r.durations.service("model").paces.Of("d1", cost.Process{Version: "v1"}, time.Now()), s.pace)
+				assert.Equal(t, r.durations.pacesOf("model").Of("d1", cost.Process{Version: "v1"}, time.Now()), s.pace)
+			})
+		})
+	}
+}
+
+// TestPaceOfUnevenStreams guards against engines that count as faster than they are, and get streams
+// that a stopping relay then cuts: events that arrive together were not made at once, and comments are
+// no output.
+func TestPaceOfUnevenStreams(t *testing.T) {
+	const interval = 61 * time.Millisecond
+	numbered := func(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
+	// together returns the first events of a stream as one part, and those after them alone.
+	together := func(first, all int) (parts []string) {
+		begin := ""
+		for id := 1; id <= first; id++ {
+			begin += numbered(id)
+		}
+		parts = append(parts, begin)
+		for id := first + 1; id <= all; id++ {
+			parts = append(parts, numbered(id))
+		}
+		return parts
+	}
+	beats := make([]string, 41)
+	for i := range beats {
+		beats[i] = ": ping\n\n"
+		if i%4 == 0 {
+			beats[i] = numbered(i/4 + 1)
+		}
+	}
+	scenarios := []struct {
+		testName string
+		parts    []string
+		pace     time.Duration
+	}{
+		{"events one by one", together(1, 41), time.Millisecond},
+		{"the first events together", together(30, 41), time.Millisecond},
+		{"too few events after those that came together", together(38, 41), 0},
+		{"all events together", together(41, 41), 0},
+		{"comments between the events", beats, 4 * time.Millisecond},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRelay(t, &fakeBackend{})
+				e := &exchange{Relay: r, request: newTestRequest("/read/x", time.Minute), service: r.Table().Services["model"]}
+				e.service.Name = "model"
+				e.writer = httptest.NewRecorder()
+				output := &stream{exchange: e, source: pool.Endpoint{Name: "d1", Version: "v1"}}
+				began := false
+				for i, part := range s.parts {
+					if i > 0 {
+						time.Sleep(interval)
+					}
+					assert.NilError(t, output.forwardEvents(&Response{Status: http.StatusOK}, []byte(part), &began))
+				}
+				output.observePace()
+				assert.Equal(t, r.durations.pacesOf("model").Of("d1", cost.Process{Version: "v1"}, time.Now()), s.pace)
 			})
 		})
 	}
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -107,7 +107,7 @@
 }
 
 // disaggregated reports whether the request goes to prefill and decode engines.
-func (s *stream) disaggregated() bool { return s.request.Prompt != nil && s.service.Engine != nil }
+func (e *exchange) disaggregated() bool { return e.request.Prompt != nil && e.service.Engine != nil }
 
 // attempt makes one attempt at serving the request.
 func (s *stream) attempt(ctx context.Context) error {
@@ -127,7 +127,7 @@
 		return err
 	}
 	defer func() { s.endReservation(res) }()
-	if refusal := s.refuseStreamBeforeEnd(&res.member); refusal != nil {
+	if refusal := s.refuseStreamBeforeEnd(&res.member, nil); refusal != nil {
 		return refusal
 	}
 	reserved := time.Now()
@@ -232,7 +232,7 @@
 		return nil
 	}
 	s.tried[s.endpoint] = true
-	candidates := s.decodeCandidates(ctx)
+	candidates, _ := s.completing(s.decodeCandidates(ctx), cached)
 	for _, m := range candidates[:min(maxDecodeTries, len(candidates))] {
 		if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 {
 			return nil
