mutant: the line of revocations learned from peers follows the packed tables

Its text had gone from relay/gossip.go with, so that the mutant could not be made. With the new text TestRevocation fails (relay 4 still serves a revoked key).

--- a/mutant/workspace.go
+++ b/mutant/workspace.go
@@ -103,8 +103,8 @@
 	{
 		guarantee: "relays that the store turns away learn a revocation from their peers",
 		file:      "relay/gossip.go",
-		original:  "if in.Table != nil && g.relay.SetTable(in.Table) {",
-		mutated:   "if in.Table != nil && false {",
+		original:  "if g.relay.SetTable(d) {",
+		mutated:   "if false {",
 		pkg:       "platform", test: "TestRevocation",
 	},
 	{
