relay: request ended has the caller's limit of the output

A cut at the end of the grace period of an output near its stated limit could not be told from one of an output whose length nobody stated.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -241,7 +241,7 @@
 		"request", e.request.Attempt, "route", e.route.Name, "service", e.service.Name,
 		"table", e.tableVersion, "endpoints", e.config.Pool.Revision(), "endpoint", e.endpoint, "outcome", outcome,
 		"status", e.status, "sends", e.sends, "ran", e.executions, "first", firstLatency, "whole", responseTime, "spent", e.earlierWait,
-		"prompt", prompt.Tokens, "estimate", prompt.EstimatedOutput, "longest-pause", e.longestGap, "tokens-made", e.generated.Load(),
+		"prompt", prompt.Tokens, "estimate", prompt.EstimatedOutput, "max-output", prompt.MaxOutput, "longest-pause", e.longestGap, "tokens-made", e.generated.Load(),
 		"resumes", e.request.Resumes, "versions", e.versions, "framing", e.framing, "unfinished", e.unfinished,
 		"retry-after", wait, "ended-by", e.ending, "note", note,
 	}
