A stopping relay takes only what it completes by a bound

A stopping relay took a stream if the output that it most likely does not exceed (19 in 20) would end in time at the last pace of its engine, and a call by the longest one of the last minutes. Now it takes a request whose deadline, or the route's timeout, comes before its own end, and a stream whose limit of tokens ends before it at the targets of its route with one silence of 2 s. All else is refused at once, not run.

TestStopTakesWhatItCompletes has outputs of up to 7,930 tokens, low limits, silences and engines that are four times slower. Its checks were that one in twenty is cut, and that one in ten short streams is refused; both are stricter now: none is cut, and none is refused that ends in time by its limit or deadline.

What learned paces and durations is gone, and with it its tests (TestPaces, TestPacesAreBounded, TestLongest, TestPaceIsLearned, TestPaceOfUnevenStreams, TestDurationsOfKinds). TestDrainByDuration and TestDrainOfUnknownLength demanded the odds; TestDrain has their cases with the bound, to the exact moment. TestDrainAfterWait lets the signal come while the request waits.

--- a/memory/length_estimate.go
+++ b/memory/length_estimate.go
@@ -28,10 +28,6 @@
 	Limit ident.TokenCount `json:"limit"`
 }
 
-// IsKnown reports whether anything is known of the length: a limit, a caller's estimate or earlier
-// outputs. Without them the median is one token.
-func (l LengthEstimate) IsKnown() bool { return l.Limit > 0 || l.Median > 1 }
-
 // Run returns the memory use of a request with this output length, given the tokens
 // that it holds and those that it has generated.
 func (l LengthEstimate) Run(held, generated ident.TokenCount) Run {
@@ -70,30 +66,6 @@
 	return remaining
 }
 
-// longestQuantile is the share of outputs that are no longer than Longest.
-const longestQuantile = 0.95
-
-// maxLength is above any length. A larger number may not fit into a token count.
-const maxLength = 1 << 40
-
-// Longest returns the length that the output most likely does not exceed, given the tokens
-// generated so far.
-func (l LengthEstimate) Longest(generated ident.TokenCount) ident.TokenCount {
-	median, spread := math.Max(1, float64(l.Median)), math.Max(0.01, l.Spread)
-	tail := 1 - longestQuantile
-	if generated > 0 {
-		tail *= normalTail(math.Log(float64(generated)/median) / spread)
-	}
-	longest := float64(generated) * math.Exp(spread)
-	if tail > 1e-9 {
-		longest = median * math.Exp(spread*math.Sqrt2*math.Erfcinv(2*tail))
-	}
-	if l.Limit > 0 {
-		longest = math.Min(longest, float64(l.Limit))
-	}
-	return max(generated, ident.TokenCount(math.Min(longest, maxLength)))
-}
-
 // normalTail is the probability that a standard normal variable exceeds z.
 func normalTail(z float64) float64 { return 0.5 * math.Erfc(z/math.Sqrt2) }
 
--- a/relay/call.go
+++ b/relay/call.go
@@ -156,7 +156,6 @@
 		return nil, errors.Join(client.ErrResponseLost, errors.New("the answer has no signature"))
 	}
 	outcome = pool.Success
-	e.observeDuration(time.Since(began))
 	e.clearCrashes()
 	if response.Status >= http.StatusInternalServerError {
 		outcome = pool.Failed
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -65,9 +65,6 @@
 // countTryEvents counts events of the current try. Once the output has begun, the parts of
 // the prompt are sound.
 func (e *exchange) countTryEvents(count int) {
-	if e.tryEvents == 0 {
-		e.firstEvents, e.tokensBefore = count, e.generated.Load()
-	}
 	begun := e.tryEvents >= soundEvents
 	e.tryEvents += count
 	if !begun && e.tryEvents >= soundEvents {
--- a/relay/drain.go
+++ b/relay/drain.go
@@ -6,82 +6,62 @@
 	"time"
 
 	"crocusstep/fault"
-	"crocusstep/pool"
+	"crocusstep/ident"
 )
 
 // minDrainRetryAfter is the shortest Retry-After of a relay that stops: others serve already.
 const minDrainRetryAfter = 100 * time.Millisecond
 
-// minTimeShare is the least share of a request's time that must be left until the relay stops
-// while nothing is known of how long such requests take: most need a small part of their time.
-const minTimeShare = 1.0 / 3
+const (
+	// soundSilence is how long an engine that is sound may be silent.
+	soundSilence = 2 * time.Second
+	// maxStreamTime is above any deadline.
+	maxStreamTime = 24 * time.Hour
+)
 
-// Drain makes the relay refuse requests that it may not complete until the given time, at which
-// its process cancels them.
+// Drain makes the relay refuse requests that may last until the given time, at which its process
+// cancels them.
 func (r *Relay) Drain(end time.Time) { r.endsAt.Store(&end) }
 
-// refuseBeforeEnd refuses a request that would be sent too late before the relay stops. The request
-// most likely takes no longer than needed, which is zero if that is unknown. One that may have run
-// goes on as long as it can.
-func (e *exchange) refuseBeforeEnd(needed time.Duration) *fault.Refusal {
+// refuseBeforeEnd refuses a request that would be sent and may last longer than the relay: its longest
+// time is a bound, since a request that is sent in the stop must not be cut by it. One that may have
+// run goes on as long as it can.
+func (e *exchange) refuseBeforeEnd(longest time.Duration) *fault.Refusal {
 	endsAt := e.endsAt.Load()
 	if endsAt == nil || e.started || e.executions > 0 {
 		return nil
 	}
 	left := time.Until(*endsAt)
-	if needed == 0 {
-		needed = time.Duration(minTimeShare * float64(e.timeLeft()))
-	}
-	if left >= min(needed, e.timeLeft()) {
+	if longest <= left {
 		return nil
 	}
-	return fault.New(fault.Draining, "the relay stops in %s, the request may take %s", left.Round(time.Millisecond), needed.Round(time.Millisecond)).
+	return fault.New(fault.Draining, "the relay stops in %s, the request may take %s", left.Round(time.Millisecond), longest.Round(time.Millisecond)).
 		WithRetryAfter(e.retryAfterJitter(minDrainRetryAfter))
 }
 
-// refuseCallBeforeEnd refuses a plain request that the relay may not complete until it stops.
-func (e *exchange) refuseCallBeforeEnd() *fault.Refusal {
-	return e.refuseBeforeEnd(time.Duration(e.durations.longestOf(e.service.Name, e.route.Kind).highest()))
-}
+// refuseCallBeforeEnd refuses a plain request that the relay may not complete until it stops. At its
+// deadline a request gets a response in any case.
+func (e *exchange) refuseCallBeforeEnd() *fault.Refusal { return e.refuseBeforeEnd(e.timeLeft()) }
 
-// refuseStreamBeforeEnd refuses a stream that the relay may not complete until it stops, at an engine
-// or, if m is nil, at any. Cached is nil while the prompt is to be prefilled. A stream that leaves a
-// silent engine is not refused, as it may have run there.
-func (s *stream) refuseStreamBeforeEnd(m *pool.Member, cached *CachedPrompt) *fault.Refusal {
-	switch {
-	case s.endsAt.Load() == nil, s.stall != nil:
+// refuseStreamBeforeEnd refuses a stream that the relay may not complete until it stops. One that leaves
+// a silent engine is not refused, as it may have run there.
+func (s *stream) refuseStreamBeforeEnd() *fault.Refusal {
+	if s.stall != nil {
 		return nil
-	case !s.disaggregated():
-		return s.refuseCallBeforeEnd()
 	}
-	needed, known := s.longestOutput(m)
-	if !known {
-		return s.refuseBeforeEnd(0)
-	}
-	needed += transferAllowance
-	if cached == nil {
-		needed += pool.PrefillTime(s.request.Prompt.Tokens)
-	}
-	return s.refuseBeforeEnd(needed)
+	return s.refuseBeforeEnd(min(s.timeLeft(), s.targetTime()))
 }
 
-// completing returns the engines at which the stream most likely ends before the relay stops, or a
-// refusal if there is none.
-func (s *stream) completing(members []pool.Member, cached *CachedPrompt) (list []pool.Member, refusal *fault.Refusal) {
-	if s.endsAt.Load() == nil {
-		return members, nil
-	}
-	for _, m := range members {
-		if late := s.refuseStreamBeforeEnd(&m, cached); late != nil {
-			refusal = late
-			continue
-		}
-		list = append(list, m)
-	}
-	if len(list) > 0 {
-		return list, nil
+// targetTime returns how long the stream lasts at most if it keeps to the targets of its route, except
+// for one silence, and its caller limits the output; without limit or targets it is maxStreamTime.
+func (s *stream) targetTime() time.Duration {
+	if !s.disaggregated() || s.request.Prompt.MaxOutput == 0 || s.service.Engine.TokensPerEvent == 0 || s.route.TargetEventGap == 0 {
+		return maxStreamTime
 	}
-	return nil, refusal
+	events := max(0, s.request.Prompt.MaxOutput-s.resumeTokens()) / s.service.Engine.TokensPerEvent
+	// Callers may state limits of any size. The last event may have fewer tokens.
+	events = min(events+1, ident.TokenCount(maxStreamTime/s.route.TargetEventGap))
+	return s.route.TargetLatency + time.Duration(events)*s.route.TargetEventGap + soundSilence
 }
 
 // refuseAtGraceEnd replaces the refusal of a request that the relay itself has cancelled, as its
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -76,10 +76,6 @@
 	generated atomic.Int64
 	// tryEvents is the number of events in the response of the current try.
 	tryEvents int
-	// firstEvents is the number of those that arrived together at its begin, tokensBefore the number
-	// of output tokens forwarded before it.
-	firstEvents  int
-	tokensBefore int64
 	// pinned is the software version that all events of the response must be of, empty if it is
 	// unknown. It is nil before the first event.
 	pinned atomic.Pointer[ident.SoftwareVersion]
@@ -110,7 +106,7 @@
 	serve, refusal := e.serveCall, (*fault.Refusal)(nil)
 	if e.route.Kind == table.Streaming {
 		s := newStream(e)
-		serve, refusal = s.serve, s.refuseStreamBeforeEnd(nil, nil)
+		serve, refusal = s.serve, s.refuseStreamBeforeEnd()
 	} else {
 		refusal = e.refuseCallBeforeEnd()
 	}
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -71,7 +71,7 @@
 		}
 		refusal := s.barred()
 		if refusal == nil {
-			refusal = s.refuseStreamBeforeEnd(&res.member, nil)
+			refusal = s.refuseStreamBeforeEnd()
 		}
 		if refusal != nil {
 			s.config.Pool.ReturnPermit(next.member.Endpoint)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,7 +81,6 @@
 	waitEstimator *retry.WaitEstimator
 	quotas        *quotas
 	learned       *learnedCosts
-	durations     *durations
 	// endsAt is when the process stops, nil while it is not stopping.
 	endsAt atomic.Pointer[time.Time]
 	tasks  common.Tasks
@@ -116,7 +115,6 @@
 		retryLimiters:    map[ident.ServiceName]*retry.Limiter{},
 		waitEstimator:    retry.NewWaitEstimator(),
 		learned:          newLearnedCosts(),
-		durations:        newDurations(),
 		unreachableUntil: map[ident.EndpointName]time.Time{},
 		loads:            map[ident.ServiceName]*serviceLoad{},
 		prefillTimings:   map[ident.EndpointName]keeper.PrefillTiming{},
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -54,10 +54,10 @@
 	s.order = s.order.AskedFirst()
 	deadline := time.Now().Add(window)
 	best, shortest := pool.Member{}, time.Duration(-1)
-	members, refusal := s.completing(s.decodeCandidates(ctx), nil)
-	if refusal != nil {
+	if refusal := s.refuseStreamBeforeEnd(); refusal != nil {
 		return nil, refusal
 	}
+	members := s.decodeCandidates(ctx)
 	if len(members) == 0 {
 		return nil, s.noEndpoint()
 	}
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -127,7 +127,7 @@
 		return err
 	}
 	defer func() { s.endReservation(res) }()
-	if refusal := s.refuseStreamBeforeEnd(&res.member, nil); refusal != nil {
+	if refusal := s.refuseStreamBeforeEnd(); refusal != nil {
 		return refusal
 	}
 	reserved := time.Now()
@@ -214,7 +214,6 @@
 	stop := s.watchForStall(ctx, s.executions, res.try.abort)
 	err := s.forward(response)
 	stop()
-	s.observePace()
 	s.recordTry(ctx, res, err)
 	if err != nil && s.next == nil {
 		s.recordCrash(ctx, errors.Join(client.ErrResponseLost, err))
@@ -228,11 +227,11 @@
 	if s.next != nil || err == nil || cached == nil || !errors.Is(err, client.ErrNotSent) && !errors.Is(err, errNotExecuted) {
 		return nil
 	}
-	if errors.Is(err, errNoRetry) || s.barred() != nil {
+	if errors.Is(err, errNoRetry) || s.barred() != nil || s.refuseStreamBeforeEnd() != nil {
 		return nil
 	}
 	s.tried[s.endpoint] = true
-	candidates, _ := s.completing(s.decodeCandidates(ctx), cached)
+	candidates := s.decodeCandidates(ctx)
 	for _, m := range candidates[:min(maxDecodeTries, len(candidates))] {
 		if time.Since(cached.PrefilledAt) > s.service.Engine.HandleTTL/2 {
 			return nil
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -35,8 +35,6 @@
 	source pool.Endpoint
 	// lastEvent is when the last events arrived.
 	lastEvent time.Time
-	// tryBegan is when the first events of the current try arrived.
-	tryBegan time.Time
 	// stall watches the try in progress; it may be nil.
 	stall *stallWatch
 	// next holds the try at the endpoint that the stream has moved to; it may be nil.
@@ -152,7 +150,6 @@
 	}
 	s.clearCrashes()
 	s.recordLength()
-	s.observeDuration(time.Since(s.request.Arrived))
 	return nil
 }
 
@@ -185,7 +182,6 @@
 	}
 	s.lastEvent = now
 	if s.tryEvents == 0 {
-		s.tryBegan = now
 		s.leftSilent = false
 		s.beginVersion()
 		s.versions = append(s.versions, s.source.Version)
--- a/relay/try.go
+++ b/relay/try.go
@@ -74,7 +74,7 @@
 	if refusal := s.barred(); refusal != nil {
 		return errors.Join(client.ErrNotSent, refusal)
 	}
-	if refusal := s.refuseStreamBeforeEnd(&res.member, cached); refusal != nil {
+	if refusal := s.refuseStreamBeforeEnd(); refusal != nil {
 		return errors.Join(client.ErrNotSent, refusal)
 	}
 	if !s.allowSend(ctx) {
