Callers of a stopping relay come back when another one serves

Relays now tell the hubs their zone and that they stop; a hub says whether another one of the sender's zone takes requests. If none does, Retry-After lasts until the load balancer has noticed the stop. TestHubFindsProcessesThatAreAlone, TestDrainRetryAfter.

--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"crocusstep/crash"
+	"crocusstep/ident"
 	"crocusstep/pool"
 )
 
@@ -20,13 +21,21 @@
 	mutex sync.Mutex
 	// table is one that can be read, or nil.
 	table *SharedTable
-	// peers holds the time of each sender's last message.
-	peers map[string]time.Time
+	// peers holds what is known of each sender.
+	peers map[string]peer
+}
+
+// peer is a process that has recently sent a message.
+type peer struct {
+	heardAt time.Time
+	zone    ident.ZoneName
+	// stopping is set once the process refuses requests.
+	stopping bool
 }
 
 // NewHub returns an empty hub.
 func NewHub() *Hub {
-	return &Hub{crashes: crash.NewTracker(), endpoints: pool.NewPool(), peers: map[string]time.Time{}}
+	return &Hub{crashes: crash.NewTracker(), endpoints: pool.NewPool(), peers: map[string]peer{}}
 }
 
 // Exchange applies the newer parts of a message and returns what its sender lacks.
@@ -41,8 +50,8 @@
 	in.ApplyEndpoints(h.endpoints)
 	h.endpoints.AdoptHistory(in.History)
 	h.endpoints.RemoveLapsed(now, time.Time{})
-	h.updatePeers(in.Sender, now)
-	out := &Message{Digest: NewDigest(h.crashes, now), Sounds: h.crashes.Sounds(now), Peers: len(h.peers), Rank: h.rank(in.Sender)}
+	h.updatePeers(in, now)
+	out := &Message{Digest: NewDigest(h.crashes, now), Sounds: h.crashes.Sounds(now), Peers: len(h.peers), Rank: h.rank(in.Sender), Alone: h.isAlone(in)}
 	out.History = h.endpoints.History()
 	if h.table != nil {
 		out.Digest.Table = h.table.Version()
@@ -85,17 +94,28 @@
 	return h.table == nil || t.Version() > h.table.Version()
 }
 
-func (h *Hub) updatePeers(sender string, now time.Time) {
-	if sender != "" {
-		h.peers[sender] = now
+func (h *Hub) updatePeers(in *Message, now time.Time) {
+	if in.Sender != "" {
+		h.peers[in.Sender] = peer{heardAt: now, zone: in.Zone, stopping: in.Stopping}
 	}
-	for name, at := range h.peers {
-		if now.Sub(at) > peerTTL {
+	for name, p := range h.peers {
+		if now.Sub(p.heardAt) > peerTTL {
 			delete(h.peers, name)
 		}
 	}
 }
 
+// isAlone reports whether no other peer of the sender's zone takes requests. The peers of a sender
+// without a zone are not known.
+func (h *Hub) isAlone(in *Message) bool {
+	for name, p := range h.peers {
+		if name != in.Sender && p.zone == in.Zone && !p.stopping {
+			return false
+		}
+	}
+	return in.Zone != ""
+}
+
 // rank returns the number of peers whose names sort before the given one.
 func (h *Hub) rank(of string) int {
 	rank := 0
--- a/gossip/hub_test.go
+++ b/gossip/hub_test.go
@@ -61,6 +61,21 @@
 	assert.Equal(t, out.Peers, 1, "silent peers do not count")
 }
 
+// TestHubFindsProcessesThatAreAlone guards against stopping processes that send their callers back
+// although no other one of their zone takes requests.
+func TestHubFindsProcessesThatAreAlone(t *testing.T) {
+	h := NewHub()
+	assert.Assert(t, h.Exchange(&Message{Sender: "a1", Zone: "a"}, start).Alone)
+	assert.Assert(t, h.Exchange(&Message{Sender: "b1", Zone: "b"}, start).Alone, "another zone does not count")
+	assert.Assert(t, !h.Exchange(&Message{Sender: "a2", Zone: "a"}, start).Alone)
+	assert.Assert(t, !h.Exchange(&Message{Sender: "a1", Zone: "a", Stopping: true}, start).Alone, "its own stop does not count")
+	assert.Assert(t, h.Exchange(&Message{Sender: "a2", Zone: "a"}, start).Alone, "the other one stops")
+	assert.Assert(t, !h.Exchange(&Message{Sender: "b2"}, start).Alone, "a sender of an earlier build states no zone")
+	assert.Assert(t, !h.Exchange(&Message{Sender: "a1", Zone: "a"}, start.Add(time.Second)).Alone)
+	assert.Assert(t, !h.Exchange(&Message{Sender: "a2", Zone: "a"}, start.Add(time.Second)).Alone, "the other one is back")
+	assert.Assert(t, h.Exchange(&Message{Sender: "a2", Zone: "a"}, start.Add(2*time.Second+peerTTL)).Alone, "the other one is silent")
+}
+
 // exchange sends the endpoints of one pool to another through a hub.
 func exchange(h *Hub, from, to *pool.Pool) {
 	now := time.Now()
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -108,6 +108,20 @@
 		mutated:   "*s.route.TargetEventGap",
 		pkg:       "relay", test: "TestDrain",
 	},
+	{
+		guarantee: "callers come back to a stopping relay without others in its zone once it is unlisted",
+		file:      "relay/drain.go",
+		original:  "if stop == nil || !r.alone.Load() {",
+		mutated:   "if stop != nil {",
+		pkg:       "relay", test: "TestDrainRetryAfter",
+	},
+	{
+		guarantee: "processes that stop do not count as others of the zone",
+		file:      "gossip/hub.go",
+		original:  "p.zone == in.Zone && !p.stopping",
+		mutated:   "p.zone == in.Zone",
+		pkg:       "gossip", test: "TestHubFindsProcessesThatAreAlone",
+	},
 	{
 		guarantee: "a relay that stops sends no call too late after a wait",
 		file:      "relay/call.go",
--- a/relay/drain.go
+++ b/relay/drain.go
@@ -9,34 +9,53 @@
 	"crocusstep/ident"
 )
 
-// minDrainRetryAfter is the shortest Retry-After of a relay that stops: others serve already.
-const minDrainRetryAfter = 100 * time.Millisecond
-
 const (
+	// minDrainRetryAfter is the shortest Retry-After of a relay that stops.
+	minDrainRetryAfter = 100 * time.Millisecond
 	// soundSilence is how long an engine that is sound may be silent.
 	soundSilence = 2 * time.Second
 	// maxStreamTime is above any deadline.
 	maxStreamTime = 24 * time.Hour
 )
 
-// Drain makes the relay refuse requests that may last until the given time, at which its process
-// cancels them.
-func (r *Relay) Drain(end time.Time) { r.endsAt.Store(&end) }
+// Stop is when a relay's process stops.
+type Stop struct {
+	// End is when the requests in flight are cancelled.
+	End time.Time
+	// Unlisted is when the load balancer has noticed the stop and sends no more connections.
+	Unlisted time.Time
+}
+
+// Drain makes the relay refuse requests that may last until the end of its process.
+func (r *Relay) Drain(stop Stop) { r.stop.Store(&stop) }
+
+func (r *Relay) stopping() bool { return r.stop.Load() != nil }
+
+// drainRetryAfter returns the Retry-After of a relay that stops. The other relays of its zone serve
+// already; without any, callers come back to this one until the load balancer has noticed.
+func (r *Relay) drainRetryAfter() time.Duration {
+	shortest := r.retryAfterJitter(minDrainRetryAfter)
+	stop := r.stop.Load()
+	if stop == nil || !r.alone.Load() {
+		return shortest
+	}
+	return max(0, time.Until(stop.Unlisted)) + shortest
+}
 
 // refuseBeforeEnd refuses a request that would be sent and may last longer than the relay: its longest
 // time is a bound, since a request that is sent in the stop must not be cut by it. One that may have
 // run goes on as long as it can.
 func (e *exchange) refuseBeforeEnd(longest time.Duration) *fault.Refusal {
-	endsAt := e.endsAt.Load()
-	if endsAt == nil || e.started || e.executions > 0 {
+	stop := e.stop.Load()
+	if stop == nil || e.started || e.executions > 0 {
 		return nil
 	}
-	left := time.Until(*endsAt)
+	left := time.Until(stop.End)
 	if longest <= left {
 		return nil
 	}
 	return fault.New(fault.Draining, "the relay stops in %s, the request may take %s", left.Round(time.Millisecond), longest.Round(time.Millisecond)).
-		WithRetryAfter(e.retryAfterJitter(minDrainRetryAfter))
+		WithRetryAfter(e.drainRetryAfter())
 }
 
 // refuseCallBeforeEnd refuses a plain request that the relay may not complete until it stops. At its
@@ -75,5 +94,5 @@
 	case e.executions > 0:
 		return fault.NewUnknown(fault.EndpointFailed, "the relay stopped before the response of %s", e.endpoint)
 	}
-	return fault.New(fault.Draining, "the relay stopped before the request was sent").WithRetryAfter(e.retryAfterJitter(minDrainRetryAfter))
+	return fault.New(fault.Draining, "the relay stopped before the request was sent").WithRetryAfter(e.drainRetryAfter())
 }
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -62,7 +62,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				backend := &fakeBackend{}
 				r := newTestRelay(t, backend)
-				r.Drain(time.Now().Add(s.left))
+				r.Drain(Stop{End: time.Now().Add(s.left)})
 				request := newTestRequest(s.path, s.timeout)
 				request.Prompt, request.LastEventID = s.prompt, s.lastEventID
 				refusal := r.Serve(t.Context(), request, httptest.NewRecorder())
@@ -80,6 +80,36 @@
 	}
 }
 
+// TestDrainRetryAfter guards against callers that come back to a relay which stops, as no other one of
+// its zone takes requests, and against callers that wait although others serve.
+func TestDrainRetryAfter(t *testing.T) {
+	const unlisted = 2400 * time.Millisecond
+	scenarios := []struct {
+		testName string
+		isAlone  bool
+		// after is the time from the signal until the request.
+		after, shortest, longest time.Duration
+	}{
+		{testName: "others serve", shortest: minDrainRetryAfter, longest: 400 * time.Millisecond},
+		{testName: "no other relay of the zone serves", isAlone: true, shortest: unlisted, longest: unlisted + 400*time.Millisecond},
+		{testName: "no other one, late", isAlone: true, after: 2 * time.Second, shortest: 400 * time.Millisecond, longest: 900 * time.Millisecond},
+		{testName: "no other one, after the load balancer has noticed", isAlone: true, after: 3 * time.Second, shortest: minDrainRetryAfter, longest: 400 * time.Millisecond},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRelay(t, &fakeBackend{})
+				r.alone.Store(s.isAlone)
+				r.Drain(Stop{End: time.Now().Add(7 * time.Second), Unlisted: time.Now().Add(unlisted)})
+				time.Sleep(s.after)
+				_, refusal := send(t.Context(), r, "/read/x")
+				assert.Equal(t, refusal.Code, fault.Draining)
+				assert.Assert(t, refusal.RetryAfter >= s.shortest && refusal.RetryAfter <= s.longest, "%s", refusal.RetryAfter)
+			})
+		})
+	}
+}
+
 // TestGraceEnd guards against requests that get no response, or are logged as left by their
 // caller, as the relay cancels them at the end of its grace period.
 func TestGraceEnd(t *testing.T) {
--- a/relay/drain_wait_test.go
+++ b/relay/drain_wait_test.go
@@ -81,7 +81,7 @@
 					}
 				}
 				end := time.Now().Add(s.left)
-				time.AfterFunc(100*time.Millisecond, func() { r.Drain(end) })
+				time.AfterFunc(100*time.Millisecond, func() { r.Drain(Stop{End: end}) })
 				request := newTestRequest(s.path, 14*time.Second+deadlineMargin)
 				if request.Prompt != nil {
 					request.Prompt.MaxOutput = 366
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -241,8 +241,8 @@
 		"resumes", e.request.Resumes, "versions", e.versions, "framing", e.framing, "unfinished", e.unfinished,
 		"retry-after", wait, "ended-by", e.ending, "note", note,
 	}
-	if endsAt := e.endsAt.Load(); endsAt != nil {
-		attributes = append(attributes, "until-stop", endsAt.Sub(e.request.Arrived))
+	if stop := e.stop.Load(); stop != nil {
+		attributes = append(attributes, "until-stop", stop.End.Sub(e.request.Arrived))
 	}
 	if e.workspace != nil && e.workspace.Quota != nil {
 		attributes = append(attributes, "workspace", e.workspace.Name, "charge", e.charge.Total, "granted", e.charge.Granted)
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -128,6 +128,14 @@
 	if versions, _ := g.pool.Unacknowledged(maxUnacknowledged); len(versions) == 0 && !g.IsWatcher() {
 		return
 	}
+	g.exchangeWithAll()
+}
+
+// AnnounceStop makes Run tell all hubs that the relay stops.
+func (g *Gossip) AnnounceStop() { g.exchangeWithAll() }
+
+// exchangeWithAll makes Run exchange state with all hubs immediately.
+func (g *Gossip) exchangeWithAll() {
 	select {
 	case g.announce <- struct{}{}:
 	default:
@@ -187,7 +195,7 @@
 // revision of the endpoints that the hub then knows, or an error if the hub did not respond.
 func (g *Gossip) exchange(ctx context.Context, hub pool.Endpoint) (known pool.Revision, err error) {
 	began := time.Now()
-	out := &gossip.Message{Sender: g.self, Digest: g.digest(), History: g.pool.History(), Sounds: g.relay.crashes.Sounds(began), HeardAge: g.heard.age(hub.Address, began)}
+	out := &gossip.Message{Sender: g.self, Zone: g.relay.config.Topology.Zone, Stopping: g.relay.stopping(), Digest: g.digest(), History: g.pool.History(), Sounds: g.relay.crashes.Sounds(began), HeardAge: g.heard.age(hub.Address, began)}
 	response, err := g.keepers.Exchange(ctx, hub.Address, out)
 	if err != nil {
 		g.Log.Info("gossip exchange with a keeper failed", "endpoint", hub.Name, "error", err)
@@ -234,6 +242,7 @@
 func (g *Gossip) apply(in *gossip.Message, hub pool.Endpoint) {
 	g.relayCount.record(in.Peers, time.Now())
 	g.rank.Store(int64(in.Rank))
+	g.relay.alone.Store(in.Alone)
 	g.recordContact(time.Now())
 	for _, c := range in.Crashes {
 		g.relay.crashes.RecordCrash(c, time.Now())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,9 +81,11 @@
 	waitEstimator *retry.WaitEstimator
 	quotas        *quotas
 	learned       *learnedCosts
-	// endsAt is when the process stops, nil while it is not stopping.
-	endsAt atomic.Pointer[time.Time]
-	tasks  common.Tasks
+	// stop is when the process stops, nil while it is not stopping.
+	stop atomic.Pointer[Stop]
+	// alone is set if no other relay of the zone takes requests, as far as the hubs know.
+	alone atomic.Bool
+	tasks common.Tasks
 
 	mutex sync.Mutex
 	// retryLimiters limits the retries of each service.
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -221,9 +221,11 @@
 	s.draining.Store(true)
 	settings := s.shutdownSettings.Load()
 	endsAt := startedAt.Add(settings.GracePeriod.Std() - responseFlushTime)
-	s.relay.Drain(endsAt)
 	// Settings may state a delay that is longer than the grace period.
-	time.Sleep(min(settings.ShutdownDelay.Std(), time.Until(endsAt)))
+	delay := min(settings.ShutdownDelay.Std(), time.Until(endsAt))
+	s.relay.Drain(relay.Stop{End: endsAt, Unlisted: startedAt.Add(delay)})
+	s.gossip.AnnounceStop()
+	time.Sleep(delay)
 	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
 	if err := s.callers.Shutdown(ctx); err != nil {
