intake: what has arrived is read and accepted after a deadline

Callers saw requests end with a closed connection although they had been sent before the relay closed it: a deadline is measured in wall time, and a process without processor time notices that it is over before it reads what has arrived meanwhile. Worse at the listener: connections that callers have opened and the process has not accepted are reset by the kernel when the listener closes.

After a deadline the descriptor is asked (poll without a wait) whether bytes have arrived, and if so they are read: the bound does not depend on when the process runs. A listener that ends accepts what has been opened, then closes. After a deadline that found nothing the connection is not read again: net/http takes the part of a line before an error for a whole one, so a later success would corrupt the head.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -6,29 +6,14 @@
 	"os"
 	"sync"
 	"time"
+
+	"crocusstep/socket"
 )
 
 // lastReadTime is how long a connection that ends is read once more: a caller that has just
 // connected sends its request within it.
 const lastReadTime = 100 * time.Millisecond
 
-// listener tracks the connections that it accepts.
-type listener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: raw, server: l.server, waits: true}
-	l.server.add(c)
-	return c, nil
-}
-
 // conn is a connection of a caller. Only its reader decides that it ends, by a read deadline, so
 // that it never ends with a request that was read.
 type conn struct {
@@ -40,6 +25,9 @@
 	waits bool
 	// handled is set while the request that was read has reached the handler; never while waits is.
 	handled bool
+	// expired is set once the wait for a request or the rest of its head was too long: nothing is
+	// read any more, as net/http takes the part of a line before an error for a whole one.
+	expired bool
 	// ends is set once the connection ends as soon as it waits.
 	ends bool
 	// deadline is the read deadline that the server has set.
@@ -48,18 +36,42 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.isExpired() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
 		// After its deadline a connection isn't read, even if bytes have arrived.
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime))
 		n, err = c.Conn.Read(p)
 	}
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.isHandled() {
+		n, err = c.readArrived(p, err)
+	}
 	if n > 0 {
 		c.receive()
 	}
 	return n, err
 }
 
+// readArrived reads what has arrived before the deadline, or returns the timeout: the process may
+// have had no processor time to read it.
+func (c *conn) readArrived(p []byte, timeout error) (n int, err error) {
+	isReadable := socket.IsReadable(c.Conn)
+	if isReadable {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+		n, err = c.Conn.Read(p)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !isReadable {
+		c.expired = true
+		return 0, timeout
+	}
+	_ = c.applyDeadline()
+	return n, err
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mutex.Lock()
@@ -133,6 +145,18 @@
 	}
 }
 
+func (c *conn) isExpired() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.expired
+}
+
+func (c *conn) isHandled() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.handled
+}
+
 func (c *conn) isEnding() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -34,7 +34,7 @@
 	mutex sync.Mutex
 	// closing is set once the shutdown has begun.
 	closing   bool
-	listeners []net.Listener
+	listeners []*listener
 	// conns holds the open connections.
 	conns map[*conn]bool
 	// partlyRead counts the connections that ended in the shutdown with a part of a request read
@@ -95,11 +95,12 @@
 		_ = l.Close()
 		return http.ErrServerClosed
 	}
-	s.listeners = append(s.listeners, l)
+	tracked := &listener{Listener: l, server: s}
+	s.listeners = append(s.listeners, tracked)
 	s.serving.Add(1)
 	s.mutex.Unlock()
 	defer s.serving.Done()
-	err := s.Server.Serve(&listener{Listener: l, server: s})
+	err := s.Server.Serve(tracked)
 	if s.isClosing() {
 		return http.ErrServerClosed
 	}
@@ -156,8 +157,7 @@
 	defer s.mutex.Unlock()
 	s.closing = true
 	for _, l := range s.listeners {
-		// It is closed already if its Serve has returned.
-		_ = l.Close()
+		l.end()
 	}
 }
 
--- a/intake/reset_test.go
+++ b/intake/reset_test.go
@@ -27,6 +27,9 @@
 		if err != nil {
 			os.Exit(1)
 		}
+		if os.Getenv(stopVariable) != "" {
+			os.Exit(serveUntilStop(listener))
+		}
 		_ = NewServer(&http.Server{Handler: http.HandlerFunc(beginResponse), ReadHeaderTimeout: time.Minute}).Serve(listener)
 		return
 	}
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -52,6 +52,20 @@
 		mutated:   "_ = lingerDefault",
 		pkg:       "intake", test: "TestWholeResponseIsNotReset",
 	},
+	{
+		guarantee: "what has arrived is read after a deadline",
+		file:      "intake/conn.go",
+		original:  "socket.IsReadable(c.Conn)",
+		mutated:   "socket.IsReadable(nil)",
+		pkg:       "intake", test: "TestPausedProcessAnswersWhatHasArrived",
+	},
+	{
+		guarantee: "a listener that ends accepts the connections that callers have opened",
+		file:      "intake/listener.go",
+		original:  "!socket.IsReadable(tcp)",
+		mutated:   "socket.IsReadable(tcp)",
+		pkg:       "intake", test: "TestPausedProcessAnswersWhatHasArrived",
+	},
 	{
 		guarantee: "a request that the relay cancels at the end of its grace period is answered",
 		file:      "relay/exchange.go",
