Requests that cross the close of a relay's connection are refused and named

A relay that ends a connection which owes it a request, or the rest of one, now says so with a 408, as RFC 9110, 15.5.9 provides for: callers may send a request that is under way again. It is true by construction: Close takes the connection's lock, and a request of which the handler hears later is not served. Then the relay closes its sending side and reads on until the caller closes, for 0.5 s at most and never beyond the end of the shutdown; what comes is logged with its id and counted. A close with unread bytes was a reset besides, which destroys responses under way.

Tests, on the code before: TestCrossingRequests (all 5 cases: no response), TestPartOfRequestIsRefused (no response), TestUnreadBytesDoNotResetResponse (6,311,724 of 8,388,608 bytes, then a reset).

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"os"
@@ -14,6 +15,9 @@
 // connected sends its request within it.
 const lastReadTime = 100 * time.Millisecond
 
+// informationalStart begins responses that precede the response to a request.
+const informationalStart = "HTTP/1.1 1"
+
 // conn is a connection of a caller. Only its reader decides that it ends, by a read deadline, so
 // that it never ends with a request that was read.
 type conn struct {
@@ -25,11 +29,19 @@
 	waits bool
 	// handled is set while the request that was read has reached the handler; never while waits is.
 	handled bool
+	// written is set once a response was begun since the last request was awaited.
+	written bool
+	// ends is set once the connection ends as soon as it waits.
+	ends bool
+	// closed is set once the connection is closed: no request reaches the handler any more.
+	closed bool
 	// expired is set once the wait for a request or the rest of its head was too long: nothing is
 	// read any more, as net/http takes the part of a line before an error for a whole one.
 	expired bool
-	// ends is set once the connection ends as soon as it waits.
-	ends bool
+	// callerEnded is set once nothing can be read any more.
+	callerEnded bool
+	// resets is set while Close resets the connection.
+	resets bool
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
 }
@@ -51,9 +63,27 @@
 	if n > 0 {
 		c.receive()
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.endReading()
+	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if !bytes.HasPrefix(p, []byte(informationalStart)) {
+		c.begin()
+	}
+	return c.Conn.Write(p)
+}
+
+// begin is called when a response begins.
+func (c *conn) begin() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.written = true
+}
+
 // readArrived reads what has arrived before the deadline, or returns the timeout: the process may
 // have had no processor time to read it.
 func (c *conn) readArrived(p []byte, timeout error) (n int, err error) {
@@ -80,24 +110,24 @@
 	return c.applyDeadline()
 }
 
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	defer c.server.remove(c)
-	return c.Conn.Close()
-}
-
-// handle is called when a request reaches the handler.
-func (c *conn) handle() {
+// handle is called when a request reaches the handler. It returns false if the connection is
+// closed, and the request must not be served.
+func (c *conn) handle() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.closed {
+		return false
+	}
 	c.waits, c.handled = false, true
+	return true
 }
 
-// isPartlyRead reports whether a part of a request was read that has not reached the handler.
+// isPartlyRead reports whether a part of a request was read that has neither reached the
+// handler nor been refused.
 func (c *conn) isPartlyRead() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return !c.waits && !c.handled
+	return !c.waits && !c.handled && !c.written
 }
 
 // CloseWrite closes the sending side, like that of net.TCPConn.
@@ -110,6 +140,9 @@
 
 // SetLinger sets how Close treats unsent data, like that of net.TCPConn.
 func (c *conn) SetLinger(seconds int) error {
+	c.mutex.Lock()
+	c.resets = seconds == lingerReset
+	c.mutex.Unlock()
 	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		return tcp.SetLinger(seconds)
 	}
@@ -129,7 +162,7 @@
 func (c *conn) await() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.waits, c.handled = true, false
+	c.waits, c.handled, c.written = true, false, false
 }
 
 // receive is called when a part of a request was read.
@@ -145,6 +178,13 @@
 	}
 }
 
+// endReading is called when the caller has closed the connection, or it is broken.
+func (c *conn) endReading() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.callerEnded = true
+}
+
 func (c *conn) isExpired() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -26,6 +26,12 @@
 // been received, and drops the requests that are read once it has begun.
 type Server struct {
 	*http.Server
+	// RefusesAtClose makes connections that end without a request end with a response that says
+	// so: a request that crosses the close is refused. It must be set before Serve.
+	RefusesAtClose bool
+	// OnCrossing, if set, is called for each request that came after its connection was closed,
+	// with its header, or nil if its head is incomplete. It must be set before Serve.
+	OnCrossing func(http.Header)
 	// cancel ends the contexts of all requests.
 	cancel context.CancelCauseFunc
 	// serving counts the calls of Serve.
@@ -33,13 +39,17 @@
 
 	mutex sync.Mutex
 	// closing is set once the shutdown has begun.
-	closing   bool
+	closing bool
+	// closed is set once all connections end at once.
+	closed    bool
 	listeners []*listener
 	// conns holds the open connections.
 	conns map[*conn]bool
 	// partlyRead counts the connections that ended in the shutdown with a part of a request read
 	// that had not reached the handler.
 	partlyRead int
+	// crossings counts the requests that came in the shutdown after their connection was closed.
+	crossings int
 	// empty is closed once no connection is open in a shutdown.
 	empty chan struct{}
 }
@@ -55,8 +65,8 @@
 			w.Header().Set("Connection", "close")
 		}
 		c, ok := r.Context().Value(connKey{}).(*conn)
-		if ok {
-			c.handle()
+		if ok && !c.handle() {
+			panic(http.ErrAbortHandler)
 		}
 		if ok && !r.ProtoAtLeast(1, 1) {
 			c.serveUnframed(handler, w, r)
@@ -133,9 +143,16 @@
 // Close closes all listeners and connections.
 func (s *Server) Close() error {
 	s.mutex.Lock()
-	s.closing = true
+	s.closing, s.closed = true, true
 	s.mutex.Unlock()
-	return s.Server.Close()
+	err := s.Server.Close()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	// net/http does not know those that are read after their close.
+	for c := range s.conns {
+		_ = c.Conn.Close()
+	}
+	return err
 }
 
 // PartlyRead returns how many connections ended in the shutdown with a part of a request read that
@@ -146,6 +163,30 @@
 	return s.partlyRead
 }
 
+// Crossings returns how many requests came in the shutdown after their connection was closed.
+func (s *Server) Crossings() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.crossings
+}
+
+func (s *Server) countCrossing(header http.Header) {
+	s.mutex.Lock()
+	if s.closing {
+		s.crossings++
+	}
+	s.mutex.Unlock()
+	if s.OnCrossing != nil {
+		s.OnCrossing(header)
+	}
+}
+
+func (s *Server) isClosed() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.closed
+}
+
 func (s *Server) isClosing() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -50,6 +50,7 @@
 	controlBytes        metric.Int64Counter
 	crossRegionBytes    metric.Int64Counter
 	skippedRecords      metric.Int64Counter
+	crossedRequests     metric.Int64Counter
 }
 
 // NewMeter returns a Meter with its own registry.
@@ -79,6 +80,7 @@
 		controlBytes:        b.counter("control.bytes", "Bytes of control messages by kind."),
 		crossRegionBytes:    b.counter("region.link.bytes", "Bytes sent to another region."),
 		skippedRecords:      b.counter("skipped.records", "Revisions of stored records that cannot be used, by kind of record."),
+		crossedRequests:     b.counter("requests.crossed", "Requests that came after their connection was closed, and were not handled."),
 	}
 	return m, b.err
 }
@@ -157,6 +159,9 @@
 	m.skippedRecords.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
 
+// CountCrossedRequest counts a request that came after its connection was closed.
+func (m *Meter) CountCrossedRequest() { m.crossedRequests.Add(context.Background(), 1) }
+
 // CountCrossRegionBytes counts bytes sent to another region.
 func (m *Meter) CountCrossRegionBytes(service ident.ServiceName, size ident.ByteCount) {
 	m.crossRegionBytes.Add(context.Background(), int64(size), m.serviceOption(service))
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -66,6 +66,27 @@
 		mutated:   "socket.IsReadable(tcp)",
 		pkg:       "intake", test: "TestPausedProcessAnswersWhatHasArrived",
 	},
+	{
+		guarantee: "a request that crosses the close of its connection is refused",
+		file:      "intake/close.go",
+		original:  "state.refuses && c.server.RefusesAtClose",
+		mutated:   "false",
+		pkg:       "intake", test: "TestCrossingRequests",
+	},
+	{
+		guarantee: "a response that is under way is no second one",
+		file:      "intake/close.go",
+		original:  "refuses: !c.handled && !c.written",
+		mutated:   "refuses: true",
+		pkg:       "intake", test: "TestEndsOfRequests",
+	},
+	{
+		guarantee: "unread bytes do not reset a response",
+		file:      "intake/close.go",
+		original:  "state.lingers && tcp.CloseWrite() == nil",
+		mutated:   "false && tcp == nil",
+		pkg:       "intake", test: "TestUnreadBytesDoNotResetResponse",
+	},
 	{
 		guarantee: "a request that the relay cancels at the end of its grace period is answered",
 		file:      "relay/exchange.go",
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -90,6 +90,8 @@
 		OnSkip:  platform.LogSkips(p.Common),
 	})
 	s.callers = newServer(platform.NewCallerHandler(s.relay, s.draining.Load), adminHeaderTimeout)
+	s.callers.RefusesAtClose = true
+	s.callers.OnCrossing = platform.LogCrossings(p.Common)
 	return s
 }
 
@@ -229,6 +231,6 @@
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.Log.Warn("requests were still in flight at the end of the grace period", "error", err)
 	}
-	s.Log.Info("connections of callers ended", "partly-read", s.callers.PartlyRead())
+	s.Log.Info("connections of callers ended", "partly-read", s.callers.PartlyRead(), "crossed", s.callers.Crossings())
 	s.relay.Wait()
 }
