intake: a head that does not come is no malformed one

Callers whose head came in part and then not for 5 s, or was read in part when a stop ended their connection, got 400, after which no request is sent again: net/http takes the part of a line before an error for a whole one. They get 408 now, as if the part had ended elsewhere.

TestEndsOfRequests is the census: 25 forms of requests and ends of connections, with a refusal at the close (relays) and without (other roles), on sockets; each with its statuses, none with a reset. On the code before "a line that is too slow", "one and a half requests" and "one request and a part of a field" had 400.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -71,6 +72,12 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.isExpired() {
+		// net/http takes an incomplete head for a malformed one.
+		_, err := io.WriteString(c.Conn, closingResponse)
+		c.begin()
+		return len(p), err
+	}
 	if !bytes.HasPrefix(p, []byte(informationalStart)) {
 		c.begin()
 	}
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -80,6 +80,13 @@
 		mutated:   "refuses: true",
 		pkg:       "intake", test: "TestEndsOfRequests",
 	},
+	{
+		guarantee: "a head that does not come is not refused as malformed",
+		file:      "intake/conn.go",
+		original:  "\tif c.isExpired() {\n\t\t// net/http",
+		mutated:   "\tif false {\n\t\t// net/http",
+		pkg:       "intake", test: "TestEndsOfRequests",
+	},
 	{
 		guarantee: "unread bytes do not reset a response",
 		file:      "intake/close.go",
