intake: a handler that panics has a response

A caller of an entry, an agent or a keeper whose handler panics got a closed connection: it can't know that the request ended. It gets 500 unless its response has begun; the panic is logged as before. Relays did so themselves, with the request's id.

TestEndsOfRequests, on the code before: "a panic", "a panic on a kept connection", "a panic after an awaited body" had no response, "a panic with HTTP/1.0" a reset.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -198,6 +198,12 @@
 	return c.expired
 }
 
+func (c *conn) isWritten() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.written
+}
+
 func (c *conn) isHandled() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/intake/ends_test.go
+++ b/intake/ends_test.go
@@ -20,9 +20,17 @@
 	endsMaxHeader = 4 << 10
 )
 
-// serveEnds answers.
+// serveEnds answers, panics or leaves a response incomplete.
 func serveEnds(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
+	case "/panic":
+		panic("a fault")
+	case "/read-and-panic":
+		_, _ = io.ReadAll(r.Body)
+		panic("a fault")
+	case "/begin-and-panic":
+		sendPart(w)
+		panic("a fault")
 	case "/unread":
 		w.WriteHeader(http.StatusForbidden)
 	case "/large":
@@ -81,6 +89,11 @@
 		{"a body that is not read", []string{post("/unread", "Content-Length: 1048576\r\n\r\n"+large)}, 0, []int{403, cut}, []int{403, cut}},
 		{"a body that is too large", []string{post("/large", "Content-Length: 1048576\r\n\r\n"+large)}, 0, []int{413, cut}, []int{413, cut}},
 		{"a trailer", []string{post("/", "Transfer-Encoding: chunked\r\nTrailer: T\r\n\r\n1\r\na\r\n0\r\nT: 1\r\n\r\n")}, 0, []int{200, 408}, []int{200, cut}},
+		{"a panic", []string{post("/panic", "Content-Length: 4\r\n\r\nbody")}, 0, []int{500, cut}, []int{500, cut}},
+		{"a panic on a kept connection", []string{get, post("/panic", "Content-Length: 4\r\n\r\nbody")}, 100 * time.Millisecond, []int{200, 500, cut}, []int{200, 500, cut}},
+		{"a panic after an awaited body", []string{post("/read-and-panic", "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"), "ab"}, 50 * time.Millisecond, []int{100, 500, cut}, []int{100, 500, cut}},
+		{"a panic with HTTP/1.0", []string{"GET /panic HTTP/1.0\r\n\r\n"}, 0, []int{500, cut}, []int{500, cut}},
+		{"a panic in the response", []string{get, post("/begin-and-panic", "Content-Length: 0\r\n\r\n")}, 100 * time.Millisecond, []int{200, cut}, []int{200, cut}},
 	}
 	for _, refuses := range []bool{true, false} {
 		for _, s := range scenarios {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -68,7 +68,12 @@
 		if ok && !c.handle() {
 			panic(http.ErrAbortHandler)
 		}
-		if ok && !r.ProtoAtLeast(1, 1) {
+		if !ok {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		defer s.answerPanic(w, r, c)
+		if !r.ProtoAtLeast(1, 1) {
 			c.serveUnframed(handler, w, r)
 			return
 		}
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -94,6 +94,13 @@
 		mutated:   "false && tcp == nil",
 		pkg:       "intake", test: "TestUnreadBytesDoNotResetResponse",
 	},
+	{
+		guarantee: "a handler that panics has a response",
+		file:      "intake/panic.go",
+		original:  "!ok || c.isWritten()",
+		mutated:   "true",
+		pkg:       "intake", test: "TestEndsOfRequests",
+	},
 	{
 		guarantee: "a request that the relay cancels at the end of its grace period is answered",
 		file:      "relay/exchange.go",
