Responses that begin after the signal close their connection

A response that a relay was waiting for at SIGTERM did not say that its connection ends, as the handler had decided so before: its caller kept the connection, and the next request on it could cross the close.

TestResponsesAfterSignalClose, on the code before: the response has no Connection: close.

--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -101,6 +101,13 @@
 		mutated:   "true",
 		pkg:       "intake", test: "TestEndsOfRequests",
 	},
+	{
+		guarantee: "a response that begins after the signal closes its connection",
+		file:      "platform/caller_handler.go",
+		original:  "if w.closing() {",
+		mutated:   "if false {",
+		pkg:       "platform", test: "TestResponsesAfterSignalClose",
+	},
 	{
 		guarantee: "a request that the relay cancels at the end of its grace period is answered",
 		file:      "relay/exchange.go",
