--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -98,7 +98,7 @@
 		guarantee: "a handler that panics has a response",
 		file:      "intake/panic.go",
 		original:  "!ok || c.isWritten()",
-		mutated:   "true",
+		mutated:   "!ok || !c.isWritten()",
 		pkg:       "intake", test: "TestEndsOfRequests",
 	},
 	{
