--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -73,6 +73,20 @@
 		mutated:   "false",
 		pkg:       "intake", test: "TestCrossingRequests",
 	},
+	{
+		guarantee: "a relay refuses what crosses the close of its connections",
+		file:      "start/relay_server.go",
+		original:  "s.callers.RefusesAtClose = true",
+		mutated:   "s.callers.RefusesAtClose = false",
+		pkg:       "start", test: "TestRelayStopRefusesCrossingRequests",
+	},
+	{
+		guarantee: "a request that crosses the close is named",
+		file:      "platform/crossing.go",
+		original:  "shorten(header.Get(attemptHeader))",
+		mutated:   "\"\"",
+		pkg:       "platform", test: "TestCrossingsAreNamed",
+	},
 	{
 		guarantee: "a response that is under way is no second one",
 		file:      "intake/close.go",
--- a/start/relay_signal_test.go
+++ b/start/relay_signal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -9,11 +10,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"crocusstep/socket"
 )
 
 // startRelay runs a relay in a separate process, with an unreachable platform, and returns it
@@ -37,6 +41,7 @@
 	command = exec.Command(os.Args[0], "relay", "--settings", settings)
 	// The race detector makes a process wait for 1 s at its end otherwise.
 	command.Env = append(os.Environ(), runVariable+"=1", "GORACE=atexit_sleep_ms=0")
+	command.Stdout = &bytes.Buffer{}
 	assert.NilError(t, command.Start())
 	t.Cleanup(func() { _ = command.Process.Kill() })
 	for !isListening(address) {
@@ -85,6 +90,33 @@
 	}
 }
 
+// TestRelayStopRefusesCrossingRequests guards against requests that cross the close of a kept
+// connection in a stop and end without a response, or are not counted.
+func TestRelayStopRefusesCrossingRequests(t *testing.T) {
+	const request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+	command, address := startRelay(t, "{leave-delay: 300ms, grace: 8s}")
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	_, err = io.WriteString(conn, request)
+	assert.NilError(t, err)
+	assert.Equal(t, readStatus(t, reader), http.StatusBadRequest)
+	assert.NilError(t, command.Process.Signal(syscall.SIGTERM))
+	for !socket.IsReadable(conn) {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.WriteString(conn, request)
+	assert.NilError(t, err)
+	assert.Equal(t, readStatus(t, reader), http.StatusRequestTimeout)
+	_, err = reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	_ = conn.Close()
+	assert.Equal(t, exitCode(command.Wait()), exitOK)
+	log := command.Stdout.(*bytes.Buffer).String()
+	assert.Assert(t, strings.Contains(log, `"a request crossed the close"`) && strings.Contains(log, `"crossed":1`), "%s", log)
+}
+
 // TestRelayStopKeepsGrace guards against a relay that still takes connections when it is killed, as
 // its settings state a longer delay than the grace period.
 func TestRelayStopKeepsGrace(t *testing.T) {
