relay: a caller is answered before it leaves

What callers saw: a try of a stream ended with neither an answer nor a refusal, logged as cancelled, first 0, whole 3.6 s. Its endpoint was silent; the caller left after the gap without an event that PROTOCOL.md names, and the relay, which knows the route's objective and gap, waited for the deadline of the request. Calls were answered 20 ms before their deadline, less than the way back may take; a body that did not come was refused after 5 s.

Cause: a relay waits as long as the request's deadline lets it, not as long as its caller waits.

The relay gives up what has not begun a transit before the caller leaves (callers.transit, transitMs of the deployment; a quarter of the patience at most), and answers at once: 504 or 502 if it may have run, 503 with a Retry-After if not. The begin of a stream and giving up claim one flag, so that only one happens; a stream that has begun goes on until its deadline. All waits hang on the context of the request, which ends then, with its own cause, so that it isn't taken for a caller that left. request ended has patience and patience-left; ended-by tells patience (given up) and silence (the caller left after it) from caller.

A silent engine isn't given up sooner where no retry is allowed: engines that are silent for a second or so are sound, and the relay cannot know whether its caller may come back; one that may has 10 of 14 s left.

--- a/conf/relay.go
+++ b/conf/relay.go
@@ -47,6 +47,12 @@
 	LearnedCosts bool `yaml:"learned-costs"`
 }
 
+// Callers is what is known of the callers of a relay.
+type Callers struct {
+	// Longest time that a request and its response take together between a caller and the relay. So long before a caller leaves, a request without a response is refused.
+	Transit parser.Duration `yaml:"transit"`
+}
+
 // RelayShutdown is how a relay shuts down after SIGTERM.
 type RelayShutdown struct {
 	// Time after SIGTERM for which new connections are still accepted while the load balancer stops sending.
@@ -78,6 +84,7 @@
 	Shutdown RelayShutdown `yaml:"stop"`
 	// Choice of endpoints.
 	Routing Routing `yaml:"routing"`
+	Callers Callers `yaml:"callers"`
 	// Memory limit of the process; the garbage collector keeps well below it.
 	Memory parser.Size `yaml:"memory"`
 }
@@ -104,6 +111,7 @@
 		Retries:     RetryLimits{Ratio: 0.1, Slack: 10, Window: parser.Duration(10 * time.Second)},
 		Quotas:      QuotaBounds{Window: parser.Duration(8 * time.Second), Excess: 0.1},
 		Shutdown:    RelayShutdown{ShutdownDelay: parser.Duration(2400 * time.Millisecond), GracePeriod: parser.Duration(8 * time.Second)},
+		Callers:     Callers{Transit: parser.Duration(250 * time.Millisecond)},
 		Memory:      128 * parser.MiB,
 	}
 }
@@ -127,6 +135,7 @@
 	checkPositive(source, "retries.window", settings.Retries.Window)
 	checkPositive(source, "quotas.window", settings.Quotas.Window)
 	checkPositive(source, "stop.grace", settings.Shutdown.GracePeriod)
+	checkPositive(source, "callers.transit", settings.Callers.Transit)
 	checkPositive(source, "memory", settings.Memory)
 	checkPort(source, "metrics-port", settings.MetricsPort)
 	checkPort(source, "peers.keeper-port", settings.Peers.KeeperPort)
--- a/mutant/main.go
+++ b/mutant/main.go
@@ -51,6 +51,7 @@
 		intakeMutants,
 		moveMutants,
 		originMutants,
+		patienceMutants,
 		quotaMutants,
 		responseMutants,
 		stopMutants,
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -461,7 +461,7 @@
 	{
 		guarantee: "a disconnected caller is distinguished from a failed endpoint",
 		file:      "relay/serve_stream.go",
-		original:  "if e.started && errors.Is(ctx.Err(), context.Canceled) {",
+		original:  "if e.started && callerLeft(ctx) {",
 		mutated:   "if false {",
 		pkg:       "relay", test: "TestCallerDisconnectsMidStream",
 	},
--- a/relay/ending.go
+++ b/relay/ending.go
@@ -11,6 +11,7 @@
 type ending string
 
 const (
+	// endedByCaller means that the caller left although it would have waited longer.
 	endedByCaller   ending = "caller"
 	endedByDeadline ending = "deadline"
 	endedByEndpoint ending = "endpoint"
@@ -18,17 +19,23 @@
 	// went on with the response.
 	endedByRelay ending = "relay"
 	endedByGrace ending = "grace"
+	// endedByPatience means that the relay gave up a response that had not begun, as its caller was about to leave.
+	endedByPatience ending = "patience"
+	// endedBySilence means that the caller left after nothing had come for as long as it waits.
+	endedBySilence ending = "silence"
 )
 
 // findEnding returns who ended the response, empty if it is a complete one.
 func (e *exchange) findEnding(ctx context.Context, refusal *fault.Refusal) ending {
 	switch {
+	case refusal != nil && !e.started && errors.Is(context.Cause(ctx), errGivenUp):
+		return endedByPatience
 	case refusal == nil || refusal.Code != fault.ResponseTruncated && refusal.Code != fault.Cancelled:
 		return ""
 	case errors.Is(context.Cause(ctx), fault.ErrGraceEnded):
 		return endedByGrace
-	case errors.Is(ctx.Err(), context.Canceled):
-		return endedByCaller
+	case callerLeft(ctx):
+		return e.whyLeft()
 	case ctx.Err() != nil:
 		return endedByDeadline
 	case e.leftSilent:
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -47,8 +47,15 @@
 	tried map[ident.EndpointName]bool
 	// earlierWait is how long the caller has waited in earlier attempts.
 	earlierWait time.Duration
+	// answerBy is when the request is given up unless its response has begun; not after deadline.
+	answerBy time.Time
 	// deadline is when the caller's or the route's timeout expires.
 	deadline time.Time
+	// claimed is set once, by the begin of the response or by giving it up; begun is set by the former.
+	claimed atomic.Bool
+	begun   bool
+	// giveUp ends the context of a request that is given up.
+	giveUp context.CancelCauseFunc
 
 	// sends counts the requests sent to endpoints except a first prefill, executions
 	// the endpoints that may have executed the request.
@@ -68,6 +75,8 @@
 	framing client.Framing
 	// unfinished is the size of the incomplete event at the end of the last response.
 	unfinished ident.ByteCount
+	// lastEvent is when the last events arrived.
+	lastEvent time.Time
 	// firstPartAt is when the first part of the response arrived.
 	firstPartAt time.Time
 	// longestGap is the longest gap between two parts of the response.
@@ -102,6 +111,8 @@
 func (e *exchange) serve(ctx context.Context) (refusal *fault.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
+	ctx, stop := e.giveUpInTime(ctx)
+	defer stop()
 	defer func() {
 		refusal = e.refuseAtGraceEnd(ctx, refusal)
 		e.ending = e.findEnding(ctx, refusal)
@@ -132,14 +143,14 @@
 // mayRetry reports whether there is time for another attempt and the request may
 // execute again.
 func (e *exchange) mayRetry(ctx context.Context) bool {
-	return ctx.Err() == nil && e.sends < maxSends && e.timeLeft() >= minTimeLeft && e.mayExecuteAgain()
+	return ctx.Err() == nil && e.sends < maxSends && e.timeToRespond() >= minTimeLeft && e.mayExecuteAgain()
 }
 
 // allowSend reports whether the request may be sent to one more endpoint. The first
 // send is free; every other one counts against the retry limits, even if the endpoint
 // does not execute the request.
 func (e *exchange) allowSend(ctx context.Context) bool {
-	if ctx.Err() != nil || e.sends >= maxSends || e.timeLeft() < minTimeLeft {
+	if ctx.Err() != nil || e.sends >= maxSends || e.timeToRespond() < minTimeLeft {
 		return false
 	}
 	if e.prepaidSends > 0 {
@@ -182,10 +193,11 @@
 // finalRefusal returns the refusal of a request without a response; its outcome states
 // whether an endpoint may have executed the request.
 func (e *exchange) finalRefusal(ctx context.Context, refusal *fault.Refusal) *fault.Refusal {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case callerLeft(ctx):
 		refusal = fault.New(fault.Cancelled, "the caller left")
-	} else if ctx.Err() != nil {
-		refusal = fault.New(fault.PatienceExceeded, "no whole answer in time")
+	case ctx.Err() != nil:
+		refusal = fault.New(fault.PatienceExceeded, "%s", errGivenUp)
 	}
 	final := *refusal
 	final.Outcome = fault.NotExecuted
@@ -243,7 +255,7 @@
 		"status", e.status, "sends", e.sends, "ran", e.executions, "first", firstLatency, "whole", responseTime, "spent", e.earlierWait,
 		"prompt", prompt.Tokens, "estimate", prompt.EstimatedOutput, "max-output", prompt.MaxOutput, "longest-pause", e.longestGap, "tokens-made", e.generated.Load(),
 		"resumes", e.request.Resumes, "versions", e.versions, "framing", e.framing, "unfinished", e.unfinished,
-		"retry-after", wait, "ended-by", e.ending, "note", note,
+		"retry-after", wait, "patience", e.patience(), "patience-left", time.Until(e.callerLeavesAt()), "ended-by", e.ending, "note", note,
 	}
 	if endsAt := e.endsAt.Load(); endsAt != nil {
 		attributes = append(attributes, "until-stop", endsAt.Sub(e.request.Arrived))
--- a/relay/fake_test.go
+++ b/relay/fake_test.go
@@ -41,6 +41,7 @@
 	truncates        behaviour = "truncates the response"
 	refuses          behaviour = "refuses the connection"
 	hangs            behaviour = "hangs"
+	neverBegins      behaviour = "sends a head and nothing after it"
 	interruptsStream behaviour = "interrupts the stream in mid-event"
 	stalls           behaviour = "stalls in mid-stream"
 	pauses           behaviour = "pauses after the first event"
@@ -88,6 +89,8 @@
 	laterPrefills, laterDecodes behaviour
 	// secondDecode is the behaviour for the decode after that of nextDecode, at any endpoint.
 	secondDecode behaviour
+	// calls is the behaviour for all calls of plain endpoints.
+	calls behaviour
 	// lastReserved is the endpoint whose keeper received the last reservation request.
 	lastReserved ident.EndpointName
 	// prefillLate gives all prefill endpoints a long backlog, prefillDown takes them all
@@ -141,6 +144,8 @@
 		next, b.secondDecode = b.secondDecode, ""
 	case operation == "decode" && b.laterDecodes != "":
 		next = b.laterDecodes
+	case operation == "call" && b.calls != "":
+		next = b.calls
 	case operation == "prefill" && b.prefilled && b.laterPrefills != "":
 		next = b.laterPrefills
 	}
@@ -210,6 +215,8 @@
 		content = failingReader{bytes.NewBufferString(body[:len(body)*3/4])}
 	case stalls:
 		content = stallingReader{content, ctx}
+	case neverBegins:
+		content = stallingReader{strings.NewReader(""), ctx}
 	case interruptsStream:
 		// Three of four events, and a part of the last.
 		content = failingReader{bytes.NewBufferString(body[:min(len(body), len(body)*3/4+5)])}
--- a/relay/origin_test.go
+++ b/relay/origin_test.go
@@ -35,7 +35,7 @@
 			route, _ := r.Table().Match("h", "/resume/x")
 			e := &exchange{
 				Relay: r, request: &Request{Attempt: "a1", Prompt: &Prompt{}}, route: route, service: r.Table().Services["model"],
-				tried: map[ident.EndpointName]bool{}, deadline: time.Now().Add(time.Minute),
+				tried: map[ident.EndpointName]bool{}, deadline: time.Now().Add(time.Minute), answerBy: time.Now().Add(time.Minute),
 			}
 			s := newStream(e)
 			s.pinned.Store(&c.pinned)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,8 +24,6 @@
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refusal.
 	minRetryAfter = 500 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
-	// deadlineMargin leaves time to respond before the caller times out.
-	deadlineMargin = 20 * time.Millisecond
 )
 
 // Keepers calls the keepers, which reserve memory at decode engines, schedule prefills
@@ -49,6 +47,8 @@
 	Keepers   Keepers
 	// Retries holds the retry limits that all relays share.
 	Retries retry.Limits
+	// Transit is how long a request and its response may take together between a caller and the relay.
+	Transit time.Duration
 	// Quotas holds what is tolerated beyond the quotas of workspaces.
 	Quotas quota.Bounds
 	// RelayCount returns how many relays share the retry limits and the quotas.
@@ -182,7 +182,11 @@
 		writer:       w,
 		tried:        map[ident.EndpointName]bool{},
 		earlierWait:  r.waitEstimator.PriorWait(route.Name, request.Timeout),
-		deadline:     request.Arrived.Add(min(request.Timeout, route.Timeout) - deadlineMargin),
+		answerBy:     r.answerBy(request, &route),
+	}
+	e.deadline = e.answerBy
+	if route.Kind == table.Streaming {
+		e.deadline = request.Arrived.Add(min(request.Timeout, route.Timeout) - deadlineMargin)
 	}
 	e.service.Name = service
 	refusal = e.serve(ctx)
--- a/relay/serve_stream.go
+++ b/relay/serve_stream.go
@@ -53,7 +53,7 @@
 			break
 		}
 	}
-	if e.started && errors.Is(ctx.Err(), context.Canceled) {
+	if e.started && callerLeft(ctx) {
 		return fault.NewUnknown(fault.Cancelled, "the caller left in mid-stream")
 	}
 	if e.started {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -33,8 +33,6 @@
 	endOrigin func()
 	// source is the endpoint of the current try.
 	source pool.Endpoint
-	// lastEvent is when the last events arrived.
-	lastEvent time.Time
 	// tryBegan is when the first events of the current try arrived.
 	tryBegan time.Time
 	// stall watches the try in progress; it may be nil.
@@ -118,6 +116,9 @@
 			count++
 		}
 	}
+	if valid > 0 && !s.begin() {
+		return errGivenUp
+	}
 	if count > 0 {
 		s.recordEvents(count)
 	}
@@ -131,6 +132,9 @@
 
 // write sends a part of the stream to the caller.
 func (s *stream) write(response *Response, part []byte) error {
+	if !s.begin() {
+		return errGivenUp
+	}
 	s.startResponse(response)
 	if _, err := s.writer.Write(part); err != nil {
 		return errors.Join(context.Canceled, err)
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -70,6 +70,7 @@
 		Endpoints:  s.endpoints,
 		Keepers:    keepers,
 		Retries:    retryLimits(settings),
+		Transit:    settings.Callers.Transit.Std(),
 		Quotas:     quotaBounds(settings),
 		RelayCount: func() int { return s.gossip.RelayCount() },
 
--- a/table/table.go
+++ b/table/table.go
@@ -48,6 +48,9 @@
 	TargetLatency time.Duration `json:"Objective"`
 	// TargetEventGap is the target for the longest gap between two events.
 	TargetEventGap time.Duration `json:"MaxGap"`
+	// Patience is how long a caller waits without an event of a stream before it leaves, also for the
+	// first; zero means that it waits until its deadline.
+	Patience time.Duration `json:"Patience,omitempty"`
 	// Priority zero is the most urgent.
 	Priority int
 	// WeightedServices is never empty.
