--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -458,10 +458,17 @@
 		mutated:   "if false {",
 		pkg:       "relay", test: "TestStageChangeSkipsDownEngines",
 	},
+	{
+		guarantee: "a repeated prefill and its decode count as one retry",
+		file:      "relay/prefill.go",
+		original:  "\t\t\ts.freeSends = 1\n",
+		mutated:   "",
+		pkg:       "relay", test: "TestRepeatedPrefillIsOneRetry",
+	},
 	{
 		guarantee: "a disconnected caller is distinguished from a failed endpoint",
 		file:      "relay/serve_stream.go",
-		original:  "if e.started && errors.Is(ctx.Err(), context.Canceled) {",
+		original:  "if e.started && callerLeft(ctx) {",
 		mutated:   "if false {",
 		pkg:       "relay", test: "TestCallerDisconnectsMidStream",
 	},
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -33,8 +33,6 @@
 	endOrigin func()
 	// source is the endpoint of the current try.
 	source pool.Endpoint
-	// lastEvent is when the last events arrived.
-	lastEvent time.Time
 	// stall watches the try in progress; it may be nil.
 	stall *stallWatch
 	// next holds the try at the endpoint that the stream has moved to; it may be nil.
@@ -116,6 +114,9 @@
 			count++
 		}
 	}
+	if valid > 0 && !s.begin() {
+		return errGivenUp
+	}
 	if count > 0 {
 		s.recordEvents(count)
 	}
@@ -129,6 +130,9 @@
 
 // write sends a part of the stream to the caller.
 func (s *stream) write(response *Response, part []byte) error {
+	if !s.begin() {
+		return errGivenUp
+	}
 	s.startResponse(response)
 	if _, err := s.writer.Write(part); err != nil {
 		return errors.Join(context.Canceled, err)
