procs: a fleet's processes are started and signalled by several goroutines

The soak restarts processes from concurrent faults, which write the map of processes without a lock. Found by reading; no run of the soak has crashed on it.

--- a/procs/fleet.go
+++ b/procs/fleet.go
@@ -12,6 +12,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -35,9 +37,11 @@
 	// Platform is the address of the platform's stand-in.
 	Platform ident.Address
 	HTTP     *http.Client
-	// Processes holds the started processes by name.
+	// Processes holds the started processes by name. It may be read directly while none is started.
 	Processes map[string]*Process
 
+	// mutex guards Processes and startOrder.
+	mutex       sync.Mutex
 	binaryPath  string
 	standinPath string
 	// lastPort is the newest port that was assigned.
@@ -95,11 +99,21 @@
 		_ = log.Close()
 		close(p.exited)
 	}()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.Processes[name] = p
+	f.startOrder = slices.DeleteFunc(f.startOrder, func(started string) bool { return started == name })
 	f.startOrder = append(f.startOrder, name)
 	return nil
 }
 
+// process returns the newest process of a name, or nil.
+func (f *Fleet) process(name string) *Process {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.Processes[name]
+}
+
 // StartStandin starts a stand-in of a kind: platform, engine or plain. It returns the
 // stand-in's address.
 func (f *Fleet) StartStandin(name, kind string) (ident.Address, error) {
@@ -232,7 +246,7 @@
 
 // Kill kills a process and waits until it has exited.
 func (f *Fleet) Kill(name string) {
-	p := f.Processes[name]
+	p := f.process(name)
 	_ = p.command.Process.Kill()
 	<-p.exited
 }
@@ -240,7 +254,7 @@
 // Stop stops a process gracefully and returns its exit error. It returns an error if
 // the process has not exited after 30 seconds.
 func (f *Fleet) Stop(name string) error {
-	p := f.Processes[name]
+	p := f.process(name)
 	_ = p.command.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-p.exited:
@@ -252,8 +266,11 @@
 
 // Close kills all processes, the newest first.
 func (f *Fleet) Close() {
-	for i := len(f.startOrder) - 1; i >= 0; i-- {
-		f.Kill(f.startOrder[i])
+	f.mutex.Lock()
+	names := slices.Clone(f.startOrder)
+	f.mutex.Unlock()
+	for _, name := range slices.Backward(names) {
+		f.Kill(name)
 	}
 }
 
--- a/procs/process.go
+++ b/procs/process.go
@@ -4,7 +4,6 @@
 	"errors"
 	"os"
 	"path/filepath"
-	"slices"
 	"syscall"
 )
 
@@ -15,19 +14,18 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	f.startOrder = slices.DeleteFunc(f.startOrder, func(started string) bool { return started == name })
 	return f.start(name, &Process{}, f.binaryPath, role, "--settings", file)
 }
 
 // Signal sends a signal to a process. It returns an error if no process of that name
 // was started.
 func (f *Fleet) Signal(name string, signal syscall.Signal) error {
-	p, known := f.Processes[name]
-	if !known {
+	p := f.process(name)
+	if p == nil {
 		return errors.New("no process of that name was started")
 	}
 	return p.command.Process.Signal(signal)
 }
 
 // Exited returns a channel that is closed when a process has exited.
-func (f *Fleet) Exited(name string) <-chan struct{} { return f.Processes[name].exited }
+func (f *Fleet) Exited(name string) <-chan struct{} { return f.process(name).exited }
