soak: entries and agents, and each request without an answer is judged

Entries and agents run as processes beside the relays, with the fakes of the platform, the engines and the plain service in the soak's own process, so that it records what each endpoint has seen. Stops (one, two overlapping, two in series, all of a role within 3 s) and reloads strike all four roles; kills, freezes, silent endpoints, resets and quick changes of documents strike entries and agents too.

Each request that ends with neither is excused only by a kill, freeze, reset or silence of its own process or of an endpoint that has seen it, in its own time, or if no log and no endpoint has it (it crossed the close).

Changed in existing checks: callers wait 8 s (6 s before), as streams are longer; the number of faults at a time is 5 (3 before).

--- a/Makefile
+++ b/Makefile
@@ -24,10 +24,11 @@
 	go test $(LONG_RACE) -timeout 20m -skip '^($(if $(KNOWN_RED),$(KNOWN_RED)|)TestSchedules)$$' ./fleet
 	go test -timeout 20m $(SKIP) ./trial
 
-# Each seed is a schedule of faults; soak/seeds.txt lists every seed that ever failed.
+# Each seed is a schedule of faults; soak/seeds.txt lists every seed that ever failed. SCALE=1 has
+# 16 processes, SCALE=16 has 256. FLAGS=--planned draws only what excuses no request.
 soak: build
 	go build -o bin/soak ./soak
-	for seed in $(or $(SEEDS),$$RANDOM); do bin/soak --seed $$seed --span $(or $(SPAN),30s) --folder out/soak-$$seed || exit 1; done
+	for seed in $(or $(SEEDS),$$RANDOM); do bin/soak --seed $$seed --span $(or $(SPAN),30s) --scale $(or $(SCALE),1) $(FLAGS) --folder out/soak-$$seed || exit 1; done
 
 # The checks that do not depend on timing, for CI.
 soak-short: build
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -20,6 +21,9 @@
 	// key is the caller's key, of the workspace.
 	key       string
 	workspace string
+	// name is that of the relay's process.
+	name            string
+	sentAt, endedAt time.Time
 	double.Response
 }
 
@@ -60,26 +64,67 @@
 	c.group.Wait()
 }
 
-// sendLoop sends one request after another. It keeps its connections until the relay
-// closes them.
+// sendLoop sends one request after another. Three in four callers stay with their relay on one
+// connection until its process is gone; the others change the relay now and then.
 func (c *callers) sendLoop(ctx context.Context, index int, key, workspace string) {
-	client := socket.NewClient()
-	defer client.CloseIdleConnections()
+	conns := newKeptConns()
+	defer conns.close()
+	client := &http.Client{Transport: conns}
 	for sequence := 0; ctx.Err() == nil; sequence++ {
+		r := c.relays[index%len(c.relays)]
+		if index%4 == 3 {
+			r = c.relays[(index+sequence/16)%len(c.relays)]
+		}
 		e := exchange{
 			attempt: fmt.Sprintf("a-%d-%d", index, sequence),
 			path:    paths[(index+sequence)%len(paths)],
-			relay:   c.relays[(index+sequence/16)%len(c.relays)].listenAddress(),
-			key:     key, workspace: workspace,
+			relay:   r.listenAddress(), name: r.name,
+			key: key, workspace: workspace, sentAt: time.Now(),
 		}
-		callCtx, cancel := context.WithTimeout(context.Background(), callerTimeout+time.Second)
+		callCtx, cancel := context.WithTimeout(context.Background(), callerTimeout+callerSlack)
 		e.Response = double.Call(callCtx, client, e.relay, e.path+"x", e.attempt, e.key, callerTimeout)
 		cancel()
-		c.record(e)
+		e.endedAt = time.Now()
+		if !errors.Is(e.Err, errNotConnected) {
+			c.record(e)
+		}
 		time.Sleep(30 * time.Millisecond)
 	}
 }
 
+// fate returns what became of the request.
+func (e exchange) fate() fate {
+	f := fate{request: e.attempt, kind: e.path, process: e.name, sentAt: e.sentAt, endedAt: e.endedAt, status: e.Status}
+	switch {
+	case e.Err != nil:
+		f.ending, f.detail = endingOf(e.Err, e.Status != 0), e.Err.Error()
+	case e.Status == http.StatusOK:
+		f.ending = answered
+	default:
+		f.ending = refused
+	}
+	return f
+}
+
+// judgeFates reports requests that ended with neither an answer nor a refusal.
+func (c *callers) judgeFates() error {
+	logged, err := c.loggedRequests()
+	if err != nil {
+		return err
+	}
+	sightings := map[string][]sighting{}
+	for _, a := range c.recorder.Arrivals() {
+		sightings[a.Attempt] = append(sightings[a.Attempt], sighting{at: a.At, endpoint: c.addresses[a.Endpoint]})
+	}
+	fates := make([]fate, 0, len(c.exchanges))
+	for _, e := range c.exchanges {
+		fates = append(fates, e.fate())
+	}
+	_, _ = fmt.Fprintln(c.out, "requests at relays:")
+	c.judgeAll(fates, func(f fate) evidence { return evidence{logged: logged[f.request], sightings: sightings[f.request]} })
+	return nil
+}
+
 func (c *callers) record(e exchange) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -104,7 +149,7 @@
 }
 
 // check compares the responses with what the endpoints executed.
-func (c *callers) check() {
+func (c *callers) check() error {
 	// Waits for late executions of refused requests, which are violations too.
 	time.Sleep(time.Second)
 	for _, e := range c.exchanges {
@@ -124,6 +169,7 @@
 		}
 	}
 	c.checkWorkspaces()
+	return c.judgeFates()
 }
 
 // meansNotExecuted reports whether a status guarantees that no endpoint executed the
@@ -154,7 +200,7 @@
 
 func streamOf(attempt, version string) string {
 	var events strings.Builder
-	for id := 1; id <= double.EventsPerStream; id++ {
+	for id := 1; id <= double.EventCount(attempt); id++ {
 		events.WriteString(double.StreamEvent(attempt, version, id))
 	}
 	return events.String()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,36 +1,52 @@
 package main
 
 import (
+	"context"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
 	"crocusstep/platform/double"
+	"crocusstep/socket"
 )
 
-// fault is a kind of fault that is injected into the running processes.
-type fault struct {
+// faultKind is a kind of fault that is injected into the running processes.
+type faultKind struct {
 	name string
 	// affectsTiming is set if the time limits don't apply during the fault.
 	affectsTiming bool
+	// planned is set for what operators do on purpose, which excuses no request without an answer.
+	planned bool
 	// inject returns when the fault has ended.
 	inject func(f *fleet, rng *rand.Rand, duration time.Duration) error
 }
 
-// faults are drawn by index, so their order is part of the schedule of a seed.
-var faults = []fault{
+// allFaults returns the faults of relays, keepers, entries and agents. They are drawn by index, so
+// their order is part of the schedule of a seed. Planned returns only those that excuse nothing.
+func allFaults(planned bool) []faultKind {
+	all := slices.Concat(relayFaults, ownFaults,
+		stopsOf(relayRole), stopsOf(keeperRole), stopsOf(entryRole), stopsOf(agentRole), lossesOf(entryRole), lossesOf(agentRole))
+	if planned {
+		return slices.DeleteFunc(all, func(k faultKind) bool { return !k.planned })
+	}
+	return all
+}
+
+var relayFaults = []faultKind{
 	{name: "kill a relay", affectsTiming: true, inject: func(f *fleet, rng *rand.Rand, duration time.Duration) error {
 		r := f.relays[rng.IntN(len(f.relays))]
 		return f.restart(r.name, syscall.SIGKILL, duration/4, func() error { return f.startRelay(r) })
 	}},
-	{name: "stop a relay", inject: func(f *fleet, rng *rand.Rand, _ time.Duration) error {
+	{name: "stop a relay", planned: true, inject: func(f *fleet, rng *rand.Rand, _ time.Duration) error {
 		r := f.relays[rng.IntN(len(f.relays))]
 		return f.restart(r.name, syscall.SIGTERM, 0, func() error { return f.startRelay(r) })
 	}},
 	{name: "pause a relay", affectsTiming: true, inject: func(f *fleet, rng *rand.Rand, duration time.Duration) error {
 		return f.pause(f.relays[rng.IntN(len(f.relays))].name, duration)
 	}},
-	{name: "reload a relay's settings", inject: func(f *fleet, rng *rand.Rand, _ time.Duration) error {
+	{name: "reload a relay's settings", planned: true, inject: func(f *fleet, rng *rand.Rand, _ time.Duration) error {
 		return f.reload(f.relays[rng.IntN(len(f.relays))].name)
 	}},
 	{name: "kill a keeper", inject: func(f *fleet, rng *rand.Rand, duration time.Duration) error {
@@ -65,22 +81,25 @@
 		return nil
 	}},
 	{name: "drop all traffic of an endpoint", inject: func(f *fleet, rng *rand.Rand, duration time.Duration) error {
-		return impairFor(f.randomEndpoint(rng).proxy, impairment{dropRequests: true, dropResponses: true}, duration)
+		return f.impairEndpoint(f.randomEndpoint(rng), impairment{dropRequests: true, dropResponses: true}, duration)
 	}},
 	{name: "drop an endpoint's responses", inject: func(f *fleet, rng *rand.Rand, duration time.Duration) error {
-		return impairFor(f.randomEndpoint(rng).proxy, impairment{dropResponses: true}, duration)
+		return f.impairEndpoint(f.randomEndpoint(rng), impairment{dropResponses: true}, duration)
 	}},
 	{name: "delay an endpoint's traffic", inject: func(f *fleet, rng *rand.Rand, duration time.Duration) error {
 		return impairFor(f.randomEndpoint(rng).proxy, impairment{delay: 50 * time.Millisecond}, duration)
 	}},
 	{name: "reset an endpoint's connections", inject: func(f *fleet, rng *rand.Rand, _ time.Duration) error {
-		f.randomEndpoint(rng).proxy.resetConns()
+		e := f.randomEndpoint(rng)
+		end := f.beginOutage(e.address(), "reset")
+		e.proxy.resetConns()
+		end()
 		return nil
 	}},
-	{name: "replace an endpoint", inject: func(f *fleet, rng *rand.Rand, _ time.Duration) error {
+	{name: "replace an endpoint", planned: true, inject: func(f *fleet, rng *rand.Rand, _ time.Duration) error {
 		return f.replace(f.randomEndpoint(rng))
 	}},
-	{name: "change the configuration", inject: func(f *fleet, _ *rand.Rand, _ time.Duration) error {
+	{name: "change the configuration", planned: true, inject: func(f *fleet, _ *rand.Rand, _ time.Duration) error {
 		f.mutex.Lock()
 		f.version++
 		f.versionAt = time.Now()
@@ -203,6 +222,12 @@
 	return nil
 }
 
+// impairEndpoint drops traffic of an endpoint, which then looks silent.
+func (f *fleet) impairEndpoint(e *endpoint, i impairment, duration time.Duration) error {
+	defer f.beginOutage(e.address(), "silence")()
+	return impairFor(e.proxy, i, duration)
+}
+
 func (f *fleet) randomEndpoint(rng *rand.Rand) *endpoint {
 	return f.endpoints[rng.IntN(len(f.endpoints))]
 }
@@ -215,6 +240,9 @@
 	}
 }
 
+// maxStopTime is well above the grace periods of all roles.
+const maxStopTime = 20 * time.Second
+
 // restart ends a process by a signal, waits until it has exited, and starts it
 // again. It does nothing if another fault has claimed the process.
 func (f *fleet) restart(name string, signal syscall.Signal, downtime time.Duration, start func() error) error {
@@ -222,12 +250,40 @@
 		return nil
 	}
 	defer f.release(name)
+	if signal == syscall.SIGKILL {
+		defer f.beginOutageOf(f.node(name), "kill")()
+	}
 	if err := f.Signal(name, signal); err != nil {
 		return err
 	}
-	<-f.Exited(name)
+	select {
+	case <-f.Exited(name):
+	case <-time.After(maxStopTime):
+		f.reportViolation("%s has not exited %s after its signal", name, maxStopTime)
+		<-f.Exited(name)
+	}
 	time.Sleep(downtime)
-	return start()
+	if err := start(); err != nil {
+		return err
+	}
+	return f.awaitListening(f.node(name))
+}
+
+// awaitListening waits until a process accepts connections. Before that it may not have taken over the
+// handling of signals, and a reload would end it.
+func (f *fleet) awaitListening(n node) error {
+	ctx, cancel := context.WithTimeout(f.ctx, startTimeout)
+	defer cancel()
+	for {
+		c, err := socket.Dial(ctx, "tcp", n.address)
+		if err == nil {
+			return c.Close()
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("%s does not listen %s after its start: %w", n.name, startTimeout, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
 }
 
 // reload signals a process unless another fault has stopped it.
@@ -244,6 +300,7 @@
 		return nil
 	}
 	defer f.release(name)
+	defer f.beginOutageOf(f.node(name), "freeze")()
 	if err := f.Signal(name, syscall.SIGSTOP); err != nil {
 		return err
 	}
@@ -292,6 +349,7 @@
 	e.Endpoint = f.newEndpoint(old.Service, old.Stage)
 	e.draining = false
 	next := e.Endpoint
+	f.addresses[next.Name] = e.address()
 	f.mutex.Unlock()
 	return f.store.Register(next, e.address(), zone, false)
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,36 +83,63 @@
 	// timing is set if the time limits are checked.
 	timing bool
 	out    io.Writer
+	// ctx ends at the end of the run.
+	ctx  context.Context
+	seed uint64
+	// network is the second number of all loopback addresses.
+	network int
+	// planned is set if only faults are injected that excuse nothing.
+	planned bool
+	own     *ownFleet
+	// nodes holds all processes; it does not change after the start.
+	nodes []node
+	// outages holds the faults that excuse requests without an answer.
+	outages []outage
+	// addresses maps the names of all endpoint processes to their addresses.
+	addresses map[string]string
 }
 
-func newFleet(ctx context.Context, folder, binaries string) (*fleet, error) {
-	f := &fleet{Fleet: procs.NewFleet(folder, binaries), store: double.NewStore(), recorder: double.NewRecorder(), version: 1, claimed: map[string]bool{}, lastStartMillis: time.Now().UnixMilli()}
-	storeAddress := fmt.Sprintf("127.0.9.1:%d", storePort)
+func newFleet(ctx context.Context, o options) (*fleet, error) {
+	f := &fleet{
+		Fleet: procs.NewFleet(o.folder, o.binaries), store: double.NewStore(), recorder: double.NewRecorder(), version: 1,
+		claimed: map[string]bool{}, lastStartMillis: time.Now().UnixMilli(), addresses: map[string]string{}, ctx: ctx, seed: o.seed, network: o.network, planned: o.planned, timing: o.timing,
+	}
+	storeAddress := fmt.Sprintf("%s:%d", f.host(9, 0), storePort)
 	if err := serve(ctx, storeAddress, f.store); err != nil {
-		return nil, err
+		return f, err
 	}
 	if err := f.store.PutConfiguration(f.version); err != nil {
-		return nil, err
+		return f, err
 	}
-	for stage, count := range map[string]int{"": plainCount, "prefill": prefillCount, "decode": decodeCount} {
-		for i := range count {
-			if err := f.addEndpoint(ctx, stage, i); err != nil {
-				return nil, err
+	// The order is part of the schedule of a seed.
+	for _, s := range []struct {
+		stage string
+		count int
+	}{{"", plainCount}, {"prefill", prefillCount}, {"decode", decodeCount}} {
+		for i := range s.count * o.scale {
+			if err := f.addEndpoint(ctx, s.stage, i); err != nil {
+				return f, err
 			}
 		}
 	}
-	for i := range relayCount {
-		r := &relayProcess{name: fmt.Sprintf("relay-%d", i), host: fmt.Sprintf("127.0.10.%d", i+1)}
+	for i := range relayCount * o.scale {
+		r := &relayProcess{name: fmt.Sprintf("relay-%d", i), host: f.host(10, i)}
 		var err error
 		if r.store, err = newProxy(ctx, fmt.Sprintf("%s:%d", r.host, storePort), storeAddress); err != nil {
-			return nil, err
+			return f, err
 		}
 		f.relays = append(f.relays, r)
 		if err := f.startRelay(r); err != nil {
-			return nil, err
+			return f, err
 		}
+		f.addNode(relayRole, r.name, r.listenAddress(), func() error { return f.startRelay(r) })
 	}
-	return f, nil
+	return f, f.startOwn(ctx, o.scale)
+}
+
+// host returns a loopback address of the run.
+func (f *fleet) host(subnet, index int) string {
+	return fmt.Sprintf("127.%d.%d.%d", f.network, subnet, index+1)
 }
 
 func serve(ctx context.Context, address string, handler http.Handler) error {
@@ -127,7 +155,7 @@
 
 func (f *fleet) addEndpoint(ctx context.Context, stage string, i int) error {
 	subnets := map[string]int{"": 11, "prefill": 12, "decode": 13}
-	e := &endpoint{host: fmt.Sprintf("127.0.%d.%d", subnets[stage], i+1)}
+	e := &endpoint{host: f.host(subnets[stage], i)}
 	service := double.PlainService
 	if stage != "" {
 		service = double.ModelService
@@ -144,12 +172,19 @@
 		return err
 	}
 	f.endpoints = append(f.endpoints, e)
+	f.addresses[e.Name] = e.address()
 	if err := f.store.Register(e.Endpoint, e.address(), zone, false); err != nil || e.keeper == "" {
 		return err
 	}
+	f.addNode(keeperRole, e.keeper, fmt.Sprintf("%s:%d", e.host, keeperPort), func() error { return f.startKeeper(e) })
 	return f.startKeeper(e)
 }
 
+// node returns a process by its name.
+func (f *fleet) node(name string) node {
+	return f.nodes[slices.IndexFunc(f.nodes, func(n node) bool { return n.name == name })]
+}
+
 func (f *fleet) newEndpoint(service, stage string) *double.Endpoint {
 	f.lastStartMillis++
 	// Both software versions run at all times.
--- a/soak/main.go
+++ b/soak/main.go
@@ -1,11 +1,12 @@
-// Command soak runs relays and keepers as processes on loopback, injects faults on a
-// seeded schedule, and checks the router's guarantees from the requests that callers
-// and endpoints record. It exits with 1 if a guarantee did not hold, and with 2 on an
+// Command soak runs relays, keepers, entries and agents as processes on loopback, injects
+// faults on a seeded schedule, and checks the router's guarantees from the requests that
+// callers and endpoints record. It exits with 1 if a guarantee did not hold, and with 2 on an
 // error; it keeps the logs.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -26,9 +27,11 @@
 	maxApplyDelay = 2500 * time.Millisecond
 	// quietInterval is the time without disturbances after which time limits apply.
 	quietInterval = 4 * time.Second
-	callerTimeout = 6 * time.Second
+	// callerTimeout is the time that callers state; the response may be on its way for callerSlack more.
+	callerTimeout = 8 * time.Second
+	callerSlack   = time.Second
 	// maxConcurrentFaults limits the faults in progress concurrently.
-	maxConcurrentFaults = 3
+	maxConcurrentFaults = 5
 	// faultDurationRange sets the durations of faults: from 1/8 to 9/8 of it.
 	faultDurationRange = 3 * time.Second
 	// maxRecoveryTime is the time after the last fault in which relays become ready.
@@ -44,10 +47,16 @@
 	duration time.Duration
 	callers  int
 	timing   bool
+	// scale multiplies the number of processes and callers.
+	scale int
+	// network tells runs at the same time apart.
+	network int
+	// planned draws only faults that excuse nothing.
+	planned bool
 }
 
 func main() {
-	app := kingpin.New("soak", "Injects random faults into relays and keepers and checks the guarantees to callers.")
+	app := kingpin.New("soak", "Injects random faults into relays, keepers, entries and agents and checks the guarantees to callers.")
 	var o options
 	app.Flag("binaries", "Folder with the crocusstep binary.").Default("bin").StringVar(&o.binaries)
 	app.Flag("folder", "Folder for settings and logs.").Default("out/soak").StringVar(&o.folder)
@@ -55,6 +64,9 @@
 	app.Flag("span", "Duration of the fault injection.").Default("30s").DurationVar(&o.duration)
 	app.Flag("callers", "Number of concurrent callers.").Default("12").IntVar(&o.callers)
 	app.Flag("timing", "Also check the time limits.").Default("true").BoolVar(&o.timing)
+	app.Flag("scale", "Multiplies the number of processes and callers; 1 has 16 processes.").Default("1").IntVar(&o.scale)
+	app.Flag("network", "Second number of all loopback addresses, for two runs at a time.").Default("0").IntVar(&o.network)
+	app.Flag("planned", "Only stops, reloads and changes, which excuse no request without an answer.").BoolVar(&o.planned)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	violations, err := run(o, os.Stdout)
 	if err != nil {
@@ -72,23 +84,30 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	f, err := newFleet(ctx, o.folder, o.binaries)
-	if f != nil {
-		defer f.Close()
-	}
+	f, err := newFleet(ctx, o)
+	defer f.Close()
 	if err != nil {
 		return 0, err
 	}
-	f.timing, f.out = o.timing, out
-	if !f.awaitReady(startTimeout) {
+	f.out = out
+	if !f.awaitReady(startTimeout * time.Duration(o.scale)) {
 		return 0, fmt.Errorf("the relays did not become ready; see %s", o.folder)
 	}
-	callers := newCallers(f, o.callers)
+	if err := f.awaitOwn(ctx, startTimeout*time.Duration(o.scale)); err != nil {
+		return 0, err
+	}
+	callers := newCallers(f, o.callers*o.scale)
 	callers.start(ctx)
+	own := &ownCallers{fleet: f}
+	own.start(ctx)
 	f.injectFaults(rand.New(rand.NewPCG(o.seed, 0)), o.duration)
+	f.checkAlive()
 	f.checkRecovery(callers)
 	callers.stop()
-	callers.check()
+	own.stop()
+	if err := errors.Join(callers.check(), own.check()); err != nil {
+		return 0, err
+	}
 	_, _ = fmt.Fprintf(out, "seed %d: %d requests, %d served, %d refused, %d promises broken\n",
 		o.seed, callers.total, callers.served, callers.refused, len(f.violations))
 	return len(f.violations), nil
@@ -100,7 +119,7 @@
 	defer f.mutex.Unlock()
 	text := fmt.Sprintf(format, args...)
 	f.violations = append(f.violations, text)
-	_, _ = fmt.Fprintf(f.out, "BROKEN %s %s\n", time.Now().Format("15:04:05.000"), text)
+	_, _ = fmt.Fprintf(f.out, "BROKEN %s %s\n", clock(time.Now()), text)
 }
 
 // undisturbedSince reports whether the time limits have applied since a moment.
@@ -110,6 +129,13 @@
 	return f.timing && f.activeDisturbances == 0 && f.disturbedAt.Before(since)
 }
 
+// note prints an event of the run.
+func (f *fleet) note(format string, args ...any) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	_, _ = fmt.Fprintf(f.out, "%s %s\n", clock(time.Now()), fmt.Sprintf(format, args...))
+}
+
 // addDisturbances changes the number of faults in progress that affect timing.
 func (f *fleet) addDisturbances(delta int) {
 	f.mutex.Lock()
@@ -138,6 +164,7 @@
 // injectFaults starts random faults for the duration, and waits until all have ended.
 func (f *fleet) injectFaults(rng *rand.Rand, duration time.Duration) {
 	var group sync.WaitGroup
+	faults := allFaults(f.planned)
 	slots := make(chan struct{}, maxConcurrentFaults)
 	for deadline := time.Now().Add(duration); time.Now().Before(deadline); {
 		chosen := faults[rng.IntN(len(faults))]
@@ -145,7 +172,7 @@
 		// A generator for each fault keeps the schedule independent of their timing.
 		faultRNG := rand.New(rand.NewPCG(rng.Uint64(), 0))
 		slots <- struct{}{}
-		_, _ = fmt.Fprintf(f.out, "%s %s for %s\n", time.Now().Format("15:04:05.000"), chosen.name, faultDuration.Round(time.Millisecond))
+		f.note("%s for %s", chosen.name, faultDuration.Round(time.Millisecond))
 		group.Go(func() {
 			defer func() { <-slots }()
 			if chosen.affectsTiming {
