soak: TCP shows whether a request that crossed a close was read

A request was excused as crossing the close if no log and no endpoint had it. The kernel answers bytes that nobody has read with a reset; only a connection that ends with one is excused now.

--- a/soak/fate.go
+++ b/soak/fate.go
@@ -18,6 +18,8 @@
 	notSent ending = "not sent"
 	// closedUnanswered means that the connection ended before a response.
 	closedUnanswered ending = "closed without a response"
+	// closedUnread means the same, and that the bytes of the request were not read.
+	closedUnread ending = "closed without having been read"
 	// cutOff means that a response began and didn't end.
 	cutOff ending = "cut in its response"
 	// outOfPatience means that the caller left, as it had waited longer than it stated.
@@ -91,7 +93,7 @@
 			return v, true
 		}
 	}
-	if f.ending == closedUnanswered && !e.logged && len(e.sightings) == 0 {
+	if f.ending == closedUnread && !e.logged && len(e.sightings) == 0 {
 		v.excuse = crossedClose
 	}
 	return v, true
--- a/soak/kept.go
+++ b/soak/kept.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"crocusstep/socket"
@@ -17,6 +18,10 @@
 // errNotConnected means that a request was never sent, as no connection could be opened.
 var errNotConnected = errors.New("no connection was accepted")
 
+// errUnread means that the other side ended the connection without having read the request, as TCP
+// shows: it answers bytes that nobody reads with a reset.
+var errUnread = errors.New("the request was not read")
+
 // connectTimeout bounds how long a caller waits for a connection.
 const connectTimeout = time.Second
 
@@ -67,6 +72,21 @@
 	return false
 }
 
+// wasReset reports whether the other side has reset the connection that ended with an error. Where
+// the end came first, the reset shows in the next write.
+func (c *keptConn) wasReset(err error) bool {
+	const resetTime = 20 * time.Millisecond
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return true
+	}
+	if !errors.Is(err, io.ErrUnexpectedEOF) {
+		return false
+	}
+	time.Sleep(resetTime)
+	_, err = c.Write([]byte("\n"))
+	return err != nil
+}
+
 func (k *keptConns) keep(address string, c *keptConn) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -97,11 +117,15 @@
 	if err := c.SetDeadline(deadline); err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
-	if err := request.Write(c); err != nil {
-		return nil, errors.Join(err, c.Close())
+	err = request.Write(c)
+	var response *http.Response
+	if err == nil {
+		response, err = http.ReadResponse(c.reader, request)
 	}
-	response, err := http.ReadResponse(c.reader, request)
 	if err != nil {
+		if c.wasReset(err) {
+			err = errors.Join(err, errUnread)
+		}
 		return nil, errors.Join(err, c.Close())
 	}
 	response.Body = &keptBody{ReadCloser: response.Body, done: func(complete bool) {
@@ -152,6 +176,8 @@
 		return outOfPatience
 	case responded:
 		return cutOff
+	case errors.Is(err, errUnread):
+		return closedUnread
 	}
 	return closedUnanswered
 }
--- a/soak/kept_test.go
+++ b/soak/kept_test.go
@@ -27,6 +27,7 @@
 		{"one connection", []string{whole, whole}, []ending{answered, answered}, 1},
 		{"closed by the response", []string{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", whole}, []ending{answered, answered}, 2},
 		{"closed unanswered", []string{whole, "", whole}, []ending{answered, closedUnanswered, answered}, 2},
+		{"closed unread", []string{"unread", whole}, []ending{closedUnread, answered}, 2},
 		{"cut", []string{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", whole}, []ending{cutOff, answered}, 2},
 		{"silent", []string{"silent"}, []ending{outOfPatience}, 1},
 	}
@@ -60,6 +61,11 @@
 		conns++
 		reader := bufio.NewReader(c)
 		for len(responses) > 0 {
+			if responses[0] == "unread" {
+				time.Sleep(10 * time.Millisecond)
+				responses = responses[1:]
+				break
+			}
 			request, err := http.ReadRequest(reader)
 			if err != nil {
 				break
