memnet: a host can fall silent

Tests of own entries and agents could kill or cut off a host, but not let one accept and read requests and send nothing. Silence holds back what a host writes and its closes until it ends. Callers can send a limit of tokens; fake engines tell which prompts they have accepted, and a fleet how many requests its entries have read.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -78,11 +78,17 @@
 // Chat requests a chat completion and reads the response to its end. A stream that ends
 // without its end marker returns io.ErrUnexpectedEOF.
 func (c *Client) Chat(ctx context.Context, service ident.ServiceName, content string, stream bool) (result ChatResult, err error) {
+	return c.LimitedChat(ctx, service, content, stream, 0)
+}
+
+// LimitedChat is Chat with a limit of tokens; zero is none.
+func (c *Client) LimitedChat(ctx context.Context, service ident.ServiceName, content string, stream bool, maxTokens int) (result ChatResult, err error) {
 	started := time.Now()
 	body, err := json.Marshal(chatRequest{
-		Model:    service,
-		Messages: []chatMessage{{Role: "user", Content: content}},
-		Stream:   stream,
+		Model:     service,
+		Messages:  []chatMessage{{Role: "user", Content: content}},
+		Stream:    stream,
+		MaxTokens: maxTokens,
 	})
 	if err != nil {
 		return result, err
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -85,6 +85,8 @@
 	prefillSlot chan struct{}
 	// prefilledTokens counts the prompt tokens that were computed, not cached.
 	prefilledTokens ident.TokenCount
+	// prompts holds the hashes of the prompts of all accepted prefills.
+	prompts map[uint64]bool
 	// promptTokens counts the prompt tokens of all accepted prefills, including
 	// cached ones.
 	promptTokens ident.TokenCount
@@ -104,6 +106,7 @@
 		config:      config,
 		kv:          map[engine.KVHandle]kvEntry{},
 		requests:    map[ident.AttemptID]*runningRequest{},
+		prompts:     map[uint64]bool{},
 		onCrash:     onCrash,
 		prefillSlot: make(chan struct{}, 1),
 		slowdown:    1,
@@ -192,6 +195,7 @@
 	defer e.mutex.Unlock()
 	e.requests[request.Attempt] = &runningRequest{state: "prefill", prompt: request.Prompt, cancel: cancel}
 	e.promptTokens += tokens
+	e.prompts[hashPrompt(request.Prompt)] = true
 	cached := ident.TokenCount(0)
 	for _, prompt := range e.prefixCache {
 		cached = max(cached, CountTokens(commonPrefix(prompt, request.Prompt)))
--- a/fake/engine_faults.go
+++ b/fake/engine_faults.go
@@ -1,5 +1,7 @@
 package fake
 
+import "hash/fnv"
+
 // StallTransfers makes new imports hang until they are cancelled, or ends that.
 func (e *Engine) StallTransfers(stalled bool) {
 	e.mutex.Lock()
@@ -59,3 +61,16 @@
 		e.onCrash()
 	}
 }
+
+// HasAccepted reports whether a prompt has reached the engine.
+func (e *Engine) HasAccepted(prompt string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.prompts[hashPrompt(prompt)]
+}
+
+func hashPrompt(prompt string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(prompt))
+	return sum.Sum64()
+}
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -49,7 +50,11 @@
 		Seed:            seed,
 	})
 	go e.Run(p.ctx)
-	f.listen(p, entryAddress(name), e.Handler())
+	handler := e.Handler()
+	f.listen(p, entryAddress(name), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.received.Add(1)
+		handler.ServeHTTP(w, r)
+	}))
 	f.mutex.Lock()
 	f.entries[name] = &runningEntry{process: p, entry: e}
 	f.mutex.Unlock()
@@ -69,6 +74,9 @@
 	return names
 }
 
+// Received returns the number of requests that entries have read, at least their heads.
+func (f *Fleet) Received() int { return int(f.received.Load()) }
+
 // KillEntry kills an entry as SIGKILL does.
 func (f *Fleet) KillEntry(name ident.InstanceName) {
 	f.mutex.Lock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"crocusstep/auth"
@@ -67,6 +68,9 @@
 	platform  *process
 	endpoints map[ident.EndpointName]*Endpoint
 
+	// received counts the requests that entries have read.
+	received atomic.Int64
+
 	mutex          sync.Mutex
 	entries        map[ident.InstanceName]*runningEntry
 	entriesStarted uint64
--- a/memnet/network.go
+++ b/memnet/network.go
@@ -27,6 +27,8 @@
 	conns map[*conn]bool
 	// partitions holds the sorted pairs of hosts that cannot reach each other.
 	partitions map[[2]Host]bool
+	// silent holds the hosts that send nothing on their connections.
+	silent map[Host]bool
 	// incarnations counts the kills of each host, so that goroutines that a killed
 	// process left behind cannot dial any more.
 	incarnations map[Host]int
@@ -38,6 +40,9 @@
 // dialTimeout is the time after which a dial to a partitioned host fails.
 const dialTimeout = time.Second
 
+// silencePoll is how often held data is tried again.
+const silencePoll = 5 * time.Millisecond
+
 // errRefused means that nothing listens at the address.
 var errRefused = errors.New("connection refused")
 
@@ -47,6 +52,7 @@
 		listeners:    map[string]*listener{},
 		conns:        map[*conn]bool{},
 		partitions:   map[[2]Host]bool{},
+		silent:       map[Host]bool{},
 		incarnations: map[Host]int{},
 		latency:      func(Host, Host) time.Duration { return 0 },
 	}
@@ -159,6 +165,20 @@
 	}
 }
 
+// Silence makes a host accept and read, and send nothing until the silence ends.
+func (n *Network) Silence(host Host, silent bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.silent[host] = silent
+}
+
+// holds reports whether an open connection sends nothing for now.
+func (n *Network) holds(c *conn) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.silent[c.from] && n.conns[c]
+}
+
 // Partition separates two hosts. It closes the open connections between them, as the
 // kernel does after its user timeout; new ones hang until they time out.
 func (n *Network) Partition(a, b Host) {
@@ -222,6 +242,12 @@
 	// resets is set if a close resets the connection; wasReset is set once the peer has
 	// done so.
 	resets, wasReset atomic.Bool
+
+	mutex sync.Mutex
+	// held is what was written during a silence; flushing is true while a goroutine sends it, and
+	// closes the connection then if closing is true.
+	held              []byte
+	flushing, closing bool
 }
 
 // SetLinger makes Close reset the connection if the time is zero, like that of net.TCPConn.
@@ -239,8 +265,63 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Write implements net.Conn. While its host is silent, it holds the data back.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.hold(p, false) {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// hold keeps data or a close for later if the host is silent, or earlier data is on its way.
+func (c *conn) hold(p []byte, closes bool) bool {
+	isSilent := c.network.holds(c)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.flushing && !isSilent {
+		return false
+	}
+	if !c.flushing {
+		c.flushing = true
+		go c.flush()
+	}
+	c.held = append(c.held, p...)
+	c.closing = c.closing || closes
+	return true
+}
+
+// flush sends what is held back once the silence has ended.
+func (c *conn) flush() {
+	for {
+		for c.network.holds(c) {
+			time.Sleep(silencePoll)
+		}
+		c.mutex.Lock()
+		data, closing := c.held, c.closing
+		c.held = nil
+		c.flushing = len(data) > 0
+		c.mutex.Unlock()
+		if len(data) > 0 {
+			if _, err := c.Conn.Write(data); err == nil {
+				continue
+			}
+		}
+		if closing {
+			_ = c.closeNow()
+		}
+		return
+	}
+}
+
+// Close implements net.Conn. While its host is silent, the other end doesn't see it.
 func (c *conn) Close() error {
+	if c.hold(nil, true) {
+		return c.SetReadDeadline(time.Unix(1, 0))
+	}
+	return c.closeNow()
+}
+
+func (c *conn) closeNow() error {
 	c.network.removeConn(c)
 	if c.resets.Load() {
 		c.peer.wasReset.Store(true)
