A stopping entry takes what a bound shows to end before it does

Callers saw chats cut and lookups end with 502 in the stop in which they came: an entry that stops took a request if it was expected to end in time, by the median and deviation of what such requests had taken. Odds are no promise.

A call ends when the patience of its service does, as the entry answers then. A chat may wait for a token in each attempt until the patience ends, its limit of tokens at the slowest pace that the service states or has shown, and one silence of 3 s; what may last longer is refused at once as not run.

Before: TestStoppedEntryGoesByBounds: a chat of 400 tokens after five of 40, and a lookup at silent endpoints after five fast ones, were taken and cut; TestSlowPaceInStop: a chat was taken by the stated pace although the engines had shown a slower one.

TestStoppedEntryServesWhatItCanComplete demanded that requests are taken by what others of their service took. It is replaced: now a chat, a lookup and an action that end in time by the bound must be taken and complete 0.2 s before the bound, and a chat and a lookup 0.2 s after it must be refused.

--- a/conf/settings.go
+++ b/conf/settings.go
@@ -48,7 +48,7 @@
 type Shutdown struct {
 	// Time for which an entry still accepts requests while the load balancer stops sending.
 	ShutdownDelay parser.Duration `yaml:"leave-delay"`
-	// Longest wait for requests in flight before they are ended; an entry refuses requests that need more time than is left. It should exceed the services' patience.
+	// Longest wait for requests in flight before they are ended; an entry refuses requests that may need more time than is left. It should exceed the services' patience, and for chats the patience of each attempt and the longest output at the target between tokens.
 	Timeout parser.Duration `yaml:"timeout"`
 }
 
--- a/entry/call_helper.go
+++ b/entry/call_helper.go
@@ -57,7 +57,7 @@
 func (c *callExchange) serve(ctx context.Context) (wire.CallResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.document.Targets.Patience.Std())
 	defer cancel()
-	if refusal := c.refuseBeforeEnd(c.expectedTime()); refusal != nil {
+	if refusal := c.refuseBeforeEnd(c.latestEnd()); refusal != nil {
 		return wire.CallResponse{}, refusal
 	}
 	c.retryBudget(c.document.Service).Deposit(c.document.Retries.BudgetPercent)
@@ -260,9 +260,6 @@
 	if within {
 		sample.WithinTarget = 1
 	}
-	if err == nil && c.call.Class == spec.Lookup {
-		c.learn(c.document.Service, func(d *durations) { d.lookup.Add(elapsed.Seconds(), time.Now()) })
-	}
 	if err != nil {
 		outcome = string(c.refusalFor(err).Code)
 	}
--- a/entry/chat_attempt.go
+++ b/entry/chat_attempt.go
@@ -124,7 +124,9 @@
 		c.firstTokenAt = now
 		c.Meter.RecordTimeToFirstToken(service, now.Sub(c.arrived))
 	} else {
-		c.Meter.RecordInterTokenLatency(service, now.Sub(c.lastTokenAt))
+		gap := now.Sub(c.lastTokenAt)
+		c.longestGap = max(c.longestGap, gap)
+		c.Meter.RecordInterTokenLatency(service, gap)
 	}
 	c.lastTokenAt = now
 }
--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -46,6 +46,8 @@
 	// arrived.
 	firstTokenAt time.Time
 	lastTokenAt  time.Time
+	// longestGap is the longest time between two tokens.
+	longestGap time.Duration
 	// firstTokenTimer cancels the request if no token arrives in time.
 	firstTokenTimer *time.Timer
 	// doneWaiting removes the request from the count of those that wait for a
@@ -78,7 +80,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	service := c.document.Service
-	if refusal := c.refuseBeforeEnd(c.expectedTime()); refusal != nil {
+	if refusal := c.refuseBeforeEnd(c.latestEnd()); refusal != nil {
 		c.finish(refusal)
 		return
 	}
@@ -95,8 +97,8 @@
 	if err == nil {
 		err = c.writer.complete(c.assembler, c.tokens)
 	}
+	c.learnPace()
 	if err == nil {
-		c.learnDurations()
 		c.finish(nil)
 		return
 	}
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -5,25 +5,41 @@
 	"errors"
 	"time"
 
-	"crocusstep/cost"
 	"crocusstep/fault"
 	"crocusstep/ident"
-	"crocusstep/spec"
+	"crocusstep/wire"
 )
 
-// durations estimates how long the requests of a service take.
-type durations struct {
-	// firstToken, interval and lookup are in seconds, output in tokens.
-	firstToken, interval, output, lookup cost.Median
+// paceWindow is how long a slow pace is remembered, at least.
+const paceWindow = 2 * time.Minute
+
+// slowestPace is the longest mean time between two tokens of the recent outputs of a service.
+type slowestPace struct {
+	// current is that since a time, previous that of the window before.
+	current, previous time.Duration
+	since             time.Time
+}
+
+func (s *slowestPace) add(interval time.Duration, now time.Time) {
+	s.roll(now)
+	s.current = max(s.current, interval)
+}
+
+func (s *slowestPace) value(now time.Time) time.Duration {
+	s.roll(now)
+	return max(s.current, s.previous)
 }
 
-// upper returns a duration that most requests stay below, or the default if none is known.
-func upper(m *cost.Median, now time.Time, unknown time.Duration) time.Duration {
-	median, deviation := m.Estimate(now)
-	if median == 0 {
-		return unknown
+func (s *slowestPace) roll(now time.Time) {
+	age := now.Sub(s.since)
+	if age < paceWindow {
+		return
+	}
+	s.previous = s.current
+	if age >= 2*paceWindow {
+		s.previous = 0
 	}
-	return time.Duration((median + deviation) * float64(time.Second))
+	s.current, s.since = 0, now
 }
 
 // Drain makes the entry unready, so that the load balancer stops sending requests, and makes it
@@ -33,10 +49,10 @@
 
 func (e *Entry) draining() bool { return e.endsAt.Load() != nil }
 
-// refuseBeforeEnd refuses a request that needs more time than is left until the entry stops.
-func (e *Entry) refuseBeforeEnd(needed time.Duration) *fault.Refusal {
+// refuseBeforeEnd refuses a request that may still run when the entry stops.
+func (e *Entry) refuseBeforeEnd(latestEnd time.Time) *fault.Refusal {
 	endsAt := e.endsAt.Load()
-	if endsAt == nil || time.Until(*endsAt) >= needed {
+	if endsAt == nil || !latestEnd.After(*endsAt) {
 		return nil
 	}
 	return fault.New(fault.Draining, "the entry stops").WithRetryAfter(e.withJitter(0))
@@ -60,54 +76,42 @@
 	return refusal.WithRetryAfter(c.withJitter(0))
 }
 
-// learn passes the durations of a service to a function, which may change them.
-func (e *Entry) learn(service ident.ServiceName, update func(*durations)) {
+// pace returns the slowest pace that a service has shown, after it was updated.
+func (e *Entry) pace(service ident.ServiceName, update func(*slowestPace)) time.Duration {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	d, ok := e.durations[service]
+	s, ok := e.paces[service]
 	if !ok {
-		d = &durations{}
-		e.durations[service] = d
+		s = &slowestPace{}
+		e.paces[service] = s
 	}
-	update(d)
+	update(s)
+	return s.value(time.Now())
 }
 
-// expectedTime returns how long the request is expected to take. Without recent requests of its
-// service it goes by the targets and the largest output.
-func (c *chatExchange) expectedTime() (expected time.Duration) {
-	now, targets := time.Now(), c.document.Targets
-	c.learn(c.document.Service, func(d *durations) {
-		tokens := float64(c.maxTokens)
-		if median, deviation := d.output.Estimate(now); median > 0 {
-			tokens = min(tokens, median+deviation)
-		}
-		interval := upper(&d.interval, now, targets.BetweenTokens.Std())
-		expected = upper(&d.firstToken, now, targets.FirstToken.Std()) + time.Duration(tokens*float64(interval))
-	})
-	return expected
+// latestEnd returns when the request has ended: each attempt may wait for a token until the
+// patience ends, the output may have all of its tokens at the slowest pace that the service states
+// or has shown, and an endpoint may fall silent once for as long as that is tolerated.
+func (c *chatExchange) latestEnd() time.Time {
+	targets := c.document.Targets
+	shown := c.pace(c.document.Service, func(*slowestPace) {})
+	output := time.Duration(c.maxTokens) * max(shown, targets.BetweenTokens.Std())
+	waits := time.Duration(c.document.Retries.Attempts) * targets.Patience.Std()
+	return c.arrived.Add(waits + output + wire.StreamIdleTimeout)
 }
 
-// learnDurations learns from a complete response.
-func (c *chatExchange) learnDurations() {
-	tokens := c.assembler.Next()
-	if tokens == 0 {
+// learnPace learns from an output, complete or not. Its longest gap is left out, as latestEnd
+// counts a silence.
+func (c *chatExchange) learnPace() {
+	gaps := int(c.assembler.Next()) - 2
+	if gaps < 1 {
 		return
 	}
-	now := time.Now()
-	c.learn(c.document.Service, func(d *durations) {
-		d.output.Add(float64(tokens), now)
-		d.firstToken.Add(c.firstTokenAt.Sub(c.arrived).Seconds(), now)
-		d.interval.Add(c.lastTokenAt.Sub(c.firstTokenAt).Seconds()/float64(max(1, tokens-1)), now)
-	})
+	interval := (c.lastTokenAt.Sub(c.firstTokenAt) - c.longestGap) / time.Duration(gaps)
+	c.pace(c.document.Service, func(s *slowestPace) { s.add(interval, time.Now()) })
 }
 
-// expectedTime returns how long the call is expected to take. An action may take all of its
-// patience: if it is cut, its caller can't tell whether it has run.
-func (c *callExchange) expectedTime() (expected time.Duration) {
-	targets := c.document.Targets
-	if c.call.Class == spec.Action {
-		return targets.Patience.Std()
-	}
-	c.learn(c.document.Service, func(d *durations) { expected = upper(&d.lookup, time.Now(), targets.WholeAnswer.Std()) })
-	return expected
+// latestEnd returns when the call has ended, as the entry answers when the patience ends.
+func (c *callExchange) latestEnd() time.Time {
+	return time.Now().Add(c.document.Targets.Patience.Std())
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,8 +67,8 @@
 	linkLimiters map[ident.ServiceName]*rate.Limiter
 	// waiting counts each service's requests that have no first token yet.
 	waiting map[ident.ServiceName]int
-	// durations holds what was learned of each service's requests.
-	durations map[ident.ServiceName]*durations
+	// paces holds the slowest recent pace of each service.
+	paces map[ident.ServiceName]*slowestPace
 }
 
 // NewEntry returns an entry; Run does its background work.
@@ -88,7 +88,7 @@
 		budgets:      map[ident.ServiceName]*retry.Budget{},
 		linkLimiters: map[ident.ServiceName]*rate.Limiter{},
 		waiting:      map[ident.ServiceName]int{},
-		durations:    map[ident.ServiceName]*durations{},
+		paces:        map[ident.ServiceName]*slowestPace{},
 	}
 }
 
--- /dev/null
+++ b/fleet/stop_bound_test.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"crocusstep/caller"
+	"crocusstep/fault"
+	"crocusstep/wire"
+)
+
+// readStatus sends a lookup.
+func readStatus(t *testing.T, f *Fleet) caller.CallResult {
+	t.Helper()
+	result, err := f.Caller("e1").Call(context.Background(), "renewal-desk", http.MethodGet, "/permits/7/status", "", "")
+	assert.Check(t, err, "the lookup has no response")
+	return result
+}
+
+// read sends a chat with a limit of tokens; zero is none.
+func read(t *testing.T, f *Fleet, prompt string, limit int) caller.ChatResult {
+	t.Helper()
+	result, err := f.Caller("e1").LimitedChat(context.Background(), "packet-reading", prompt, true, limit)
+	assert.Check(t, err, "the chat has no response")
+	return result
+}
+
+func assertDraining(t *testing.T, problem *fault.Problem) {
+	t.Helper()
+	assert.Assert(t, problem != nil)
+	assert.Equal(t, problem.Code, fault.Draining, problem.Detail)
+	assert.Equal(t, problem.Outcome, fault.NotExecuted)
+	assert.Assert(t, problem.RetryAfterSeconds > 0)
+}
+
+// TestStoppedEntryServesWhatItCanComplete guards against a stopping entry that refuses what has
+// certainly ended before it does, and one that takes what may last longer.
+func TestStoppedEntryServesWhatItCanComplete(t *testing.T) {
+	// What the documents state of patience, attempts, targets and limits.
+	const (
+		limit     = 40
+		longest   = 3*30*time.Second + limit*76*time.Millisecond + wire.StreamIdleTimeout
+		callsLast = 10 * time.Second
+		stopTime  = 2 * longest
+		margin    = 200 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		ends := time.Now().Add(stopTime)
+		tasks.Go(func() { f.StopEntry("e1", shutdownAfter(stopTime, 0)) })
+		sleepUntil := func(left time.Duration) { time.Sleep(time.Until(ends.Add(-left))) }
+
+		sleepUntil(longest + margin)
+		chat := read(t, f, "a packet length=400", limit)
+		assert.Assert(t, chat.Complete && chat.Tokens == limit, "%+v", chat)
+		sleepUntil(longest - margin)
+		assertDraining(t, read(t, f, "a packet length=4", limit).Problem)
+
+		sleepUntil(callsLast + margin)
+		assert.Assert(t, readStatus(t, f).Problem == nil)
+		assert.Assert(t, renew(t, f, "e1", "7").Problem == nil)
+		sleepUntil(callsLast - margin)
+		assertDraining(t, readStatus(t, f).Problem)
+		tasks.Wait()
+	})
+}
+
+// TestStoppedEntryGoesByBounds guards against requests that a stopping entry takes as others of
+// their service were short, and cuts.
+func TestStoppedEntryGoesByBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		for range 5 {
+			assert.Assert(t, read(t, f, "a packet length=40", 0).Complete)
+			assert.Assert(t, readStatus(t, f).Problem == nil)
+		}
+		for _, name := range plainNames {
+			f.Network.Silence(EngineHost(name), true)
+		}
+		var tasks conc.WaitGroup
+		tasks.Go(func() { f.StopEntry("e1", shutdownAfter(2*time.Second, 2*time.Second)) })
+		time.Sleep(time.Second)
+		tasks.Go(func() { assertDraining(t, read(t, f, "a packet length=400", 0).Problem) })
+		tasks.Go(func() { assertDraining(t, readStatus(t, f).Problem) })
+		tasks.Wait()
+	})
+}
+
+// TestSlowPaceInStop guards against a stopping entry that goes by the stated pace of a service whose
+// engines are slower.
+func TestSlowPaceInStop(t *testing.T) {
+	const (
+		limit    = 400
+		slowdown = 8
+		// longest is the longest time at the stated pace.
+		longest = 3*30*time.Second + limit*76*time.Millisecond + wire.StreamIdleTimeout
+	)
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		for _, e := range f.Endpoints("reading-decode") {
+			e.Engine().SlowDown(slowdown)
+		}
+		assert.Assert(t, read(t, f, "a packet length=40", 0).Complete)
+		var tasks conc.WaitGroup
+		tasks.Go(func() { f.StopEntry("e1", shutdownAfter(time.Second, longest)) })
+		time.Sleep(500 * time.Millisecond)
+		assertDraining(t, read(t, f, "a packet length=400", limit).Problem)
+		tasks.Wait()
+	})
+}
