A stream that no endpoint takes up ends within the patience

A caller whose engine ended in mid-stream waited for ever if the agents at which the stream could go on were silent: the timer of the patience ended with the first token, and neither a reservation nor a prefill has a time limit of its own.

The timer now runs for each next token, except while the caller reads, and ends the stream with an error event.

--- a/entry/chat_attempt.go
+++ b/entry/chat_attempt.go
@@ -113,13 +113,15 @@
 		return err
 	}
 	c.observeToken(time.Now())
+	// The time that the caller takes to read doesn't count.
+	c.tokenTimer.Stop()
+	defer c.tokenTimer.Reset(c.document.Targets.Patience.Std())
 	return c.writer.writeToken(text)
 }
 
 func (c *chatExchange) observeToken(now time.Time) {
 	service := c.document.Service
 	if c.firstTokenAt.IsZero() {
-		c.firstTokenTimer.Stop()
 		c.doneWaiting()
 		c.firstTokenAt = now
 		c.Meter.RecordTimeToFirstToken(service, now.Sub(c.arrived))
--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -15,9 +15,9 @@
 	"crocusstep/spec"
 )
 
-// errFirstTokenTimeout cancels a request whose first token did not arrive
-// within the service's patience.
-var errFirstTokenTimeout = errors.New("no first token within the patience of the service")
+// errTokenTimeout cancels a request whose first or next token did not arrive within the service's
+// patience.
+var errTokenTimeout = errors.New("no token within the patience of the service")
 
 // chatExchange handles one chat completion request, including its retries.
 type chatExchange struct {
@@ -48,8 +48,8 @@
 	lastTokenAt  time.Time
 	// longestGap is the longest time between two tokens.
 	longestGap time.Duration
-	// firstTokenTimer cancels the request if no token arrives in time.
-	firstTokenTimer *time.Timer
+	// tokenTimer cancels the request if no token arrives in time.
+	tokenTimer *time.Timer
 	// doneWaiting removes the request from the count of those that wait for a
 	// first token.
 	doneWaiting func()
@@ -90,8 +90,8 @@
 	}
 	c.doneWaiting = sync.OnceFunc(func() { c.stopWaiting(service) })
 	defer c.doneWaiting()
-	c.firstTokenTimer = time.AfterFunc(time.Until(c.arrived.Add(c.document.Targets.Patience.Std())), func() { cancel(errFirstTokenTimeout) })
-	defer c.firstTokenTimer.Stop()
+	c.tokenTimer = time.AfterFunc(time.Until(c.arrived.Add(c.document.Targets.Patience.Std())), func() { cancel(errTokenTimeout) })
+	defer c.tokenTimer.Stop()
 	c.retryBudget(service).Deposit(c.document.Retries.BudgetPercent)
 	err := c.runWithRetries(ctx)
 	if err == nil {
@@ -164,8 +164,12 @@
 
 // refusalFor converts a failure to the refusal that the caller gets.
 func (c *chatExchange) refusalFor(ctx context.Context, err error) *fault.Refusal {
-	if errors.Is(context.Cause(ctx), errFirstTokenTimeout) {
-		return c.withOutcome(fault.New(fault.PatienceExceeded, "no token within %s", c.document.Targets.Patience).WithRetryAfter(c.withJitter(0)))
+	if errors.Is(context.Cause(ctx), errTokenTimeout) {
+		code := fault.PatienceExceeded
+		if c.assembler.Next() > 0 {
+			code = fault.ResponseTruncated
+		}
+		return c.withOutcome(fault.New(code, "no token within %s", c.document.Targets.Patience).WithRetryAfter(c.withJitter(0)))
 	}
 	if cancelledAtGraceEnd(ctx, err) {
 		return c.refusalAtGraceEnd()
--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -178,6 +178,13 @@
 		mutated:   "tokenTimeout = time.Hour",
 		pkg:       "fleet", test: "TestStreamSurvivesFaults/the_engine_stops",
 	},
+	{
+		guarantee: "a stream that no endpoint takes up ends within the patience",
+		file:      "entry/chat_attempt.go",
+		original:  "\tdefer c.tokenTimer.Reset(c.document.Targets.Patience.Std())\n",
+		mutated:   "",
+		pkg:       "fleet", test: "TestSilenceBeforeResumption",
+	},
 	{
 		guarantee: "a stalled KV transfer times out by the measured transfer rate",
 		file:      "agent/model_helper.go",
