Entries answer before the patience of callers ends

An entry answered when the patience of its service ended, which is when its callers leave: beside silent agents they got neither an answer nor a refusal.

Before: TestSilenceIsAnswered: with silent agents the chat, the lookup and the action, with silent decode agents the chat ended without a response.

--- a/entry/call_helper.go
+++ b/entry/call_helper.go
@@ -55,7 +55,7 @@
 }
 
 func (c *callExchange) serve(ctx context.Context) (wire.CallResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.document.Targets.Patience.Std())
+	ctx, cancel := context.WithTimeout(ctx, answerWithin(c.document.Targets))
 	defer cancel()
 	if refusal := c.refuseBeforeEnd(c.latestEnd()); refusal != nil {
 		return wire.CallResponse{}, refusal
@@ -106,7 +106,7 @@
 // disconnects.
 func (c *callExchange) coalescedLookup(ctx context.Context) (wire.CallResponse, error) {
 	flight := c.inflightLookups.DoChan(c.coalescingKey(), func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.document.Targets.Patience.Std())
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerWithin(c.document.Targets))
 		defer cancel()
 		return c.runLookup(ctx)
 	})
--- a/entry/chat_attempt.go
+++ b/entry/chat_attempt.go
@@ -115,7 +115,7 @@
 	c.observeToken(time.Now())
 	// The time that the caller takes to read doesn't count.
 	c.tokenTimer.Stop()
-	defer c.tokenTimer.Reset(c.document.Targets.Patience.Std())
+	defer c.tokenTimer.Reset(answerWithin(c.document.Targets))
 	return c.writer.writeToken(text)
 }
 
--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -90,7 +90,7 @@
 	}
 	c.doneWaiting = sync.OnceFunc(func() { c.stopWaiting(service) })
 	defer c.doneWaiting()
-	c.tokenTimer = time.AfterFunc(time.Until(c.arrived.Add(c.document.Targets.Patience.Std())), func() { cancel(errTokenTimeout) })
+	c.tokenTimer = time.AfterFunc(time.Until(c.arrived.Add(answerWithin(c.document.Targets))), func() { cancel(errTokenTimeout) })
 	defer c.tokenTimer.Stop()
 	c.retryBudget(service).Deposit(c.document.Retries.BudgetPercent)
 	err := c.runWithRetries(ctx)
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,3 +47,53 @@
 		})
 	}
 }
+
+// TestSilenceIsAnswered guards against callers that leave without an answer or refusal when their
+// patience ends, as an agent, endpoint or the platform is silent.
+func TestSilenceIsAnswered(t *testing.T) {
+	engines := []ident.EndpointName{"p1", "p2", "d1", "d2", "d3"}
+	scenarios := []struct {
+		testName string
+		silence  func(f *Fleet)
+	}{
+		{"agents", func(f *Fleet) { silence(f, AgentHost, append(engines, plainNames...)...) }},
+		{"prefill engines", func(f *Fleet) { silence(f, EngineHost, "p1", "p2") }},
+		{"decode engines", func(f *Fleet) { silence(f, EngineHost, "d1", "d2", "d3") }},
+		{"decode agents", func(f *Fleet) { silence(f, AgentHost, "d1", "d2", "d3") }},
+		{"plain services", func(f *Fleet) { silence(f, EngineHost, plainNames...) }},
+		{"the platform", func(f *Fleet) { f.Network.Silence("platform", true) }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHalvorsen(t)
+				defer f.Close()
+				// What the documents state.
+				leave := func(patience time.Duration) context.Context {
+					ctx, cancel := context.WithTimeout(context.Background(), patience)
+					context.AfterFunc(ctx, cancel)
+					return ctx
+				}
+				f.Network.SetLatency(func(_, _ memnet.Host) time.Duration { return 10 * time.Millisecond })
+				s.silence(f)
+				var tasks conc.WaitGroup
+				tasks.Go(func() {
+					chat, err := f.Caller("e1").Chat(leave(30*time.Second), "packet-reading", "a packet length=20", true)
+					assert.Check(t, err, "the chat")
+					assert.Check(t, chat.Complete || chat.Problem != nil, "%+v", chat)
+				})
+				for _, method := range []string{http.MethodGet, http.MethodPost} {
+					tasks.Go(func() {
+						path, body := "/permits/7/status", ""
+						if method == http.MethodPost {
+							path, body = "/renewals", `{"permit":"7","period":"1"}`
+						}
+						_, err := f.Caller("e1").Call(leave(10*time.Second), "renewal-desk", method, path, "", body)
+						assert.Check(t, err, "%s", method)
+					})
+				}
+				tasks.Wait()
+			})
+		})
+	}
+}
--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -181,10 +181,17 @@
 	{
 		guarantee: "a stream that no endpoint takes up ends within the patience",
 		file:      "entry/chat_attempt.go",
-		original:  "\tdefer c.tokenTimer.Reset(c.document.Targets.Patience.Std())\n",
+		original:  "\tdefer c.tokenTimer.Reset(answerWithin(c.document.Targets))\n",
 		mutated:   "",
 		pkg:       "fleet", test: "TestSilenceBeforeResumption",
 	},
+	{
+		guarantee: "a refusal reaches its caller before the patience ends",
+		file:      "entry/patience.go",
+		original:  "return patience - min(answerTime, patience/10)",
+		mutated:   "return patience - 0*min(answerTime, patience/10)",
+		pkg:       "fleet", test: "TestSilenceIsAnswered",
+	},
 	{
 		guarantee: "a stalled KV transfer times out by the measured transfer rate",
 		file:      "agent/model_helper.go",
