A response does not wait until a crash is recorded

A chat whose engine crashed while the platform was silent got no response at all if its entry stopped: it waited up to 3 s for the record of the crash, while the server has 0.3 s at the end of the shutdown timeout. At the end of the patience the refusal came up to 3 s late.

The record is now made in the background, and the request waits for it as long as it lasts.

--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -136,14 +136,27 @@
 }
 
 // recordCrash stores durably that an endpoint crashed while it ran this
-// request, if one did. If that fails the request is not retried.
+// request, if one did. If that fails the request is not retried. A request that ends meanwhile is
+// answered before the crash is stored.
 func (c *chatExchange) recordCrash(ctx context.Context) error {
 	if c.crashedEndpoint == "" {
 		return nil
 	}
 	crash := poison.Crash{Endpoint: c.crashedEndpoint, At: time.Now().UTC(), Request: c.request}
 	c.crashedEndpoint = ""
-	_, err := c.suspects.RecordCrash(ctx, c.document.Service, c.fingerprint, crash)
+	recorded := make(chan error, 1)
+	record := func() {
+		_, err := c.suspects.RecordCrash(ctx, c.document.Service, c.fingerprint, crash)
+		recorded <- err
+	}
+	if !c.tasks.Go(record) {
+		record()
+	}
+	var err error
+	select {
+	case err = <-recorded:
+	case <-ctx.Done():
+	}
 	if err != nil {
 		c.Log.Warn("crash could not be recorded", "request", c.request, "error", err)
 		return fault.NewUnknown(fault.EndpointFailed, "an endpoint crashed and that could not be recorded")
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -97,3 +97,24 @@
 		})
 	}
 }
+
+// TestCrashBesideSilentPlatform guards against a stopping entry that sends no response, as it waits
+// until the platform has stored a crash.
+func TestCrashBesideSilentPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		tasks.Go(func() {
+			chat := read(t, f, "a packet length=400", 0)
+			assert.Check(t, chat.Problem != nil && chat.Problem.Outcome == fault.Unknown, "%+v", chat)
+		})
+		e := awaitDecode(f)
+		f.Network.Silence("platform", true)
+		tasks.Go(func() { f.StopEntry("e1", shutdownAfter(0, time.Second)) })
+		time.Sleep(500 * time.Millisecond)
+		f.KillEngine(e.Name)
+		tasks.Wait()
+		f.Network.Silence("platform", false)
+	})
+}
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -16,6 +16,13 @@
 		mutated:   "if false {",
 		pkg:       "fleet", test: "TestStoppedEntryAnswersChats",
 	},
+	{
+		guarantee: "a response does not wait until a crash is recorded",
+		file:      "entry/chat_helper.go",
+		original:  "\tcase err = <-recorded:\n\tcase <-ctx.Done():\n",
+		mutated:   "\tcase err = <-recorded:\n",
+		pkg:       "fleet", test: "TestCrashBesideSilentPlatform",
+	},
 	{
 		guarantee: "a stream goes on elsewhere if its agent ends it at the shutdown timeout",
 		file:      "agent/controller.go",
