An agent's response does not wait for a silent engine

An agent that ends a prefill or decode cancelled it in the engine before it sent the response, for up to 2.2 s if the engine was silent. At its own end it sent none: the entry took the closed connection for a crash by the prompt, which is blocked after three of them.

The response goes first; the slots are free once the engine has freed its memory, and an agent that stops waits for that (EndWork, as long as for records of actions). Before: TestStoppedAgentBesideSilentEngine: one crash recorded for a stop. TestStoppedAgentFreesMemory guards the order of the end.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -148,26 +148,31 @@
 // Drain refuses new work and returns when all work in progress has ended, or the
 // context ends.
 func (a *Agent) Drain(ctx context.Context) {
-	const interval = 20 * time.Millisecond
 	a.draining.Store(true)
 	a.registrar.MarkLeaving()
 	for ctx.Err() == nil && a.InFlight() > 0 {
-		common.Sleep(ctx, interval)
+		common.Sleep(ctx, drainPoll)
 	}
 	a.ledger.Flush(ctx)
 }
 
+// drainPoll is how often an agent that stops looks whether its work has ended.
+const drainPoll = 20 * time.Millisecond
+
 // recordTime is how long actions that are in progress at the end of a shutdown have for their
 // responses and records.
 const recordTime = 500 * time.Millisecond
 
-// EndActions records the actions that end soon, after the end of the requests. Those that wait
-// for a slot don't start.
-func (a *Agent) EndActions() {
+// EndWork records the actions that end soon, after the end of the requests, and cancels in the
+// engine what has not ended. Actions that wait for a slot don't start.
+func (a *Agent) EndWork() {
 	a.stopStarts()
 	ctx, cancel := context.WithTimeout(a.ctx, recordTime)
 	defer cancel()
 	a.ledger.Flush(ctx)
+	for ctx.Err() == nil && a.active.count() > 0 {
+		common.Sleep(ctx, drainPoll)
+	}
 }
 
 // Draining reports whether the agent refuses new work.
--- a/agent/model_helper.go
+++ b/agent/model_helper.go
@@ -7,6 +7,7 @@
 
 	"crocusstep/engine"
 	"crocusstep/fault"
+	"crocusstep/ident"
 	"crocusstep/queue"
 	"crocusstep/wire"
 )
@@ -83,8 +84,10 @@
 	if !a.prefillSlots.Confirm(attempt) {
 		return result, fault.New(fault.EndpointBusy, "the turn has expired")
 	}
-	defer a.prefillSlots.Release(attempt)
 	a.active.add(attempt)
+	// The KV cache stays in the engine until it is imported; the engine evicts it
+	// itself.
+	defer func() { a.endAttempt(attempt, err, a.prefillSlots) }()
 	started := time.Now()
 	result, err = a.engine.Prefill(ctx, engine.PrefillRequest{
 		Attempt:   attempt,
@@ -93,12 +96,8 @@
 		Priority:  request.Info.Priority,
 	})
 	if err != nil {
-		a.cancelAttempt(attempt)
 		return result, a.endpointRefusal(err)
 	}
-	// The KV cache stays in the engine until it is imported; the engine evicts it
-	// itself.
-	a.active.remove(attempt)
 	a.estimates.observePrefill(result.Tokens-result.CachedTokens, time.Since(started))
 	return result, nil
 }
@@ -110,25 +109,36 @@
 	if !a.decodeSlots.Confirm(attempt) {
 		return fault.New(fault.EndpointBusy, "the reservation has expired")
 	}
-	defer a.decodeSlots.Release(attempt)
-	defer a.suspects.Release(attempt)
 	if request.Info.Suspect && !a.suspects.Confirm(attempt) {
+		a.decodeSlots.Release(attempt)
 		return fault.New(fault.EndpointBusy, "the reservation has expired")
 	}
 	a.active.add(attempt)
-	defer func() {
-		if err == nil {
-			a.active.remove(attempt)
-			return
-		}
-		a.cancelAttempt(attempt)
-	}()
+	defer func() { a.endAttempt(attempt, err, a.suspects, a.decodeSlots) }()
 	if err := a.importKV(ctx, request); err != nil {
 		return err
 	}
 	return a.generate(ctx, request, send)
 }
 
+// endAttempt releases the slots of an attempt. If it has failed, the engine frees its memory first;
+// the response doesn't wait for that, as the engine may be silent.
+func (a *Agent) endAttempt(attempt ident.AttemptID, err error, slots ...*queue.Limiter) {
+	release := func() {
+		a.active.remove(attempt)
+		for _, l := range slots {
+			l.Release(attempt)
+		}
+	}
+	cancelAndRelease := func() {
+		a.cancelAttempt(attempt)
+		release()
+	}
+	if err == nil || !a.tasks.Go(cancelAndRelease) {
+		release()
+	}
+}
+
 func (a *Agent) importKV(ctx context.Context, request wire.DecodeRequest) error {
 	timeout := min(request.TransferTimeout, a.estimates.transferTimeout(request.Tokens))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/agent/sweep.go
+++ b/agent/sweep.go
@@ -48,7 +48,6 @@
 // cancelAttempt cancels an attempt in the engine. It does not use the caller's
 // context, which has often ended by then.
 func (a *Agent) cancelAttempt(attempt ident.AttemptID) {
-	defer a.active.remove(attempt)
 	for range cancelAttempts {
 		ctx, cancel := context.WithTimeout(a.ctx, cancelTimeout)
 		err := a.engine.Cancel(ctx, attempt)
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -212,7 +212,7 @@
 	p, _ := e.processes()
 	e.Agent().Drain(ctx)
 	_ = p.server.Shutdown(ctx)
-	e.Agent().EndActions()
+	e.Agent().EndWork()
 	p.cancel()
 	<-p.tasksDone
 	f.kill(p)
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -13,6 +13,7 @@
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/memnet"
+	"crocusstep/poison"
 )
 
 // silence makes hosts silent.
@@ -118,3 +119,45 @@
 		f.Network.Silence("platform", false)
 	})
 }
+
+// TestStoppedAgentBesideSilentEngine guards against streams that count as crashes by their prompts,
+// as an agent that stops waits for its silent engine and sends no response.
+func TestStoppedAgentBesideSilentEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		tasks.Go(func() {
+			_, err := sendChat(f, "e1", "a packet length=400")
+			assert.Check(t, err)
+		})
+		e := awaitDecode(f)
+		f.Network.Silence(EngineHost(e.Name), true)
+		f.StopAgent(e.Name, time.Second)
+		// The entry stores a crash at once.
+		time.Sleep(100 * time.Millisecond)
+		suspects, err := poison.List(context.Background(), f.Store("operator"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(suspects), 0, "%+v", suspects)
+		tasks.Wait()
+	})
+}
+
+// TestStoppedAgentFreesMemory guards against requests that stay in an engine after its agent has
+// stopped.
+func TestStoppedAgentFreesMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		f.Network.SetLatency(func(_, _ memnet.Host) time.Duration { return time.Millisecond })
+		var tasks conc.WaitGroup
+		tasks.Go(func() {
+			_, err := sendChat(f, "e1", "a packet length=400")
+			assert.Check(t, err)
+		})
+		e := awaitDecode(f)
+		f.StopAgent(e.Name, time.Second)
+		assert.Equal(t, len(e.Engine().Requests()), 0)
+		tasks.Wait()
+	})
+}
--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -160,8 +160,8 @@
 	{
 		guarantee: "a decode that ends early is cancelled at the engine",
 		file:      "agent/model_helper.go",
-		original:  "\t\ta.cancelAttempt(attempt)\n\t}()",
-		mutated:   "\t\ta.active.remove(attempt)\n\t}()",
+		original:  "\t\ta.cancelAttempt(attempt)\n\t\trelease()",
+		mutated:   "\t\trelease()",
 		pkg:       "fleet", test: "TestCallerDisconnects",
 	},
 	{
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -23,6 +23,20 @@
 		mutated:   "\tcase err = <-recorded:\n",
 		pkg:       "fleet", test: "TestCrashBesideSilentPlatform",
 	},
+	{
+		guarantee: "an agent's response does not wait for a silent engine",
+		file:      "agent/model_helper.go",
+		original:  "if err == nil || !a.tasks.Go(cancelAndRelease) {\n\t\trelease()\n\t}",
+		mutated:   "if err == nil {\n\t\trelease()\n\t} else {\n\t\tcancelAndRelease()\n\t}",
+		pkg:       "fleet", test: "TestStoppedAgentBesideSilentEngine",
+	},
+	{
+		guarantee: "an agent that stops cancels in its engine what has not ended",
+		file:      "agent/agent.go",
+		original:  "for ctx.Err() == nil && a.active.count() > 0 {",
+		mutated:   "for false {",
+		pkg:       "fleet", test: "TestStoppedAgentFreesMemory",
+	},
 	{
 		guarantee: "a stream goes on elsewhere if its agent ends it at the shutdown timeout",
 		file:      "agent/controller.go",
--- a/start/agent_command.go
+++ b/start/agent_command.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	a.Drain(drainCtx)
 	p.shutDown(endsAt, peers, admin)
-	a.EndActions()
+	a.EndWork()
 	return nil
 }
 
