Calls that wait at an agent when it ends are refused as draining

Lookups that waited for a slot of an agent when it stopped were refused with 499, cancelled, as if their callers had left. They are refused as draining.

--- a/agent/call_helper.go
+++ b/agent/call_helper.go
@@ -92,10 +92,14 @@
 
 // awaitSlot waits for a slot as long as calls may start.
 func (a *Agent) awaitSlot(ctx context.Context, l *queue.Limiter, waiter queue.Waiter, maxWait time.Duration) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(a.starts, cancel)()
-	return l.Acquire(ctx, waiter, maxWait, maxWait+time.Second)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(a.starts, func() { cancel(fault.ErrGraceEnded) })()
+	err := l.Acquire(ctx, waiter, maxWait, maxWait+time.Second)
+	if err != nil && errors.Is(context.Cause(ctx), fault.ErrGraceEnded) {
+		return a.drainingRefusal()
+	}
+	return err
 }
 
 func (a *Agent) send(ctx context.Context, call wire.CallRequest, token store.Version) (result wire.CallResponse, err error) {
--- a/fleet/stop_bound_test.go
+++ b/fleet/stop_bound_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,3 +119,33 @@
 		tasks.Wait()
 	})
 }
+
+// TestStoppedAgentRefusesWaitingCalls guards against calls that are refused as if their callers had
+// left, as they waited at the agents when these stopped.
+func TestStoppedAgentRefusesWaitingCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 90
+		f := newSlowHalvorsen(t, 8*time.Second)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		check := func(kind string, result caller.CallResult) {
+			if problem := result.Problem; problem != nil {
+				assert.Check(t, problem.Code != fault.Cancelled, "%s: %+v", kind, problem)
+				assert.Check(t, problem.Code != fault.Draining || problem.RetryAfterSeconds > 0, "%s: %+v", kind, problem)
+			}
+		}
+		for i := range count {
+			tasks.Go(func() { check("an action", renew(t, f, "e1", strconv.Itoa(i))) })
+			tasks.Go(func() {
+				result, err := f.Caller("e1").Call(context.Background(), "renewal-desk", http.MethodGet, "/permits/"+strconv.Itoa(i)+"/status", "", "")
+				assert.Check(t, err)
+				check("a lookup", result)
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, name := range plainNames {
+			tasks.Go(func() { f.StopAgent(name, 700*time.Millisecond) })
+		}
+		tasks.Wait()
+	})
+}
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -72,6 +72,13 @@
 		mutated:   "",
 		pkg:       "fleet", test: "TestStoppedAgentForgetsWaitingActions",
 	},
+	{
+		guarantee: "calls that wait at an agent's shutdown timeout are refused as draining",
+		file:      "agent/call_helper.go",
+		original:  "if err != nil && errors.Is(context.Cause(ctx), fault.ErrGraceEnded) {",
+		mutated:   "if false {",
+		pkg:       "fleet", test: "TestStoppedAgentRefusesWaitingCalls",
+	},
 	{
 		guarantee: "a lost reservation does not count as a crash by its prompt",
 		file:      "entry/chat_reserve.go",
