A request whose body is not complete when its entry ends is refused

Its connection was closed without a response: the handler read on until the timeout of the body. It now stops reading and answers 503, draining. Before: TestStoppedEntryAnswersSlowBodies failed for chats and actions.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -50,10 +51,11 @@
 	}
 }
 
-// readBody reads a caller's body within the size and time limits.
+// readBody reads a caller's body within the size and time limits, until the entry stops.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *fault.Refusal) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(e.config.BodyTimeout))
+	defer context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
@@ -62,6 +64,8 @@
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", limit)
+	case errors.Is(context.Cause(r.Context()), fault.ErrGraceEnded):
+		return nil, fault.New(fault.Draining, "the entry stopped before it had the body").WithRetryAfter(e.withJitter(0))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, fault.New(fault.SlowClient, "the body did not arrive within %s", e.config.BodyTimeout)
 	}
--- a/fleet/stop_bound_test.go
+++ b/fleet/stop_bound_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -149,3 +150,25 @@
 		tasks.Wait()
 	})
 }
+
+// TestStoppedEntryAnswersSlowBodies guards against connections that close without a response, as the
+// body of their request was not complete when the entry ended.
+func TestStoppedEntryAnswersSlowBodies(t *testing.T) {
+	for _, path := range []string{"/v1/chat/completions", "/services/renewal-desk/renewals"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHalvorsen(t)
+				defer f.Close()
+				var tasks conc.WaitGroup
+				tasks.Go(func() {
+					body := &slowReader{text: strings.NewReader(`{"permit":`), wait: 5 * time.Second}
+					response, problem := sendRaw(t, f, http.MethodPost, path, nil, body)
+					assert.Check(t, response.StatusCode == http.StatusServiceUnavailable && problem.Code == fault.Draining, "%+v", problem)
+				})
+				time.Sleep(100 * time.Millisecond)
+				f.StopEntry("e1", shutdownAfter(0, time.Second))
+				tasks.Wait()
+			})
+		})
+	}
+}
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -79,6 +79,13 @@
 		mutated:   "if false {",
 		pkg:       "fleet", test: "TestStoppedAgentRefusesWaitingCalls",
 	},
+	{
+		guarantee: "a request whose body is not complete when its entry ends is refused",
+		file:      "entry/controller.go",
+		original:  "\tdefer context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })()\n",
+		mutated:   "",
+		pkg:       "fleet", test: "TestStoppedEntryAnswersSlowBodies",
+	},
 	{
 		guarantee: "a lost reservation does not count as a crash by its prompt",
 		file:      "entry/chat_reserve.go",
