An entry leaves an agent that does not respond to a request for a slot

A request for a slot had no time limit: a silent agent held each chat that asked it until the patience ended, and was never suspended, as a cancelled request is no evidence. An agent that responds later than its longest wait and 3 s is silent now; the chat goes on at the next one, or is refused as not run.

--- a/entry/chat_reserve.go
+++ b/entry/chat_reserve.go
@@ -141,8 +141,8 @@
 	for _, m := range ranked[:min(maxPrefillTries, len(ranked))] {
 		info.Deadline = c.prefillDeadline(m)
 		done := c.roster.TrackRequest(m.Instance.Endpoint, c.tokens)
-		response, err := wire.Call[wire.Response](ctx, c.config.Peers, m.Instance.Address, wire.ReservePrefillPath, wire.ReservePrefillRequest{Info: info, Tokens: c.tokens})
-		err = c.checkReservation(ctx, m, response, err)
+		request := wire.ReservePrefillRequest{Info: info, Tokens: c.tokens}
+		err := c.requestSlot(ctx, m, wire.ReservePrefillPath, request, time.Until(info.Deadline))
 		if err == nil {
 			r.prefill = m
 			r.prefillDone = done
@@ -202,17 +202,21 @@
 }
 
 func (c *chatExchange) requestDecodeSlot(ctx context.Context, info wire.AttemptInfo, m roster.Member, maxWait, holdTimeout time.Duration) error {
-	response, err := wire.Call[wire.Response](ctx, c.config.Peers, m.Instance.Address, wire.ReserveDecodePath, wire.ReserveDecodeRequest{
+	request := wire.ReserveDecodeRequest{
 		Info:        info,
 		MaxWait:     maxWait,
 		HoldTimeout: holdTimeout,
-	})
-	return c.checkReservation(ctx, m, response, err)
+	}
+	return c.requestSlot(ctx, m, wire.ReserveDecodePath, request, maxWait)
 }
 
-// checkReservation is checkResponse for a reservation: no prompt was sent, so none has crashed
+// requestSlot requests a slot for which the agent waits up to a time. An agent that does not respond
+// soon afterwards is silent, so that others can be asked. No prompt was sent, so none has crashed
 // the endpoint.
-func (c *chatExchange) checkReservation(ctx context.Context, m roster.Member, response wire.Response, err error) error {
+func (c *chatExchange) requestSlot(ctx context.Context, m roster.Member, path string, request any, maxWait time.Duration) error {
+	callCtx, cancel := context.WithTimeout(ctx, max(0, maxWait)+wire.StreamIdleTimeout)
+	defer cancel()
+	response, err := wire.Call[wire.Response](callCtx, c.config.Peers, m.Instance.Address, path, request)
 	if err != nil && ctx.Err() == nil {
 		c.recordFailure(m, false)
 		return err
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 	"crocusstep/ident"
 	"crocusstep/memnet"
 	"crocusstep/poison"
+	"crocusstep/wire"
 )
 
 // silence makes hosts silent.
@@ -161,3 +163,28 @@
 		tasks.Wait()
 	})
 }
+
+// TestSilentAgentIsLeft guards against chats that wait at a silent agent until their patience ends,
+// though other endpoints can serve them.
+func TestSilentAgentIsLeft(t *testing.T) {
+	// What the document states.
+	const firstToken = 4 * time.Second
+	for _, name := range []ident.EndpointName{"p1", "d1"} {
+		t.Run(string(name), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newHalvorsen(t)
+				defer f.Close()
+				silence(f, AgentHost, name)
+				for i := range 10 {
+					began := time.Now()
+					chat := read(t, f, "packet "+strconv.Itoa(i), 20)
+					answered := time.Since(began)
+					if chat.Complete {
+						answered = chat.FirstToken
+					}
+					assert.Check(t, answered <= firstToken+wire.StreamIdleTimeout, "%s: %+v", answered, chat.Problem)
+				}
+			})
+		})
+	}
+}
--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -192,6 +192,13 @@
 		mutated:   "return patience - 0*min(answerTime, patience/10)",
 		pkg:       "fleet", test: "TestSilenceIsAnswered",
 	},
+	{
+		guarantee: "a silent agent is left for another",
+		file:      "entry/chat_reserve.go",
+		original:  "context.WithTimeout(ctx, max(0, maxWait)+wire.StreamIdleTimeout)",
+		mutated:   "context.WithTimeout(ctx, time.Hour)",
+		pkg:       "fleet", test: "TestSilentAgentIsLeft",
+	},
 	{
 		guarantee: "a stalled KV transfer times out by the measured transfer rate",
 		file:      "agent/model_helper.go",
