A stopping entry sends nothing that may outlast it

A chat that had come before the signal and waited for a slot was sent in the stop, however late, and cut: its caller could not know whether it had run. The same befell a lookup whose first agent could not be reached. What has not run is now refused as not run if the bound lies beyond the end of the entry.

--- a/entry/call_helper.go
+++ b/entry/call_helper.go
@@ -87,7 +87,10 @@
 	shard := ledger.ShardIndex(c.key, c.document.Fencing.Shards)
 	ranked := route.Rendezvous(members, string(c.document.Service)+"."+strconv.Itoa(shard))
 	var failure error = fault.New(fault.NoEndpoint, "the pool has no endpoint").WithRetryAfter(time.Second)
-	for _, m := range ranked[:min(maxActionAgents, len(ranked))] {
+	for i, m := range ranked[:min(maxActionAgents, len(ranked))] {
+		if refusal := c.refuseUnsent(ctx); refusal != nil && i > 0 {
+			return wire.CallResponse{}, refusal
+		}
 		response, err := c.callAgent(ctx, m, c.document.Limits.Actions)
 		if err == nil {
 			return response, nil
@@ -135,6 +138,10 @@
 		if i > 0 && !c.retryBudget(c.document.Service).TryAcquire() {
 			break
 		}
+		if refusal := c.refuseUnsent(ctx); refusal != nil && i > 0 && !mayHaveRun {
+			failure = refusal
+			break
+		}
 		response, err := c.callAgent(ctx, m, c.document.Limits.Lookups)
 		if err == nil {
 			return response, nil
--- a/entry/chat_attempt.go
+++ b/entry/chat_attempt.go
@@ -52,6 +52,9 @@
 }
 
 func (c *chatExchange) runPrefill(ctx context.Context, info wire.AttemptInfo, r *reservation) (wire.PrefillResponse, error) {
+	if refusal := c.refuseUnsent(); refusal != nil {
+		return wire.PrefillResponse{}, refusal
+	}
 	c.prefillStarted = true
 	r.prefillTokens = c.tokens
 	c.prefillCounts.PrefilledTokens += c.tokens
--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -108,6 +108,9 @@
 // runWithRetries retries until the output is complete or no retry is allowed.
 func (c *chatExchange) runWithRetries(ctx context.Context) error {
 	for attempts := 1; ; attempts++ {
+		if refusal := c.refuseUnsent(); refusal != nil {
+			return refusal
+		}
 		status := c.suspects.Check(c.fingerprint)
 		if status == poison.Blocked {
 			return fault.New(fault.RequestBlocked, "the request has crashed endpoints and is blocked; ask the operators about %s", c.fingerprint)
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -100,6 +100,18 @@
 	return c.arrived.Add(waits + output + wire.StreamIdleTimeout)
 }
 
+// refuseUnsent refuses a request that has not run, and may still run when the entry stops: the stop
+// may have begun while it waited.
+func (c *chatExchange) refuseUnsent() error {
+	if c.prefillStarted {
+		return nil
+	}
+	if refusal := c.refuseBeforeEnd(c.latestEnd()); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
 // learnPace learns from an output, complete or not. Its longest gap is left out, as latestEnd
 // counts a silence.
 func (c *chatExchange) learnPace() {
@@ -115,3 +127,10 @@
 func (c *callExchange) latestEnd() time.Time {
 	return time.Now().Add(c.document.Targets.Patience.Std())
 }
+
+// refuseUnsent refuses a call that has not run, and may last until the context's deadline, after the
+// end of the entry.
+func (c *callExchange) refuseUnsent(ctx context.Context) *fault.Refusal {
+	deadline, _ := ctx.Deadline()
+	return c.refuseBeforeEnd(deadline)
+}
--- a/fleet/stop_bound_test.go
+++ b/fleet/stop_bound_test.go
@@ -172,3 +172,46 @@
 		})
 	}
 }
+
+// TestStoppedEntrySendsNothingLate guards against chats that came before the signal, wait for an
+// endpoint during the stop, and are sent so late that the stop cuts them.
+func TestStoppedEntrySendsNothingLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		// Both prefill endpoints are busy for almost 3 s.
+		for _, word := range []string{"a ", "b "} {
+			tasks.Go(func() { read(t, f, strings.Repeat(word, 29_000), 0) })
+			time.Sleep(100 * time.Millisecond)
+		}
+		tasks.Go(func() { assertDraining(t, read(t, f, "a packet length=400", 0).Problem) })
+		time.Sleep(100 * time.Millisecond)
+		f.StopEntry("e1", shutdownAfter(0, 6*time.Second))
+		tasks.Wait()
+	})
+}
+
+// TestStoppedEntryRepeatsNothingLate guards against lookups that came before the signal, found an
+// agent that is gone, and are sent to another one so late that the stop cuts them.
+func TestStoppedEntryRepeatsNothingLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSlowHalvorsen(t, 3*time.Second)
+		defer f.Close()
+		for _, name := range plainNames {
+			// A dial takes 1 s to fail.
+			f.Network.Partition("e1", AgentHost(name))
+		}
+		var tasks conc.WaitGroup
+		tasks.Go(func() {
+			assertDraining(t, readStatus(t, f).Problem)
+			assert.Equal(t, countRuns(f), 0)
+		})
+		time.Sleep(100 * time.Millisecond)
+		tasks.Go(func() { f.StopEntry("e1", shutdownAfter(0, 2500*time.Millisecond)) })
+		for _, name := range plainNames {
+			f.Network.Heal("e1", AgentHost(name))
+		}
+		tasks.Wait()
+	})
+}
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -86,6 +86,20 @@
 		mutated:   "",
 		pkg:       "fleet", test: "TestStoppedEntryAnswersSlowBodies",
 	},
+	{
+		guarantee: "a chat that waited is sent only if it ends before its entry",
+		file:      "entry/chat_attempt.go",
+		original:  "if refusal := c.refuseUnsent(); refusal != nil {",
+		mutated:   "if refusal := c.refuseUnsent(); false {",
+		pkg:       "fleet", test: "TestStoppedEntrySendsNothingLate",
+	},
+	{
+		guarantee: "a lookup is sent to another agent only if it ends before its entry",
+		file:      "entry/call_helper.go",
+		original:  "refusal != nil && i > 0 && !mayHaveRun {",
+		mutated:   "refusal != nil && i > 9 && !mayHaveRun {",
+		pkg:       "fleet", test: "TestStoppedEntryRepeatsNothingLate",
+	},
 	{
 		guarantee: "a lost reservation does not count as a crash by its prompt",
 		file:      "entry/chat_reserve.go",
