An agent that stops starts no call that may outlast it

Actions and lookups that waited at an agent started during its stop, however late, and were cut at its end: the outcome of such actions stayed unknown. One that gets its slot in the stop now starts only if its longest time ends before the agent, else it is refused as not run and its record is removed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -76,6 +76,8 @@
 	transferBreaker breaker
 	sequence        atomic.Int64
 	draining        atomic.Bool
+	// endsAt is when requests are cancelled as the process stops; nil before the drain.
+	endsAt atomic.Pointer[time.Time]
 	// down is true while the engine does not respond; the sweep clears it when
 	// the engine responds again.
 	down  atomic.Bool
@@ -148,6 +150,9 @@
 // Drain refuses new work and returns when all work in progress has ended, or the
 // context ends.
 func (a *Agent) Drain(ctx context.Context) {
+	if endsAt, ok := ctx.Deadline(); ok {
+		a.endsAt.Store(&endsAt)
+	}
 	a.draining.Store(true)
 	a.registrar.MarkLeaving()
 	for ctx.Err() == nil && a.InFlight() > 0 {
--- a/agent/call_helper.go
+++ b/agent/call_helper.go
@@ -85,6 +85,10 @@
 	}
 	l.Confirm(waiter.Attempt)
 	defer l.Release(waiter.Attempt)
+	if endsAt := a.endsAt.Load(); endsAt != nil && time.Until(*endsAt) < request.Timeout {
+		// The agent began to stop while the call waited, and may end before it does.
+		return wire.CallResponse{}, errors.Join(ledger.ErrNotSent, a.drainingRefusal())
+	}
 	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
 	defer cancel()
 	return a.send(ctx, request, token)
--- a/fleet/stop_bound_test.go
+++ b/fleet/stop_bound_test.go
@@ -151,6 +151,25 @@
 	})
 }
 
+// TestStoppedAgentStartsNothingLate guards against actions that wait at an agent which stops, and
+// start so late that their outcome stays unknown.
+func TestStoppedAgentStartsNothingLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSlowHalvorsen(t, 1500*time.Millisecond)
+		defer f.Close()
+		var tasks conc.WaitGroup
+		for i := range 90 {
+			tasks.Go(func() {
+				result := renew(t, f, "e1", strconv.Itoa(i))
+				assert.Check(t, result.Problem == nil || result.Problem.Outcome == fault.NotExecuted, "%+v", result.Problem)
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		f.StopAgent("r2", 1500*time.Millisecond)
+		tasks.Wait()
+	})
+}
+
 // TestStoppedEntryAnswersSlowBodies guards against connections that close without a response, as the
 // body of their request was not complete when the entry ended.
 func TestStoppedEntryAnswersSlowBodies(t *testing.T) {
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -86,6 +86,13 @@
 		mutated:   "",
 		pkg:       "fleet", test: "TestStoppedEntryAnswersSlowBodies",
 	},
+	{
+		guarantee: "a call that waited at a stopping agent starts only if it ends in time",
+		file:      "agent/call_helper.go",
+		original:  "time.Until(*endsAt) < request.Timeout",
+		mutated:   "time.Until(*endsAt) < 0",
+		pkg:       "fleet", test: "TestStoppedAgentStartsNothingLate",
+	},
 	{
 		guarantee: "a chat that waited is sent only if it ends before its entry",
 		file:      "entry/chat_attempt.go",
