A stream stays with a silent engine until a retry is granted

The entry now decides, at the keep-alive frames that come while no token does: it leaves the engine once a retry is granted, and otherwise stays up to the patience, except if it stops before the output would end. Agents get the longest time in the request; to entries that don't send it they stay as they were. The next attempt is still prepared only after the old one was left.

Before: TestSilentEngineKeepsStream: endpoint-failed after 3 of 6 s without a token. The mutant of tokenTimeout becomes one of the entry's decision.

--- a/agent/model_helper.go
+++ b/agent/model_helper.go
@@ -16,11 +16,11 @@
 	// unavailableRetryAfter is the Retry-After while the agent drains or the
 	// engine is down.
 	unavailableRetryAfter = time.Second
-	// tokenTimeout bounds the time between two tokens of a decode.
-	tokenTimeout = 3 * time.Second
+	// minTokenTimeout is the shortest time between two tokens after which a decode ends.
+	minTokenTimeout = wire.StreamIdleTimeout
 )
 
-// errStalled cancels a decode that has exceeded tokenTimeout.
+// errStalled cancels a decode that has no token for too long.
 var errStalled = errors.New("the engine has stalled")
 
 // reservePrefill waits for a prefill slot until the deadline of the attempt.
@@ -166,6 +166,7 @@
 func (a *Agent) generate(ctx context.Context, request wire.DecodeRequest, send func(wire.Frame) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	tokenTimeout := max(minTokenTimeout, request.TokenTimeout)
 	stallTimer := time.AfterFunc(tokenTimeout, func() { cancel(errStalled) })
 	defer stallTimer.Stop()
 	lastToken := time.Now()
--- a/entry/chat_attempt.go
+++ b/entry/chat_attempt.go
@@ -82,14 +82,28 @@
 		StartPosition:   c.assembler.Next(),
 		MaxTokens:       c.maxTokens,
 		TransferTimeout: c.config.TransferTimeout,
+		TokenTimeout:    c.document.Targets.Patience.Std(),
 	}
 	var lastFrame wire.Frame
-	var writeError error
+	var writeError, silence error
+	// The first token also waits for the transfer.
+	tokenDue := time.Now().Add(c.config.TransferTimeout + wire.StreamIdleTimeout)
 	err := c.config.Peers.Stream(ctx, r.decode.Instance.Address, decodeRequest, func(frame wire.Frame) error {
 		lastFrame = frame
+		if frame.Kind == wire.KeepAliveFrame && time.Now().After(tokenDue) {
+			silence = c.leaveSilent()
+			return silence
+		}
+		if frame.Kind == wire.TokenFrame {
+			tokenDue = time.Now().Add(wire.StreamIdleTimeout)
+		}
 		writeError = c.forwardFrame(frame)
 		return writeError
 	})
+	if silence != nil {
+		c.recordFailure(r.decode, false)
+		return silence
+	}
 	if writeError != nil && !errors.Is(writeError, answer.ErrGap) && !errors.Is(writeError, answer.ErrWrongAttempt) {
 		return fault.NewUnknown(fault.Cancelled, "the caller takes no more: %v", writeError)
 	}
@@ -109,6 +123,16 @@
 	return nil
 }
 
+// leaveSilent returns an error once the request may be retried elsewhere. Until then it stays with an
+// engine that sends no tokens and may go on, unless the entry stops before the output ends then.
+func (c *chatExchange) leaveSilent() error {
+	latestEnd := time.Now().Add(c.document.Targets.Patience.Std() + c.outputTime(c.maxTokens-c.assembler.Next()))
+	if !c.grantRetry() && c.refuseBeforeEnd(latestEnd) == nil {
+		return nil
+	}
+	return fault.New(fault.EndpointFailed, "the engine sent no token for %s", wire.StreamIdleTimeout)
+}
+
 // forwardFrame writes a frame's token to the caller.
 func (c *chatExchange) forwardFrame(frame wire.Frame) error {
 	text, err := c.assembler.Accept(frame)
--- a/entry/chat_helper.go
+++ b/entry/chat_helper.go
@@ -34,6 +34,9 @@
 	// refusal must not claim that nothing ran.
 	prefillStarted bool
 	fingerprint    poison.Fingerprint
+	// attempts counts the attempts; retryGranted is true once another one is allowed.
+	attempts     int
+	retryGranted bool
 	// suspected is true while the request is suspected of crashing endpoints.
 	suspected bool
 	// crashedEndpoint is the endpoint that crashed during the latest attempt,
@@ -107,7 +110,8 @@
 
 // runWithRetries retries until the output is complete or no retry is allowed.
 func (c *chatExchange) runWithRetries(ctx context.Context) error {
-	for attempts := 1; ; attempts++ {
+	for c.attempts = 1; ; c.attempts++ {
+		c.retryGranted = false
 		if refusal := c.refuseUnsent(); refusal != nil {
 			return refusal
 		}
@@ -131,13 +135,21 @@
 		if ctx.Err() != nil {
 			return err
 		}
-		c.Log.Info("attempt failed", "request", c.request, "tried", attempts, "error", err)
-		if !isRetryable(err) || attempts >= c.document.Retries.Attempts || !c.retryBudget(c.document.Service).TryAcquire() {
+		c.Log.Info("attempt failed", "request", c.request, "tried", c.attempts, "error", err)
+		if !isRetryable(err) || !c.grantRetry() {
 			return err
 		}
 	}
 }
 
+// grantRetry reports whether the request may be retried after the current attempt.
+func (c *chatExchange) grantRetry() bool {
+	if !c.retryGranted {
+		c.retryGranted = c.attempts < c.document.Retries.Attempts && c.retryBudget(c.document.Service).TryAcquire()
+	}
+	return c.retryGranted
+}
+
 // recordCrash stores durably that an endpoint crashed while it ran this
 // request, if one did. If that fails the request is not retried. A request that ends meanwhile is
 // answered before the crash is stored.
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -93,11 +93,14 @@
 // patience ends, the output may have all of its tokens at the slowest pace that the service states
 // or has shown, and an endpoint may fall silent once for as long as that is tolerated.
 func (c *chatExchange) latestEnd() time.Time {
-	targets := c.document.Targets
+	waits := time.Duration(c.document.Retries.Attempts) * c.document.Targets.Patience.Std()
+	return c.arrived.Add(waits + c.outputTime(c.maxTokens) + wire.StreamIdleTimeout)
+}
+
+// outputTime returns how long tokens take at the slowest pace that the service states or has shown.
+func (c *chatExchange) outputTime(tokens ident.TokenCount) time.Duration {
 	shown := c.pace(c.document.Service, func(*slowestPace) {})
-	output := time.Duration(c.maxTokens) * max(shown, targets.BetweenTokens.Std())
-	waits := time.Duration(c.document.Retries.Attempts) * targets.Patience.Std()
-	return c.arrived.Add(waits + output + wire.StreamIdleTimeout)
+	return time.Duration(tokens) * max(shown, c.document.Targets.BetweenTokens.Std())
 }
 
 // refuseUnsent refuses a request that has not run, and may still run when the entry stops: the stop
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -188,3 +188,27 @@
 		})
 	}
 }
+
+// TestSilentEngineKeepsStream guards against streams that are cut at an engine which sends no tokens
+// for some seconds and goes on, as no retry is granted.
+func TestSilentEngineKeepsStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newHalvorsen(t)
+		defer f.Close()
+		assert.NilError(t, f.PutDocument(context.Background(), "reading", []byte("service: packet-reading\nworkspace: halvorsen\nkind: language-model\n"+
+			"pools: {prefill: reading-prefill, decode: reading-decode}\ntargets: {first-token: 4s, between-tokens: 76ms, patience: 30s}\n"+
+			"retries: {attempts: 1}\n")))
+		time.Sleep(10 * time.Second)
+		var tasks conc.WaitGroup
+		tasks.Go(func() {
+			_, err := sendChat(f, "e1", "a packet length=400")
+			assert.Check(t, err)
+		})
+		e := awaitDecode(f)
+		time.Sleep(time.Second)
+		e.Engine().StallDecodes(true)
+		time.Sleep(2 * wire.StreamIdleTimeout)
+		e.Engine().StallDecodes(false)
+		tasks.Wait()
+	})
+}
--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -146,8 +146,8 @@
 	{
 		guarantee: "a stream whose endpoint failed resumes at another endpoint",
 		file:      "entry/chat_helper.go",
-		original:  "if !isRetryable(err) || attempts",
-		mutated:   "if true || !isRetryable(err) || attempts",
+		original:  "if !isRetryable(err) || !c.grantRetry() {",
+		mutated:   "if !isRetryable(err) || !c.grantRetry() || true {",
 		pkg:       "fleet", test: "TestStreamSurvivesFaults",
 	},
 	{
@@ -173,11 +173,18 @@
 	},
 	{
 		guarantee: "a stream fails over from an engine that sends no tokens",
-		file:      "agent/model_helper.go",
-		original:  "tokenTimeout = 3 * time.Second",
-		mutated:   "tokenTimeout = time.Hour",
+		file:      "entry/chat_attempt.go",
+		original:  "if frame.Kind == wire.KeepAliveFrame && time.Now().After(tokenDue) {",
+		mutated:   "if false && time.Now().After(tokenDue) {",
 		pkg:       "fleet", test: "TestStreamSurvivesFaults/the_engine_stops",
 	},
+	{
+		guarantee: "a stream stays with an engine that sends no tokens until a retry is granted",
+		file:      "entry/chat_attempt.go",
+		original:  "if !c.grantRetry() && c.refuse",
+		mutated:   "if !c.grantRetry() && false && c.refuse",
+		pkg:       "fleet", test: "TestSilentEngineKeepsStream",
+	},
 	{
 		guarantee: "a stream that no endpoint takes up ends within the patience",
 		file:      "entry/chat_attempt.go",
--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -138,22 +138,22 @@
 	{
 		guarantee: "a stopping entry goes by the longest output of a chat",
 		file:      "entry/drain.go",
-		original:  "time.Duration(c.maxTokens) * max",
-		mutated:   "time.Duration(0*c.maxTokens) * max",
+		original:  "c.outputTime(c.maxTokens) +",
+		mutated:   "c.outputTime(0*c.maxTokens) +",
 		pkg:       "fleet", test: "TestStoppedEntryServesWhatItCanComplete",
 	},
 	{
 		guarantee: "a stopping entry takes what has certainly ended before it does",
 		file:      "entry/drain.go",
-		original:  "return c.arrived.Add(waits + output + wire.StreamIdleTimeout)",
-		mutated:   "return c.arrived.Add(2*waits + output + wire.StreamIdleTimeout)",
+		original:  "return c.arrived.Add(waits +",
+		mutated:   "return c.arrived.Add(2*waits +",
 		pkg:       "fleet", test: "TestStoppedEntryServesWhatItCanComplete",
 	},
 	{
 		guarantee: "a stopping entry goes by the slowest pace that a service has shown",
 		file:      "entry/drain.go",
-		original:  "* max(shown, targets.BetweenTokens.Std())",
-		mutated:   "* max(0*shown, targets.BetweenTokens.Std())",
+		original:  "* max(shown, c.document",
+		mutated:   "* max(0*shown, c.document",
 		pkg:       "fleet", test: "TestSlowPaceInStop",
 	},
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -116,6 +116,9 @@
 	// TransferTimeout bounds the KV transfer; the agent may use a shorter timeout
 	// based on its measurements.
 	TransferTimeout time.Duration `json:"transfer-timeout-ns"`
+	// TokenTimeout is the time without a token after which the agent ends the decode. Until then the
+	// entry decides, which knows whether another endpoint can go on; zero is StreamIdleTimeout.
+	TokenTimeout time.Duration `json:"token-timeout-ns,omitempty"`
 }
 
 // FrameKind is the kind of a frame.
