Test that relays tell the hubs of their stop and hear whether they are alone

Only the hub's answer and its use were tested, each on its own: with neither zone nor stop sent, nor the answer kept, nor a stop announced, the relay's tests of drains and gossip passed. TestStopIsKnownInZone fails with each of the four left out; three of them are mutants now.

--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -122,6 +122,27 @@
 		mutated:   "p.zone == in.Zone",
 		pkg:       "gossip", test: "TestHubFindsProcessesThatAreAlone",
 	},
+	{
+		guarantee: "hubs hear that a relay stops",
+		file:      "relay/gossip.go",
+		original:  "Stopping: g.relay.stopping(), ",
+		mutated:   "",
+		pkg:       "relay", test: "TestStopIsKnownInZone",
+	},
+	{
+		guarantee: "a relay hears from hubs that it is alone",
+		file:      "relay/gossip.go",
+		original:  "g.relay.alone.Store(in.Alone)",
+		mutated:   "",
+		pkg:       "relay", test: "TestStopIsKnownInZone",
+	},
+	{
+		guarantee: "hubs hear of a stop at once",
+		file:      "relay/gossip.go",
+		original:  "func (g *Gossip) AnnounceStop() { g.exchangeWithAll() }",
+		mutated:   "func (*Gossip) AnnounceStop() {}",
+		pkg:       "relay", test: "TestStopIsKnownInZone",
+	},
 	{
 		guarantee: "a relay that stops sends no call too late after a wait",
 		file:      "relay/call.go",
--- /dev/null
+++ b/relay/drain_gossip_test.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"crocusstep/gossip"
+	"crocusstep/ident"
+)
+
+// TestStopIsKnownInZone guards against relays that stop and do not learn through the hubs whether another
+// one of their zone takes requests.
+func TestStopIsKnownInZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keepers := &fakeKeepers{hubs: map[ident.Address]*gossip.Hub{}}
+		gossips := newGossips(t, keepers, "a1", "a2", "b1")
+		ctx, cancel := context.WithCancel(t.Context())
+		for i, zone := range []ident.ZoneName{"a", "a", "b"} {
+			gossips[i].relay.config.Topology.Zone = zone
+			go gossips[i].Run(ctx)
+		}
+		time.Sleep(6 * time.Second)
+		isAlone := func(i int) bool { return gossips[i].relay.alone.Load() }
+		assert.Assert(t, !isAlone(0) && !isAlone(1))
+		assert.Assert(t, isAlone(2), "relays of other zones do not count")
+		stop := Stop{End: time.Now().Add(7 * time.Second), Unlisted: time.Now().Add(2 * time.Second)}
+		gossips[0].relay.Drain(stop)
+		gossips[0].AnnounceStop()
+		time.Sleep(time.Millisecond)
+		gossips[1].relay.Drain(stop)
+		gossips[1].AnnounceStop()
+		time.Sleep(time.Millisecond)
+		assert.Assert(t, isAlone(1), "the other relay of the zone stops")
+		time.Sleep(hubCount * gossipInterval)
+		assert.Assert(t, isAlone(0))
+		cancel()
+		synctest.Wait()
+	})
+}
