A hub that has just started calls no relay alone

A stopping relay whose hub had restarted told its callers to come back after up to 2.4 s although another relay of its zone served: the hub had not heard of that one yet, and answered that the sender was alone. Class: what is not known counts as absent. A hub now says so only once it has heard of relays for as long as a silent one counts as a peer (4 s).

--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -23,6 +23,8 @@
 	table *SharedTable
 	// peers holds what is known of each sender.
 	peers map[string]peer
+	// heardSince is since when there has always been a peer: all are known from peerTTL after it.
+	heardSince time.Time
 }
 
 // peer is a process that has recently sent a message.
@@ -51,7 +53,7 @@
 	h.endpoints.AdoptHistory(in.History)
 	h.endpoints.RemoveLapsed(now, time.Time{})
 	h.updatePeers(in, now)
-	out := &Message{Digest: NewDigest(h.crashes, now), Sounds: h.crashes.Sounds(now), Peers: len(h.peers), Rank: h.rank(in.Sender), Alone: h.isAlone(in)}
+	out := &Message{Digest: NewDigest(h.crashes, now), Sounds: h.crashes.Sounds(now), Peers: len(h.peers), Rank: h.rank(in.Sender), Alone: h.isAlone(in, now)}
 	out.History = h.endpoints.History()
 	if h.table != nil {
 		out.Digest.Table = h.table.Version()
@@ -95,25 +97,31 @@
 }
 
 func (h *Hub) updatePeers(in *Message, now time.Time) {
-	if in.Sender != "" {
-		h.peers[in.Sender] = peer{heardAt: now, zone: in.Zone, stopping: in.Stopping}
-	}
 	for name, p := range h.peers {
 		if now.Sub(p.heardAt) > peerTTL {
 			delete(h.peers, name)
 		}
 	}
+	if len(h.peers) == 0 {
+		h.heardSince = now
+	}
+	if in.Sender != "" {
+		h.peers[in.Sender] = peer{heardAt: now, zone: in.Zone, stopping: in.Stopping}
+	}
 }
 
 // isAlone reports whether no other peer of the sender's zone takes requests. The peers of a sender
-// without a zone are not known.
-func (h *Hub) isAlone(in *Message) bool {
+// without a zone are not known, nor are those of a hub that has just started.
+func (h *Hub) isAlone(in *Message, now time.Time) bool {
+	if in.Zone == "" || now.Sub(h.heardSince) < peerTTL {
+		return false
+	}
 	for name, p := range h.peers {
 		if name != in.Sender && p.zone == in.Zone && !p.stopping {
 			return false
 		}
 	}
-	return in.Zone != ""
+	return true
 }
 
 // rank returns the number of peers whose names sort before the given one.
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -122,6 +122,13 @@
 		mutated:   "p.zone == in.Zone",
 		pkg:       "gossip", test: "TestHubFindsProcessesThatAreAlone",
 	},
+	{
+		guarantee: "a hub that has just started does not call a process alone",
+		file:      "gossip/hub.go",
+		original:  "|| now.Sub(h.heardSince) < peerTTL",
+		mutated:   "",
+		pkg:       "relay", test: "TestRestartedHubKnowsNoStops",
+	},
 	{
 		guarantee: "hubs hear that a relay stops",
 		file:      "relay/gossip.go",
--- a/relay/drain_gossip_test.go
+++ b/relay/drain_gossip_test.go
@@ -41,3 +41,33 @@
 		synctest.Wait()
 	})
 }
+
+// TestRestartedHubKnowsNoStops guards against stopping relays that send callers away for seconds although
+// another one of their zone takes requests, as a hub that has restarted has not heard of that one.
+func TestRestartedHubKnowsNoStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keepers := &fakeKeepers{hubs: map[ident.Address]*gossip.Hub{}}
+		gossips := newGossips(t, keepers, "a1", "a2", "a3")
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, g := range gossips {
+			g.relay.config.Topology.Zone = "a"
+			go g.Run(ctx)
+		}
+		time.Sleep(6 * time.Second)
+		keepers.mutex.Lock()
+		clear(keepers.hubs)
+		keepers.mutex.Unlock()
+		alone := 0
+		for range 300 {
+			time.Sleep(20 * time.Millisecond)
+			for _, g := range gossips {
+				if g.relay.alone.Load() {
+					alone++
+				}
+			}
+		}
+		assert.Equal(t, alone, 0)
+		cancel()
+		synctest.Wait()
+	})
+}
