Relays count as others of the zone once the load balancer lists them

A relay that had just restarted counted as one that takes requests from its first message to a hub on, although the load balancer asks once a second whether it is ready, and sends it nothing before. Callers of the other relay of the zone, if it stopped in that time, were told to come back after 0.1 s, and reached the relay that stops. Relays now state that they are available: they have answered a question for readiness with 200, and do not stop. Both changes are told to all hubs at once.

TestStopIsKnownInZone has a relay that restarts and is not listed: the other one, which stops, was not alone 3.6 s after the restart; now it is until the first one is listed. In TestHubFindsProcessesThatAreAlone each message states what it left unsaid before; its cases are the same.

--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -31,8 +31,8 @@
 type peer struct {
 	heardAt time.Time
 	zone    ident.ZoneName
-	// stopping is set once the process refuses requests.
-	stopping bool
+	// available is set while the process takes requests.
+	available bool
 }
 
 // NewHub returns an empty hub.
@@ -106,7 +106,7 @@
 		h.heardSince = now
 	}
 	if in.Sender != "" {
-		h.peers[in.Sender] = peer{heardAt: now, zone: in.Zone, stopping: in.Stopping}
+		h.peers[in.Sender] = peer{heardAt: now, zone: in.Zone, available: in.Available}
 	}
 }
 
@@ -117,7 +117,7 @@
 		return false
 	}
 	for name, p := range h.peers {
-		if name != in.Sender && p.zone == in.Zone && !p.stopping {
+		if name != in.Sender && p.zone == in.Zone && p.available {
 			return false
 		}
 	}
--- a/gossip/hub_test.go
+++ b/gossip/hub_test.go
@@ -65,18 +65,18 @@
 // although no other one of their zone takes requests.
 func TestHubFindsProcessesThatAreAlone(t *testing.T) {
 	h := NewHub()
-	assert.Assert(t, !h.Exchange(&Message{Sender: "c1", Zone: "c"}, start.Add(-peerTTL)).Alone, "the hub has just started")
-	assert.Assert(t, h.Exchange(&Message{Sender: "a1", Zone: "a"}, start).Alone)
-	assert.Assert(t, h.Exchange(&Message{Sender: "b1", Zone: "b"}, start).Alone, "another zone does not count")
-	assert.Assert(t, !h.Exchange(&Message{Sender: "a2", Zone: "a"}, start).Alone)
-	assert.Assert(t, !h.Exchange(&Message{Sender: "a1", Zone: "a", Stopping: true}, start).Alone, "its own stop does not count")
-	assert.Assert(t, h.Exchange(&Message{Sender: "a2", Zone: "a"}, start).Alone, "the other one stops")
-	assert.Assert(t, !h.Exchange(&Message{Sender: "b2"}, start).Alone, "a sender of an earlier build states no zone")
-	assert.Assert(t, !h.Exchange(&Message{Sender: "a1", Zone: "a"}, start.Add(time.Second)).Alone)
-	assert.Assert(t, !h.Exchange(&Message{Sender: "a2", Zone: "a"}, start.Add(time.Second)).Alone, "the other one is back")
-	assert.Assert(t, !h.Exchange(&Message{Sender: "a2", Zone: "a"}, start.Add(time.Second+peerTTL)).Alone)
-	assert.Assert(t, h.Exchange(&Message{Sender: "a2", Zone: "a"}, start.Add(2*time.Second+peerTTL)).Alone, "the other one is silent")
-	assert.Assert(t, !h.Exchange(&Message{Sender: "a2", Zone: "a"}, start.Add(time.Minute)).Alone, "the hub has heard nobody for long")
+	assert.Assert(t, !h.Exchange(&Message{Sender: "c1", Zone: "c", Available: true}, start.Add(-peerTTL)).Alone, "the hub has just started")
+	assert.Assert(t, h.Exchange(&Message{Sender: "a1", Zone: "a", Available: true}, start).Alone)
+	assert.Assert(t, h.Exchange(&Message{Sender: "b1", Zone: "b", Available: true}, start).Alone, "another zone does not count")
+	assert.Assert(t, !h.Exchange(&Message{Sender: "a2", Zone: "a", Available: true}, start).Alone)
+	assert.Assert(t, !h.Exchange(&Message{Sender: "a1", Zone: "a"}, start).Alone, "its own stop does not count")
+	assert.Assert(t, h.Exchange(&Message{Sender: "a2", Zone: "a", Available: true}, start).Alone, "the other one stops")
+	assert.Assert(t, !h.Exchange(&Message{Sender: "b2", Available: true}, start).Alone, "a sender of an earlier build states no zone")
+	assert.Assert(t, !h.Exchange(&Message{Sender: "a1", Zone: "a", Available: true}, start.Add(time.Second)).Alone)
+	assert.Assert(t, !h.Exchange(&Message{Sender: "a2", Zone: "a", Available: true}, start.Add(time.Second)).Alone, "the other one is back")
+	assert.Assert(t, !h.Exchange(&Message{Sender: "a2", Zone: "a", Available: true}, start.Add(time.Second+peerTTL)).Alone)
+	assert.Assert(t, h.Exchange(&Message{Sender: "a2", Zone: "a", Available: true}, start.Add(2*time.Second+peerTTL)).Alone, "the other one is silent")
+	assert.Assert(t, !h.Exchange(&Message{Sender: "a2", Zone: "a", Available: true}, start.Add(time.Minute)).Alone, "the hub has heard nobody for long")
 }
 
 // exchange sends the endpoints of one pool to another through a hub.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -73,9 +73,10 @@
 	HeardAge time.Duration `json:"heard-age-ns,omitempty"`
 	// Sounds are the parts of prompts in crashes that are sound.
 	Sounds []crash.Sound `json:"sounds,omitempty"`
-	// Zone is the sender's zone. Stopping is set once the sender refuses requests, as its process stops.
-	Zone     ident.ZoneName `json:"zone,omitempty"`
-	Stopping bool           `json:"stopping,omitempty"`
+	// Zone is the sender's zone. Available is set while the load balancer sends the sender requests
+	// and its process does not stop.
+	Zone      ident.ZoneName `json:"zone,omitempty"`
+	Available bool           `json:"available,omitempty"`
 	// Alone is set if no other process of the receiver's zone takes requests, as far as the hub knows.
 	Alone bool `json:"alone,omitempty"`
 	// Peers is the number of processes that have recently sent the hub a message,
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -118,7 +118,7 @@
 	{
 		guarantee: "processes that stop do not count as others of the zone",
 		file:      "gossip/hub.go",
-		original:  "p.zone == in.Zone && !p.stopping",
+		original:  "p.zone == in.Zone && p.available",
 		mutated:   "p.zone == in.Zone",
 		pkg:       "gossip", test: "TestHubFindsProcessesThatAreAlone",
 	},
@@ -132,8 +132,15 @@
 	{
 		guarantee: "hubs hear that a relay stops",
 		file:      "relay/gossip.go",
-		original:  "Stopping: g.relay.stopping(), ",
-		mutated:   "",
+		original:  "Available: g.relay.available(), ",
+		mutated:   "Available: g.relay.listed.Load(), ",
+		pkg:       "relay", test: "TestStopIsKnownInZone",
+	},
+	{
+		guarantee: "relays that the load balancer does not list yet do not count as others of the zone",
+		file:      "relay/drain.go",
+		original:  "{ return r.listed.Load() && !r.stopping() }",
+		mutated:   "{ return !r.stopping() }",
 		pkg:       "relay", test: "TestStopIsKnownInZone",
 	},
 	{
@@ -146,8 +153,8 @@
 	{
 		guarantee: "hubs hear of a stop at once",
 		file:      "relay/gossip.go",
-		original:  "func (g *Gossip) AnnounceStop() { g.exchangeWithAll() }",
-		mutated:   "func (*Gossip) AnnounceStop() {}",
+		original:  "func (g *Gossip) AnnounceAvailability() { g.exchangeWithAll() }",
+		mutated:   "func (*Gossip) AnnounceAvailability() {}",
 		pkg:       "relay", test: "TestStopIsKnownInZone",
 	},
 	{
@@ -171,6 +178,13 @@
 		mutated:   "if refusal := s.refuseStreamBeforeEnd(); refusal != nil && false {",
 		pkg:       "relay", test: "TestDrainAfterWait",
 	},
+	{
+		guarantee: "a relay counts as listed once the load balancer has heard that it is ready",
+		file:      "start/relay_server.go",
+		original:  "if s.relay.SetListed() {",
+		mutated:   "if false {",
+		pkg:       "start", test: "TestReadinessListsRelay",
+	},
 	{
 		guarantee: "a relay stops within its grace period whatever its delay",
 		file:      "start/relay_server.go",
--- a/relay/drain.go
+++ b/relay/drain.go
@@ -29,6 +29,13 @@
 // Drain makes the relay refuse requests that may last until the end of its process.
 func (r *Relay) Drain(stop Stop) { r.stop.Store(&stop) }
 
+// SetListed records that the load balancer has heard that the relay is ready; it reports whether that
+// is new.
+func (r *Relay) SetListed() bool { return !r.listed.Swap(true) }
+
+// available reports whether callers that come to the zone are served by this relay.
+func (r *Relay) available() bool { return r.listed.Load() && !r.stopping() }
+
 func (r *Relay) stopping() bool { return r.stop.Load() != nil }
 
 // drainRetryAfter returns the Retry-After of a relay that stops. The other relays of its zone serve
--- a/relay/drain_gossip_test.go
+++ b/relay/drain_gossip_test.go
@@ -19,9 +19,12 @@
 		keepers := &fakeKeepers{hubs: map[ident.Address]*gossip.Hub{}}
 		gossips := newGossips(t, keepers, "a1", "a2", "b1")
 		ctx, cancel := context.WithCancel(t.Context())
+		first, endFirst := context.WithCancel(ctx)
+		contexts := []context.Context{first, ctx, ctx}
 		for i, zone := range []ident.ZoneName{"a", "a", "b"} {
 			gossips[i].relay.config.Topology.Zone = zone
-			go gossips[i].Run(ctx)
+			gossips[i].relay.SetListed()
+			go gossips[i].Run(contexts[i])
 		}
 		time.Sleep(6 * time.Second)
 		isAlone := func(i int) bool { return gossips[i].relay.alone.Load() }
@@ -29,14 +32,24 @@
 		assert.Assert(t, isAlone(2), "relays of other zones do not count")
 		stop := Stop{End: time.Now().Add(7 * time.Second), Unlisted: time.Now().Add(2 * time.Second)}
 		gossips[0].relay.Drain(stop)
-		gossips[0].AnnounceStop()
+		gossips[0].AnnounceAvailability()
 		time.Sleep(time.Millisecond)
 		gossips[1].relay.Drain(stop)
-		gossips[1].AnnounceStop()
+		gossips[1].AnnounceAvailability()
 		time.Sleep(time.Millisecond)
 		assert.Assert(t, isAlone(1), "the other relay of the zone stops")
 		time.Sleep(hubCount * gossipInterval)
 		assert.Assert(t, isAlone(0))
+		endFirst()
+		restarted := newGossips(t, keepers, "a1")[0]
+		restarted.relay.config.Topology.Zone = "a"
+		go restarted.Run(ctx)
+		time.Sleep(2 * hubCount * gossipInterval)
+		assert.Assert(t, isAlone(1), "the load balancer sends the restarted relay no requests yet")
+		restarted.relay.SetListed()
+		restarted.AnnounceAvailability()
+		time.Sleep(2 * hubCount * gossipInterval)
+		assert.Assert(t, !isAlone(1))
 		cancel()
 		synctest.Wait()
 	})
@@ -51,6 +64,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		for _, g := range gossips {
 			g.relay.config.Topology.Zone = "a"
+			g.relay.SetListed()
 			go g.Run(ctx)
 		}
 		time.Sleep(6 * time.Second)
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -131,8 +131,8 @@
 	g.exchangeWithAll()
 }
 
-// AnnounceStop makes Run tell all hubs that the relay stops.
-func (g *Gossip) AnnounceStop() { g.exchangeWithAll() }
+// AnnounceAvailability makes Run tell all hubs whether the relay takes requests.
+func (g *Gossip) AnnounceAvailability() { g.exchangeWithAll() }
 
 // exchangeWithAll makes Run exchange state with all hubs immediately.
 func (g *Gossip) exchangeWithAll() {
@@ -195,7 +195,7 @@
 // revision of the endpoints that the hub then knows, or an error if the hub did not respond.
 func (g *Gossip) exchange(ctx context.Context, hub pool.Endpoint) (known pool.Revision, err error) {
 	began := time.Now()
-	out := &gossip.Message{Sender: g.self, Zone: g.relay.config.Topology.Zone, Stopping: g.relay.stopping(), Digest: g.digest(), History: g.pool.History(), Sounds: g.relay.crashes.Sounds(began), HeardAge: g.heard.age(hub.Address, began)}
+	out := &gossip.Message{Sender: g.self, Zone: g.relay.config.Topology.Zone, Available: g.relay.available(), Digest: g.digest(), History: g.pool.History(), Sounds: g.relay.crashes.Sounds(began), HeardAge: g.heard.age(hub.Address, began)}
 	response, err := g.keepers.Exchange(ctx, hub.Address, out)
 	if err != nil {
 		g.Log.Info("gossip exchange with a keeper failed", "endpoint", hub.Name, "error", err)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -83,6 +83,8 @@
 	learned       *learnedCosts
 	// stop is when the process stops, nil while it is not stopping.
 	stop atomic.Pointer[Stop]
+	// listed is set once the load balancer has heard that the relay is ready.
+	listed atomic.Bool
 	// alone is set if no other relay of the zone takes requests, as far as the hubs know.
 	alone atomic.Bool
 	tasks common.Tasks
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -114,17 +114,24 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !s.ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
+	mux.HandleFunc("GET "+platform.ReadinessPath, s.serveReadiness)
 	if err := s.serve(string(s.settings.Readiness), newServer(mux, adminHeaderTimeout)); err != nil {
 		return err
 	}
 	return s.serveMetrics(s.settings.Address, s.settings.MetricsPort)
 }
 
+// serveReadiness tells the load balancer whether the relay takes requests.
+func (s *relayServer) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !s.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if s.relay.SetListed() {
+		s.gossip.AnnounceAvailability()
+	}
+}
+
 func (s *relayServer) ready() bool {
 	return !s.draining.Load() && s.relay.Table() != nil && s.pool.Loaded()
 }
@@ -224,7 +231,7 @@
 	// Settings may state a delay that is longer than the grace period.
 	delay := min(settings.ShutdownDelay.Std(), time.Until(endsAt))
 	s.relay.Drain(relay.Stop{End: endsAt, Unlisted: startedAt.Add(delay)})
-	s.gossip.AnnounceStop()
+	s.gossip.AnnounceAvailability()
 	time.Sleep(delay)
 	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
