--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -86,6 +86,8 @@
 	// ctx ends at the end of the run.
 	ctx  context.Context
 	seed uint64
+	// scale is the multiple of the least number of processes.
+	scale int
 	// network is the second number of all loopback addresses.
 	network int
 	// planned is set if only faults are injected that excuse nothing.
@@ -102,7 +104,7 @@
 func newFleet(ctx context.Context, o options) (*fleet, error) {
 	f := &fleet{
 		Fleet: procs.NewFleet(o.folder, o.binaries), store: double.NewStore(), recorder: double.NewRecorder(), version: 1,
-		claimed: map[string]bool{}, lastStartMillis: time.Now().UnixMilli(), addresses: map[string]string{}, ctx: ctx, seed: o.seed, network: o.network, planned: o.planned, timing: o.timing,
+		claimed: map[string]bool{}, lastStartMillis: time.Now().UnixMilli(), addresses: map[string]string{}, ctx: ctx, seed: o.seed, scale: o.scale, network: o.network, planned: o.planned, timing: o.timing,
 	}
 	storeAddress := fmt.Sprintf("%s:%d", f.host(9, 0), storePort)
 	if err := serve(ctx, storeAddress, f.store); err != nil {
--- a/soak/main.go
+++ b/soak/main.go
@@ -30,7 +30,7 @@
 	// callerTimeout is the time that callers state; the response may be on its way for callerSlack more.
 	callerTimeout = 8 * time.Second
 	callerSlack   = time.Second
-	// maxConcurrentFaults limits the faults in progress concurrently.
+	// maxConcurrentFaults limits the faults in progress concurrently, at a scale of 1.
 	maxConcurrentFaults = 5
 	// faultDurationRange sets the durations of faults: from 1/8 to 9/8 of it.
 	faultDurationRange = 3 * time.Second
@@ -165,7 +165,7 @@
 func (f *fleet) injectFaults(rng *rand.Rand, duration time.Duration) {
 	var group sync.WaitGroup
 	faults := allFaults(f.planned)
-	slots := make(chan struct{}, maxConcurrentFaults)
+	slots := make(chan struct{}, maxConcurrentFaults*f.scale)
 	for deadline := time.Now().Add(duration); time.Now().Before(deadline); {
 		chosen := faults[rng.IntN(len(faults))]
 		faultDuration := faultDurationRange/8 + time.Duration(rng.Int64N(int64(faultDurationRange)))
@@ -183,7 +183,7 @@
 				f.reportViolation("the fault %q failed: %v", chosen.name, err)
 			}
 		})
-		time.Sleep(time.Duration(rng.Int64N(int64(time.Second))))
+		time.Sleep(time.Duration(rng.Int64N(int64(time.Second))) / time.Duration(f.scale))
 	}
 	group.Wait()
 }
