--- a/soak/callers.go
+++ b/soak/callers.go
@@ -98,7 +98,7 @@
 	switch {
 	case e.Err != nil:
 		f.ending, f.detail = endingOf(e.Err, e.Status != 0), e.Err.Error()
-		if f.ending == cutOff && e.endedAt.Sub(e.sentAt) >= callerTimeout {
+		if f.ending == cutOff && e.endedAt.Sub(e.sentAt) >= callerTimeout-deadlineMargin {
 			// The relay ends a stream at the deadline that its caller stated.
 			f.ending = outOfPatience
 		}
--- a/soak/main.go
+++ b/soak/main.go
@@ -30,6 +30,8 @@
 	// callerTimeout is the time that callers state; the response may be on its way for callerSlack more.
 	callerTimeout = 8 * time.Second
 	callerSlack   = time.Second
+	// deadlineMargin is how much earlier than its caller a relay may end a stream at the deadline.
+	deadlineMargin = 100 * time.Millisecond
 	// maxConcurrentFaults limits the faults in progress concurrently, at a scale of 1.
 	maxConcurrentFaults = 5
 	// faultDurationRange sets the durations of faults: from 1/8 to 9/8 of it.
