intake: a shutdown waits for connections that are being accepted

Callers on connections that a process accepts as its shutdown begins got a closed connection, and with them all that were accepted late: the shutdown counted itself as complete once the last connection that it knew had ended, although another one was being accepted.

TestShutdownWaitsForLateConnections on the code before: no response instead of 200. The shutdown is complete only once no connection is added any more.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -40,6 +40,8 @@
 	mutex sync.Mutex
 	// closing is set once the shutdown has begun.
 	closing bool
+	// accepted is set once all connections were accepted: none is added any more.
+	accepted bool
 	// closed is set once all connections end at once.
 	closed    bool
 	listeners []*listener
@@ -50,7 +52,7 @@
 	partlyRead int
 	// crossings counts the requests that came in the shutdown after their connection was closed.
 	crossings int
-	// empty is closed once no connection is open in a shutdown.
+	// empty is closed once no connection is open or being accepted in a shutdown.
 	empty chan struct{}
 }
 
@@ -212,6 +214,7 @@
 func (s *Server) endWaiting() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.accepted = true
 	for c := range s.conns {
 		c.end()
 	}
@@ -238,7 +241,7 @@
 
 // checkEmpty must be called with the lock held.
 func (s *Server) checkEmpty() {
-	if !s.closing || len(s.conns) > 0 {
+	if !s.accepted || len(s.conns) > 0 {
 		return
 	}
 	select {
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -38,6 +38,13 @@
 		mutated:   "_ = fault.ErrGraceEnded",
 		pkg:       "intake", test: "TestGraceEnd",
 	},
+	{
+		guarantee: "a shutdown waits for connections that are being accepted",
+		file:      "intake/intake.go",
+		original:  "if !s.accepted || len(s.conns) > 0 {",
+		mutated:   "if !s.closing || len(s.conns) > 0 {",
+		pkg:       "intake", test: "TestShutdownWaitsForLateConnections",
+	},
 	{
 		guarantee: "an incomplete response to HTTP/1.0 ends with a reset",
 		file:      "intake/intake.go",
