intake: a request whose body has not come by the end of the grace period is refused

A caller whose body was under way at the end of a stop got a closed connection: the handler waited for the body, and the connection was closed under it. At the end of the grace period bodies are no longer read, so handlers refuse these requests: a relay with 408, which says that it has not run.

TestGraceEndRefusesPartsOfBodies, on the code before: no response, with a length and in chunks.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -34,6 +34,8 @@
 	written bool
 	// ends is set once the connection ends as soon as it waits.
 	ends bool
+	// bodyEnds is set once no body is read any more.
+	bodyEnds bool
 	// closed is set once the connection is closed: no request reaches the handler any more.
 	closed bool
 	// expired is set once the wait for a request or the rest of its head was too long: nothing is
@@ -126,6 +128,9 @@
 		return false
 	}
 	c.waits, c.handled = false, true
+	if c.bodyEnds {
+		_ = c.applyDeadline()
+	}
 	return true
 }
 
@@ -165,6 +170,15 @@
 	_ = c.applyDeadline()
 }
 
+// endBody ends the reading of a body: what has not come makes the read time out.
+func (c *conn) endBody() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.bodyEnds = true
+	// If it fails, the connection is closed already.
+	_ = c.applyDeadline()
+}
+
 // await is called when a response was sent.
 func (c *conn) await() {
 	c.mutex.Lock()
@@ -218,7 +232,7 @@
 
 // applyDeadline must be called with the lock held.
 func (c *conn) applyDeadline() error {
-	if c.ends && c.waits {
+	if c.ends && c.waits || c.bodyEnds && c.handled {
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return c.Conn.SetReadDeadline(c.deadline)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -126,7 +126,7 @@
 
 // Shutdown accepts no more connections, ends those that wait for a request, and returns once all
 // responses were sent. When the context ends, it cancels the requests with the cause
-// fault.ErrGraceEnded, and soon afterwards closes their connections.
+// fault.ErrGraceEnded, reads no body any more, and soon afterwards closes their connections.
 func (s *Server) Shutdown(ctx context.Context) error {
 	defer func() { _ = s.Close() }()
 	s.beginShutdown()
@@ -138,6 +138,7 @@
 	case <-ctx.Done():
 	}
 	s.cancel(fault.ErrGraceEnded)
+	s.endBodies()
 	timer := time.NewTimer(flushTime)
 	defer timer.Stop()
 	select {
@@ -221,6 +222,15 @@
 	s.checkEmpty()
 }
 
+// endBodies ends the reading of bodies, so that handlers refuse their requests.
+func (s *Server) endBodies() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for c := range s.conns {
+		c.endBody()
+	}
+}
+
 func (s *Server) add(c *conn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -38,6 +38,13 @@
 		mutated:   "_ = fault.ErrGraceEnded",
 		pkg:       "intake", test: "TestGraceEnd",
 	},
+	{
+		guarantee: "a request whose body has not come by the end of the grace period is refused",
+		file:      "intake/intake.go",
+		original:  "\t\tc.endBody()\n",
+		mutated:   "\t\t_ = c\n",
+		pkg:       "platform", test: "TestGraceEndRefusesPartsOfBodies",
+	},
 	{
 		guarantee: "a shutdown waits for connections that are being accepted",
 		file:      "intake/intake.go",
