--- a/intake/intake.go
+++ b/intake/intake.go
@@ -40,6 +40,8 @@
 	mutex sync.Mutex
 	// closing is set once the shutdown has begun.
 	closing bool
+	// accepted is set once all connections were accepted: none is added any more.
+	accepted bool
 	// closed is set once all connections end at once.
 	closed    bool
 	listeners []*listener
@@ -50,7 +52,7 @@
 	partlyRead int
 	// crossings counts the requests that came in the shutdown after their connection was closed.
 	crossings int
-	// empty is closed once no connection is open in a shutdown.
+	// empty is closed once no connection is open or being accepted in a shutdown.
 	empty chan struct{}
 }
 
@@ -124,7 +126,7 @@
 
 // Shutdown accepts no more connections, ends those that wait for a request, and returns once all
 // responses were sent. When the context ends, it cancels the requests with the cause
-// fault.ErrGraceEnded, and soon afterwards closes their connections.
+// fault.ErrGraceEnded, reads no body any more, and soon afterwards closes their connections.
 func (s *Server) Shutdown(ctx context.Context) error {
 	defer func() { _ = s.Close() }()
 	s.beginShutdown()
@@ -136,6 +138,7 @@
 	case <-ctx.Done():
 	}
 	s.cancel(fault.ErrGraceEnded)
+	s.endBodies()
 	timer := time.NewTimer(flushTime)
 	defer timer.Stop()
 	select {
@@ -212,12 +215,22 @@
 func (s *Server) endWaiting() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.accepted = true
 	for c := range s.conns {
 		c.end()
 	}
 	s.checkEmpty()
 }
 
+// endBodies ends the reading of bodies, so that handlers refuse their requests.
+func (s *Server) endBodies() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for c := range s.conns {
+		c.endBody()
+	}
+}
+
 func (s *Server) add(c *conn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -238,7 +251,7 @@
 
 // checkEmpty must be called with the lock held.
 func (s *Server) checkEmpty() {
-	if !s.closing || len(s.conns) > 0 {
+	if !s.accepted || len(s.conns) > 0 {
 		return
 	}
 	select {
--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -38,6 +38,20 @@
 		mutated:   "_ = fault.ErrGraceEnded",
 		pkg:       "intake", test: "TestGraceEnd",
 	},
+	{
+		guarantee: "a request whose body has not come by the end of the grace period is refused",
+		file:      "intake/intake.go",
+		original:  "\t\tc.endBody()\n",
+		mutated:   "\t\t_ = c\n",
+		pkg:       "platform", test: "TestGraceEndRefusesPartsOfBodies",
+	},
+	{
+		guarantee: "a shutdown waits for connections that are being accepted",
+		file:      "intake/intake.go",
+		original:  "if !s.accepted || len(s.conns) > 0 {",
+		mutated:   "if !s.closing || len(s.conns) > 0 {",
+		pkg:       "intake", test: "TestShutdownWaitsForLateConnections",
+	},
 	{
 		guarantee: "an incomplete response to HTTP/1.0 ends with a reset",
 		file:      "intake/intake.go",
