relay: a test of a first event that arrives when its stream was given up

The mutant that lets such a stream begin survived TestCallersAreAnsweredBeforeTheyLeave, whose events arrive about then and not after it. TestGivenUpStreamDoesNotBegin fails with it in 2 of 2 cases (the caller gets a head and a cut stream).

--- a/mutant/patience.go
+++ b/mutant/patience.go
@@ -21,7 +21,7 @@
 		file:      "relay/patience.go",
 		original:  "e.begun = e.claimed.CompareAndSwap(false, true)",
 		mutated:   "e.begun = true",
-		pkg:       "platform", test: "TestCallersAreAnsweredBeforeTheyLeave",
+		pkg:       "relay", test: "TestGivenUpStreamDoesNotBegin",
 	},
 	{
 		guarantee: "a response that has begun is not given up",
--- a/relay/patience_test.go
+++ b/relay/patience_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +17,8 @@
 	"crocusstep/fault"
 	"crocusstep/ident"
 	"crocusstep/keeper"
+	"crocusstep/pool"
+	"crocusstep/retry"
 	"crocusstep/table"
 )
 
@@ -138,6 +143,47 @@
 	}
 }
 
+// lateEvent is a body whose first event arrives with the end of the context.
+type lateEvent struct {
+	context.Context
+	io.Reader
+}
+
+func (e lateEvent) Read(p []byte) (int, error) {
+	<-e.Done()
+	if n, err := e.Reader.Read(p); err == nil {
+		return n, nil
+	}
+	return 0, e.Err()
+}
+
+// lateEndpoints is a fakeBackend whose engines send their first event with the end of the context.
+type lateEndpoints struct{ *fakeBackend }
+
+func (lateEndpoints) Decode(ctx context.Context, _ pool.Endpoint, _ *Request, _ *CachedPrompt, _ time.Duration) (*Response, error) {
+	return &Response{Status: http.StatusOK, Header: http.Header{}, Signed: true, Body: io.NopCloser(lateEvent{ctx, strings.NewReader("id: 1\ndata: x\n\n")})}, nil
+}
+
+// TestGivenUpStreamDoesNotBegin guards against a stream that begins when it has been given up, and is
+// cut at once instead of being refused.
+func TestGivenUpStreamDoesNotBegin(t *testing.T) {
+	for _, path := range []string{"/read/x", "/resume/x"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &fakeBackend{}
+				r := newImpatientRelay(t, b)
+				r.config.Endpoints = lateEndpoints{b}
+				// Without retries the stream stays at its engine.
+				r.SetRetries(retry.Limits{Window: 10 * time.Second})
+				w, refusal := send(t.Context(), r, path)
+				assert.Assert(t, refusal != nil)
+				assert.Equal(t, refusal.Code, fault.PatienceExceeded)
+				assert.Equal(t, w.Body.Len(), 0)
+			})
+		})
+	}
+}
+
 // newImpatientRelay is newTestRelay with callers that leave a stream after a gap without an event.
 func newImpatientRelay(t *testing.T, backend *fakeBackend) *Relay {
 	t.Helper()
