--- a/relay/ending.go
+++ b/relay/ending.go
@@ -19,7 +19,8 @@
 	// went on with the response.
 	endedByRelay ending = "relay"
 	endedByGrace ending = "grace"
-	// endedByPatience means that the relay gave up a response that had not begun, as its caller was about to leave.
+	// endedByPatience means that the relay gave up a response that had not begun, as its caller was about
+	// to leave or the route's timeout was over.
 	endedByPatience ending = "patience"
 	// endedBySilence means that the caller left after nothing had come for as long as it waits.
 	endedBySilence ending = "silence"
@@ -28,9 +29,12 @@
 // findEnding returns who ended the response, empty if it is a complete one.
 func (e *exchange) findEnding(ctx context.Context, refusal *fault.Refusal) ending {
 	switch {
-	case refusal != nil && !e.started && errors.Is(context.Cause(ctx), errGivenUp):
-		return endedByPatience
-	case refusal == nil || refusal.Code != fault.ResponseTruncated && refusal.Code != fault.Cancelled:
+	case refusal == nil:
+		return ""
+	case refusal.Code != fault.ResponseTruncated && refusal.Code != fault.Cancelled:
+		if ctx.Err() != nil && !callerLeft(ctx) {
+			return endedByPatience
+		}
 		return ""
 	case errors.Is(context.Cause(ctx), fault.ErrGraceEnded):
 		return endedByGrace
--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -56,6 +56,14 @@
 			refusal: fault.New(fault.PatienceExceeded, "given up"), sinceArrival: testPatience, want: endedByPatience,
 		},
 		{testName: "the grace period ended", ctx: func(t *testing.T) context.Context { t.Helper(); return left(t, fault.ErrGraceEnded) }, refusal: cut, want: endedByGrace},
+		{testName: "the deadline of a call passed", ctx: func(t *testing.T) context.Context {
+			t.Helper()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			t.Cleanup(cancel)
+			<-ctx.Done()
+			return ctx
+		}, refusal: fault.NewUnknown(fault.PatienceExceeded, "given up"), want: endedByPatience},
+		{testName: "the grace period ended before the response", ctx: func(t *testing.T) context.Context { t.Helper(); return left(t, fault.ErrGraceEnded) }, refusal: fault.New(fault.Draining, "stopped")},
 		{testName: "the deadline passed", ctx: func(t *testing.T) context.Context {
 			t.Helper()
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
