A stopping relay does not take the id of an event for its number

Callers whose stream is taken up at a stopping relay could be cut: what they had counted by the id of their last event, as if ids were numbers. The whole limit is the bound now. TestDrain, on the code before: "a stream whose id is near its limit" and "a stream whose id is beyond its limit" were taken with 4 s left. These two cases demanded that they are taken; one with a low limit must be taken still.

--- a/relay/drain.go
+++ b/relay/drain.go
@@ -79,12 +79,13 @@
 }
 
 // targetTime returns how long the stream lasts at most if it keeps to the targets of its route, except
-// for one silence, and its caller limits the output; without limit or targets it is maxStreamTime.
+// for one silence, and its caller limits the output; without limit or targets it is maxStreamTime. What
+// the caller already has does not count: the id of an event need not be its number.
 func (s *stream) targetTime() time.Duration {
 	if !s.disaggregated() || s.request.Prompt.MaxOutput == 0 || s.service.Engine.TokensPerEvent == 0 || s.route.TargetEventGap == 0 {
 		return maxStreamTime
 	}
-	events := max(0, s.request.Prompt.MaxOutput-s.resumeTokens()) / s.service.Engine.TokensPerEvent
+	events := s.request.Prompt.MaxOutput / s.service.Engine.TokensPerEvent
 	// Callers may state limits of any size. The last event may have fewer tokens.
 	events = min(events+1, ident.TokenCount(maxStreamTime/s.route.TargetEventGap))
 	return s.route.TargetLatency + time.Duration(events)*s.route.TargetEventGap + soundSilence
--- a/relay/drain_test.go
+++ b/relay/drain_test.go
@@ -35,7 +35,7 @@
 		testName string
 		path     string
 		prompt   *Prompt
-		// lastEventID is the last event of an output of 61 tokens an event.
+		// lastEventID is the last event that the caller has, of an output with 61 tokens an event.
 		lastEventID   string
 		timeout, left time.Duration
 		refused       bool
@@ -53,8 +53,9 @@
 		{testName: "no limit", path: "/read/x", timeout: 14 * time.Second, left: 13 * time.Second, prompt: &Prompt{Tokens: 100}, refused: true},
 		{testName: "no limit, with a hint", path: "/read/x", timeout: 14 * time.Second, left: 13 * time.Second, prompt: &Prompt{Tokens: 100, EstimatedOutput: 61}, refused: true},
 		{testName: "an absurd limit", path: "/read/x", timeout: 14 * time.Second, left: 13 * time.Second, prompt: &Prompt{Tokens: 100, MaxOutput: math.MaxInt64}, refused: true},
-		{testName: "a stream whose limit is nearly reached", path: "/resume/x", timeout: 14 * time.Second, left: 4 * time.Second, prompt: &Prompt{Tokens: 100, MaxOutput: 8000}, lastEventID: "130"},
-		{testName: "a stream whose limit is exceeded", path: "/resume/x", timeout: 14 * time.Second, left: 4 * time.Second, prompt: &Prompt{Tokens: 100, MaxOutput: 8000}, lastEventID: "132"},
+		{testName: "a stream whose id is near its limit", path: "/resume/x", timeout: 14 * time.Second, left: 4 * time.Second, prompt: &Prompt{Tokens: 100, MaxOutput: 8000}, lastEventID: "130", refused: true},
+		{testName: "a stream whose id is beyond its limit", path: "/resume/x", timeout: 14 * time.Second, left: 4 * time.Second, prompt: &Prompt{Tokens: 100, MaxOutput: 8000}, lastEventID: "1320", refused: true},
+		{testName: "a stream with a low limit that is taken up", path: "/resume/x", timeout: 14 * time.Second, left: 5 * time.Second, prompt: &Prompt{Tokens: 100, MaxOutput: 366}, lastEventID: "3"},
 		{testName: "a stream that is taken up at its begin", path: "/resume/x", timeout: 14 * time.Second, left: 4 * time.Second, prompt: &Prompt{Tokens: 100, MaxOutput: 8000}, lastEventID: "1", refused: true},
 	}
 	for _, s := range scenarios {
