Revert "relay: a repeated first prefill and its decode count as one retry"

Where the repeated prefill is lost as well, one send goes uncounted, so that the limit is no bound any more.

--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -458,13 +458,6 @@
 		mutated:   "if false {",
 		pkg:       "relay", test: "TestStageChangeSkipsDownEngines",
 	},
-	{
-		guarantee: "a repeated prefill and its decode count as one retry",
-		file:      "relay/prefill.go",
-		original:  "\t\t\ts.freeSends = 1\n",
-		mutated:   "",
-		pkg:       "relay", test: "TestRepeatedPrefillIsOneRetry",
-	},
 	{
 		guarantee: "a disconnected caller is distinguished from a failed endpoint",
 		file:      "relay/serve_stream.go",
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -95,9 +95,6 @@
 	probing bool
 	// prepaidSends is the number of sends that count against the retry limits already.
 	prepaidSends int
-	// freeSends is 1 from the repetition of the first prefill, which was free, to the next send, which
-	// is the first that counts.
-	freeSends int
 	// prepaidAt is when the last of them were counted.
 	prepaidAt time.Time
 	// leftSilent is set while the request is at no endpoint because the relay has left one that was
@@ -152,10 +149,6 @@
 	if ctx.Err() != nil || e.sends >= maxSends || e.timeToRespond() < minTimeLeft {
 		return false
 	}
-	if e.freeSends > 0 {
-		e.freeSends--
-		return true
-	}
 	if e.prepaidSends > 0 {
 		e.prepaidSends--
 		return true
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -62,13 +62,11 @@
 		}
 		tries++
 		if s.prefills > 0 && s.sends == 0 {
-			// The first prefill was free; another one counts as a send. Of that and the decode the first
-			// is free, too.
-			if !s.prepaySends(resumeSends - 1) {
+			// The first prefill was free; another one counts as a send. The first decode is free, too.
+			if !s.prepaySends(resumeSends) {
 				s.config.Pool.ReturnPermit(next.member.Endpoint)
 				return nil, s.prefillLocally(ctx, res)
 			}
-			s.freeSends = 1
 			s.sends++
 		}
 		refusal := s.barred()
@@ -108,7 +106,7 @@
 // first send, the retry limits must also allow the decode that follows: otherwise the prompt
 // would be prefilled in vain.
 func (s *stream) allowPrefill(ctx context.Context) bool {
-	if s.sends > 0 && (s.sends+resumeSends > maxSends || !s.prepaySends(resumeSends-s.prepaidSends-s.freeSends)) {
+	if s.sends > 0 && (s.sends+resumeSends > maxSends || !s.prepaySends(resumeSends-s.prepaidSends)) {
 		return false
 	}
 	return s.allowSend(ctx)
