--- a/mutant/stop.go
+++ b/mutant/stop.go
@@ -2,6 +2,13 @@
 
 // stopMutants holds one mutant for each mechanism of the planned stop of an entry or agent.
 var stopMutants = []mutant{
+	{
+		guarantee: "an entry refuses requests that cross the close",
+		file:      "start/entry_command.go",
+		original:  "callers.RefusesAtClose = true",
+		mutated:   "callers.RefusesAtClose = false",
+		pkg:       "start", test: "TestEntryStopRefusesCrossingRequests",
+	},
 	{
 		guarantee: "a stopping entry refuses what it can't complete",
 		file:      "entry/drain.go",
--- a/start/entry_command.go
+++ b/start/entry_command.go
@@ -31,6 +31,7 @@
 	p.tasks.Go(func() { e.Run(p.ctx) })
 	callers := newServer(e.Handler(), settings.HeaderTimeout.Std())
 	callers.MaxHeaderBytes = int(settings.MaxHeader)
+	callers.RefusesAtClose = true
 	if err := p.serve(settings.Listen, callers); err != nil {
 		return err
 	}
--- a/start/signal_test.go
+++ b/start/signal_test.go
@@ -35,9 +35,10 @@
 }
 
 // startEntry runs an entry in a separate process, with an unreachable platform,
-// and returns once it is healthy.
-func startEntry(t *testing.T, shutdownDelay string) *exec.Cmd {
+// and returns it with its address for callers once it is healthy.
+func startEntry(t *testing.T, shutdownDelay string) (command *exec.Cmd, address string) {
 	t.Helper()
+	address = freeAddress(t)
 	folder := t.TempDir()
 	keys := filepath.Join(folder, "keys.yaml")
 	assert.NilError(t, os.WriteFile(keys, []byte("keys: [{id: a, secret: b}]\n"), 0o600))
@@ -49,15 +50,15 @@
 platform: {address: %s}
 peer-keys-file: %s
 shutdown: {leave-delay: %s}
-`, freeAddress(t), admin, freeAddress(t), keys, shutdownDelay), 0o600))
-	command := exec.Command(os.Args[0], "entry", "--settings", settings)
+`, address, admin, freeAddress(t), keys, shutdownDelay), 0o600))
+	command = exec.Command(os.Args[0], "entry", "--settings", settings)
 	command.Env = append(os.Environ(), runVariable+"=1")
 	assert.NilError(t, command.Start())
 	t.Cleanup(func() { _ = command.Process.Kill() })
 	for !isHealthy(admin) {
 		time.Sleep(10 * time.Millisecond)
 	}
-	return command
+	return command, address
 }
 
 func isHealthy(admin string) bool {
@@ -80,7 +81,7 @@
 // TestHangupKeepsServing guards against an entry that SIGHUP ends together with the requests in
 // flight: it means that files have changed.
 func TestHangupKeepsServing(t *testing.T) {
-	command := startEntry(t, "10ms")
+	command, _ := startEntry(t, "10ms")
 	done := make(chan error, 1)
 	go func() { done <- command.Wait() }()
 	assert.NilError(t, command.Process.Signal(syscall.SIGHUP))
@@ -105,7 +106,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			command := startEntry(t, s.shutdownDelay)
+			command, _ := startEntry(t, s.shutdownDelay)
 			done := make(chan error)
 			go func() { done <- command.Wait() }()
 			for range s.signals {
