Relays know how old their routes and endpoints may be

Nothing in the logs told a relay that follows the store from one whose watch has gone silent. Requests and refusals are now logged with table-age, an upper bound of the time since which a change may not be known; hubs pass it on by stamps of their own clock, so that a message that was long on its way claims nothing. No decision uses it yet.

--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -7,6 +7,7 @@
 	"crocusstep/crash"
 	"crocusstep/ident"
 	"crocusstep/pool"
+	"crocusstep/store"
 )
 
 // peerTTL is how long a process counts as a peer after its last message.
@@ -19,6 +20,9 @@
 	endpoints *pool.Pool
 
 	mutex sync.Mutex
+	// tablesKnown and endpointsKnown are how recent the table and the endpoints are.
+	tablesKnown, endpointsKnown store.Freshness
+	stamps                      *stamps
 	// table is one that can be read, or nil.
 	table *SharedTable
 	// peers holds what is known of each sender.
@@ -37,7 +41,7 @@
 
 // NewHub returns an empty hub.
 func NewHub() *Hub {
-	return &Hub{crashes: crash.NewTracker(), endpoints: pool.NewPool(), peers: map[string]peer{}}
+	return &Hub{crashes: crash.NewTracker(), endpoints: pool.NewPool(), peers: map[string]peer{}, stamps: newStamps()}
 }
 
 // Exchange applies the newer parts of a message and returns what its sender lacks.
@@ -53,6 +57,7 @@
 	h.endpoints.AdoptHistory(in.History)
 	h.endpoints.RemoveLapsed(now, time.Time{})
 	h.updatePeers(in, now)
+	h.confirm(in)
 	out := &Message{Digest: NewDigest(h.crashes, now), Sounds: h.crashes.Sounds(now), Peers: len(h.peers), Rank: h.rank(in.Sender), Alone: h.isAlone(in, now)}
 	out.History = h.endpoints.History()
 	if h.table != nil {
@@ -62,6 +67,7 @@
 		}
 	}
 	out.AddEndpoints(h.endpoints, in.Digest.Endpoints)
+	out.Confirmation = Confirm(h.stamps.issue(now), now, &h.tablesKnown, &h.endpointsKnown)
 	heardAt := time.Time{}
 	if in.HeardAge > 0 {
 		heardAt = now.Add(-in.HeardAge)
@@ -70,6 +76,26 @@
 	return out
 }
 
+// confirm records how recent the state is, if it is at least as new as the sender's. A message may have been on
+// its way for long, so only the moment of a stamp counts.
+func (h *Hub) confirm(in *Message) {
+	if in.Confirmation == nil {
+		return
+	}
+	moment, remembered := h.stamps.moment(in.Confirmation.Stamp)
+	if !remembered {
+		return
+	}
+	var tables, endpoints *store.Freshness
+	if h.table != nil && h.table.Version() >= in.Digest.Table {
+		tables = &h.tablesKnown
+	}
+	if h.endpoints.Revision() >= in.Digest.Endpoints {
+		endpoints = &h.endpointsKnown
+	}
+	in.Confirmation.Apply(moment, tables, endpoints)
+}
+
 // adoptTable keeps a table that is newer and can be read.
 func (h *Hub) adoptTable(t *SharedTable) {
 	if t == nil {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -73,6 +73,9 @@
 	HeardAge time.Duration `json:"heard-age-ns,omitempty"`
 	// Sounds are the parts of prompts in crashes that are sound.
 	Sounds []crash.Sound `json:"sounds,omitempty"`
+	// Confirmation is how recent the sender's table and endpoints are. In a response, its stamp is that of the
+	// response; in a message to a hub, the one that the sender received from that hub last.
+	Confirmation *Confirmation `json:"confirmation,omitempty"`
 	// Zone is the sender's zone. Available is set while the load balancer sends the sender requests
 	// and its process does not stop.
 	Zone      ident.ZoneName `json:"zone,omitempty"`
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -46,6 +46,7 @@
 	quotaUse            metric.Int64Counter
 	costError           metric.Float64Histogram
 	engineSpeed         metric.Float64Gauge
+	knowledgeAge        metric.Float64Gauge
 	controlMessages     metric.Int64Counter
 	controlBytes        metric.Int64Counter
 	crossRegionBytes    metric.Int64Counter
@@ -76,6 +77,7 @@
 		wastedPrefillTokens: b.counter("wasted.prefill.tokens", "Prefilled tokens whose result no caller got."),
 		costError:           b.ratios("cost.error", "Actual cost as a multiple of the predicted one, by kind of cost.", costErrorBuckets),
 		engineSpeed:         b.gauge("engine.speed", "Learned speed of this keeper's engine: slowdown of prefills, seconds of a decode step."),
+		knowledgeAge:        b.gauge("knowledge.age", "Seconds since which a change in the store may not be known, by kind of state."),
 		controlMessages:     b.counter("control.messages", "Control messages by kind."),
 		controlBytes:        b.counter("control.bytes", "Bytes of control messages by kind."),
 		crossRegionBytes:    b.counter("region.link.bytes", "Bytes sent to another region."),
@@ -147,6 +149,11 @@
 	m.engineSpeed.Record(context.Background(), value, metric.WithAttributes(attribute.String("kind", kind)))
 }
 
+// RecordKnowledgeAge records how long ago a change may have been made that this process does not know.
+func (m *Meter) RecordKnowledgeAge(kind string, age time.Duration) {
+	m.knowledgeAge.Record(context.Background(), age.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+}
+
 // CountControlMessage counts one control message and its size by kind.
 func (m *Meter) CountControlMessage(kind string, size ident.ByteCount) {
 	option := metric.WithAttributes(attribute.String("kind", kind))
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -247,7 +247,7 @@
 	}
 	attributes := []any{
 		"request", e.request.Attempt, "route", e.route.Name, "service", e.service.Name,
-		"table", e.tableVersion, "endpoints", e.config.Pool.Revision(), "endpoint", e.endpoint, "outcome", outcome,
+		"table", e.tableVersion, "table-age", e.TableAge(), "endpoints", e.config.Pool.Revision(), "endpoint", e.endpoint, "outcome", outcome,
 		"status", e.status, "sends", e.sends, "ran", e.executions, "first", firstLatency, "whole", responseTime, "spent", e.earlierWait,
 		"prompt", prompt.Tokens, "estimate", prompt.EstimatedOutput, "max-output", prompt.MaxOutput, "longest-pause", e.longestGap, "tokens-made", e.generated.Load(),
 		"resumes", e.request.Resumes, "versions", e.versions, "framing", e.framing, "unfinished", e.unfinished,
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -74,6 +74,7 @@
 	refresher    refresher
 	acknowledger acknowledger
 	gap          gap
+	stamps       receivedStamps
 }
 
 // NewGossip returns the gossip of a relay's state; self names the relay.
@@ -195,13 +196,15 @@
 // revision of the endpoints that the hub then knows, or an error if the hub did not respond.
 func (g *Gossip) exchange(ctx context.Context, hub pool.Endpoint) (known pool.Revision, err error) {
 	began := time.Now()
-	out := &gossip.Message{Sender: g.self, Zone: g.relay.config.Topology.Zone, Available: g.relay.available(), Digest: g.digest(), History: g.pool.History(), Sounds: g.relay.crashes.Sounds(began), HeardAge: g.heard.age(hub.Address, began)}
+	// The digest is newer than the confirmation, so that a hub with the same versions knows as much.
+	confirmation := g.confirmation(hub)
+	out := &gossip.Message{Sender: g.self, Zone: g.relay.config.Topology.Zone, Available: g.relay.available(), Digest: g.digest(), History: g.pool.History(), Sounds: g.relay.crashes.Sounds(began), HeardAge: g.heard.age(hub.Address, began), Confirmation: confirmation}
 	response, err := g.keepers.Exchange(ctx, hub.Address, out)
 	if err != nil {
 		g.Log.Info("gossip exchange with a keeper failed", "endpoint", hub.Name, "error", err)
 		return 0, err
 	}
-	g.apply(&response, hub)
+	g.apply(&response, hub, began)
 	g.heard.record(hub.Address, began)
 	g.closeGap(ctx, response.History, hub)
 	known = response.Digest.Endpoints
@@ -230,6 +233,7 @@
 
 // fill adds to a message what the keeper lacks; it reports whether it lacks anything.
 func (g *Gossip) fill(out *gossip.Message, theirs gossip.Digest, hub pool.Endpoint) bool {
+	out.Confirmation = g.confirmation(hub)
 	out.Digest, out.History = g.digest(), g.pool.History()
 	if out.Digest.Table > theirs.Table {
 		out.AddTable(g.sharedTable(), theirs)
@@ -239,7 +243,8 @@
 	return out.PackedTable != nil || out.Table != nil || out.Endpoints != nil || out.Changes != nil || out.Crashes != nil
 }
 
-func (g *Gossip) apply(in *gossip.Message, hub pool.Endpoint) {
+// apply applies what a hub returned to a message that was sent at a given time.
+func (g *Gossip) apply(in *gossip.Message, hub pool.Endpoint, sentAt time.Time) {
 	g.relayCount.record(in.Peers, time.Now())
 	g.rank.Store(int64(in.Rank))
 	g.relay.alone.Store(in.Alone)
@@ -250,7 +255,9 @@
 	g.relay.crashes.ApplySounds(in.Sounds, time.Now())
 	g.applyTable(in.SharedTable(), hub)
 	defer g.pool.AdoptHistory(in.History)
-	if in.ApplyEndpoints(g.pool) {
+	changed := in.ApplyEndpoints(g.pool)
+	g.confirm(in, hub, sentAt)
+	if changed {
 		g.Log.Info("endpoints learned from a peer", "revision", in.Digest.Endpoints, "keeper", hub.Name,
 			"endpoints", len(in.Endpoints), "changes", len(in.Changes), "since", in.Since)
 		g.Announce()
@@ -268,7 +275,7 @@
 	}
 	if g.relay.SetTable(d) {
 		g.shared.Store(t)
-		g.Log.Info("routes learned from a peer", "table", d.Version, "keeper", hub.Name)
+		g.Log.Info("routes learned from a peer", "table", d.Version, "keeper", hub.Name, "age-before", g.relay.TableAge())
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 	"crocusstep/pool"
 	"crocusstep/quota"
 	"crocusstep/retry"
+	"crocusstep/store"
 	"crocusstep/table"
 )
 
@@ -70,9 +71,11 @@
 // Relay serves callers' requests. It is safe for concurrent use.
 type Relay struct {
 	*common.Common
-	config  Config
-	table   atomic.Pointer[table.Table]
-	crashes *crash.Tracker
+	config Config
+	table  atomic.Pointer[table.Table]
+	// tablesKnown and endpointsKnown are how recent the table and the endpoints are.
+	tablesKnown, endpointsKnown *store.Freshness
+	crashes                     *crash.Tracker
 	// crashed holds one entry if a crash is to be sent to all hubs: of a prompt with parts, or of
 	// a blocked request.
 	crashed chan struct{}
@@ -112,6 +115,8 @@
 	return &Relay{
 		Common:           c,
 		config:           config,
+		tablesKnown:      &store.Freshness{},
+		endpointsKnown:   &store.Freshness{},
 		crashes:          crash.NewTracker(),
 		crashed:          make(chan struct{}, 1),
 		origins:          newOriginLog(),
@@ -146,6 +151,15 @@
 // Table returns the current routing table, or nil.
 func (r *Relay) Table() *table.Table { return r.table.Load() }
 
+// TablesKnown returns how recent the routing table is, for a watcher of the store.
+func (r *Relay) TablesKnown() *store.Freshness { return r.tablesKnown }
+
+// EndpointsKnown returns how recent the endpoints are, for a watcher of the store.
+func (r *Relay) EndpointsKnown() *store.Freshness { return r.endpointsKnown }
+
+// TableAge returns how long ago a table may have been acknowledged that this relay does not have.
+func (r *Relay) TableAge() time.Duration { return r.tablesKnown.Age(time.Now()) }
+
 // SetRetries changes the retry limits.
 func (r *Relay) SetRetries(limits retry.Limits) {
 	r.mutex.Lock()
@@ -199,7 +213,7 @@
 // RecordRefusal counts and logs a refusal that precedes routing, and returns it.
 func (r *Relay) RecordRefusal(attempt ident.AttemptID, refusal *fault.Refusal) *fault.Refusal {
 	r.Meter.CountRequest("", string(refusal.Code), false)
-	r.Log.Info("request ended", "request", attempt, "outcome", refusal.Code, "sends", 0, "ran", 0,
+	r.Log.Info("request ended", "request", attempt, "outcome", refusal.Code, "sends", 0, "ran", 0, "table-age", r.TableAge(),
 		"endpoints", r.config.Pool.Revision(), "retry-after", refusal.RetryAfter, "note", refusal.Detail)
 	return refusal
 }
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -143,6 +143,7 @@
 func (s *relayServer) startWatchers() {
 	configs := store.NewWatcher(s.Common, s.store, platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.gossip.NextWatchTimeout})
 	endpoints := store.NewWatcher(s.Common, s.store, platform.EndpointKind, s.endpointReader)
+	configs.Freshness, endpoints.Freshness = s.relay.TablesKnown(), s.relay.EndpointsKnown()
 	s.tasks.Go(func() { configs.Run(s.ctx) })
 	s.tasks.Go(func() { endpoints.Run(s.ctx) })
 	s.tasks.Go(func() { s.gossip.Run(s.ctx) })
@@ -154,7 +155,7 @@
 
 func (s *relayServer) applyTable(d *table.Document) {
 	if s.relay.SetTable(d) {
-		s.Log.Info("routes in force", "table", d.Version, "routes", len(d.Routes), "services", len(d.Services))
+		s.Log.Info("routes in force", "table", d.Version, "routes", len(d.Routes), "services", len(d.Services), "age-before", s.relay.TableAge())
 		s.gossip.Announce()
 	}
 }
@@ -167,6 +168,8 @@
 		now := time.Now()
 		s.endpoints.Client().CloseExpired(now)
 		s.limitConns()
+		s.Meter.RecordKnowledgeAge("table", s.relay.TableAge())
+		s.Meter.RecordKnowledgeAge("endpoints", s.relay.EndpointsKnown().Age(now))
 		for _, name := range s.pool.RemoveLapsed(now, watcher.LastFailure()) {
 			s.Log.Info("removed an endpoint whose record has lapsed", "endpoint", name)
 		}
--- a/store/watcher.go
+++ b/store/watcher.go
@@ -50,6 +50,8 @@
 	store  ListWatcher
 	kind   Kind
 	reader Reader
+	// Freshness is told how recent what the reader knows is. It may be nil.
+	Freshness *Freshness
 	// version is that of the newest response; zero until the first listing.
 	version Version
 	loaded  bool
@@ -144,9 +146,25 @@
 	w.reader.ApplyEvents(batch, requestedAt)
 	w.version = max(w.version, batch.Version)
 	w.relisted = false
+	w.confirm(confirmedAt(&batch, requestedAt, timeout))
 	return nil
 }
 
+// confirmedAt returns a moment at which the response to a watch was complete. A watch that ends by its
+// timeout without an event confirms all of it, others their request only: responses may be late.
+func confirmedAt(batch *Batch, requestedAt time.Time, timeout time.Duration) time.Time {
+	if end := requestedAt.Add(timeout); len(batch.Events) == 0 && !time.Now().Before(end) {
+		return end
+	}
+	return requestedAt
+}
+
+func (w *Watcher) confirm(at time.Time) {
+	if w.Freshness != nil {
+		w.Freshness.Confirm(at)
+	}
+}
+
 // recordRestore makes the changes that follow a restore count as effects of an outage.
 func (w *Watcher) recordRestore() {
 	w.mutex.Lock()
@@ -164,6 +182,7 @@
 	listing.Outage = w.inOutage()
 	w.reader.ApplySnapshot(listing, requestedAt)
 	w.version = max(w.version, listing.Version)
+	w.confirm(requestedAt)
 	w.loaded, w.relisted = true, true
 	return nil
 }
