--- a/memnet/network.go
+++ b/memnet/network.go
@@ -172,6 +172,18 @@
 	n.silent[host] = silent
 }
 
+// Mute makes the open connections between the matching hosts silent for good, without a reset: what is
+// written to them is lost, and neither end sees the other one close. New connections work.
+func (n *Network) Mute(matches func(a, b Host) bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for c := range n.conns {
+		if matches(c.hosts[0], c.hosts[1]) {
+			c.muted.Store(true)
+		}
+	}
+}
+
 // holds reports whether an open connection sends nothing for now.
 func (n *Network) holds(c *conn) bool {
 	n.mutex.Lock()
@@ -242,6 +254,8 @@
 	// resets is set if a close resets the connection; wasReset is set once the peer has
 	// done so.
 	resets, wasReset atomic.Bool
+	// muted is set if what is written is lost.
+	muted atomic.Bool
 
 	mutex sync.Mutex
 	// held is what was written during a silence; flushing is true while a goroutine sends it, and
@@ -267,6 +281,9 @@
 
 // Write implements net.Conn. While its host is silent, it holds the data back.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.muted.Load() {
+		return len(p), nil
+	}
 	if c.hold(p, false) {
 		return len(p), nil
 	}
@@ -313,9 +330,9 @@
 	}
 }
 
-// Close implements net.Conn. While its host is silent, the other end doesn't see it.
+// Close implements net.Conn. While its host is silent, or once the connection is muted, the other end doesn't see it.
 func (c *conn) Close() error {
-	if c.hold(nil, true) {
+	if c.muted.Load() || c.hold(nil, true) {
 		return c.SetReadDeadline(time.Unix(1, 0))
 	}
 	return c.closeNow()
