A relay bounds the age of what it knows of the store

Callers saw requests handled as only an older configuration allows, more than the bound after a newer one was acknowledged. Each source of changes had a timeout of its own: a watch of up to 8 s and the call's 0.8 s, three hubs one after the other with 1 s each. When open connections go silent, all of them wait at the same time, and nothing bounded the sum; TCP keep-alive ended the watches after 5 s.

A watch is now given up once neither it nor a hub has confirmed for 2.4 s what the relay knows, and the next call is made over a new connection and does not wait. Relays that watch for all others confirm every 0.8 to 1.6 s (1.2 to 2.4 s before), so that in a sound system no watch is given up. The bound counts from the last confirmation, not from the failure of any source, and so holds whichever of them fails.

--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -13,6 +13,7 @@
 	"crocusstep/gossip"
 	"crocusstep/ident"
 	"crocusstep/pool"
+	"crocusstep/store"
 )
 
 const (
@@ -30,9 +31,15 @@
 	// keeper needs about 2 s to hear of all relays.
 	relayCountWindow = 5 * time.Second
 	// watchTimeout is the longest wait of a watch in a relay that watches the store
-	// continuously. A lost watch is noticed after it and the timeout of a call (0.8 s): together
-	// less than the 4 s within which a change must be known after an outage.
-	watchTimeout = 2400 * time.Millisecond
+	// continuously. Each of these watches confirms what all relays know.
+	watchTimeout = 1600 * time.Millisecond
+	// MaxAge is how old what a relay knows of the store may be before it calls the store over a
+	// new connection. With the call itself (0.8 s until the response begins, and about 0.8 s for the largest
+	// configuration over 10 Mbit/s), that is less than the 4 s after which a relay must be up to date again
+	// when its connections have gone silent. In a sound system what the hubs confirm is younger nearly always.
+	MaxAge = 2400 * time.Millisecond
+	// watchMargin is how long before MaxAge the watches of relays that watch continuously end.
+	watchMargin = 200 * time.Millisecond
 	// relaxedWatchTimeout is that of the other relays, which receive changes by gossip
 	// from the relays that watch continuously.
 	relaxedWatchTimeout = 8 * time.Second
@@ -107,19 +114,34 @@
 	return g.rank.Load() < watcherCount || contact == nil || now.Sub(*contact) > keeperContactTTL
 }
 
-// NextWatchTimeout returns a random wait for the next watch of the store, so that the watches
+// TableWatchTimeout returns the wait for the next watch of the routing table. It may block to delay it.
+func (g *Gossip) TableWatchTimeout(ctx context.Context) time.Duration {
+	return g.nextWatchTimeout(ctx, g.relay.tablesKnown)
+}
+
+// EndpointWatchTimeout returns the wait for the next watch of the endpoints. It may block to delay it.
+func (g *Gossip) EndpointWatchTimeout(ctx context.Context) time.Duration {
+	return g.nextWatchTimeout(ctx, g.relay.endpointsKnown)
+}
+
+// nextWatchTimeout returns a random wait for the next watch of the store, so that the watches
 // of different relays end at different times and some relay soon notices when all
 // lose the store together. Relays that receive changes from others pause between
-// two watches, so that several changes cost one call.
-func (g *Gossip) NextWatchTimeout(ctx context.Context) time.Duration {
-	limit := watchTimeout
-	if !g.IsWatcher() {
-		common.Sleep(ctx, relaxedWatchPause)
-		limit = relaxedWatchTimeout
+// two watches, so that several changes cost one call. If what is known is too old, the watch does not wait.
+func (g *Gossip) nextWatchTimeout(ctx context.Context, known *store.Freshness) time.Duration {
+	left := func() time.Duration { return max(0, MaxAge-known.Age(time.Now())) }
+	if g.IsWatcher() {
+		return min(randomWait(watchTimeout), max(0, left()-watchMargin))
+	}
+	common.Sleep(ctx, min(relaxedWatchPause, left()))
+	if left() == 0 {
+		return 0
 	}
-	return limit/2 + rand.N(limit/2)
+	return randomWait(relaxedWatchTimeout)
 }
 
+func randomWait(limit time.Duration) time.Duration { return limit/2 + rand.N(limit/2) }
+
 func (g *Gossip) recordContact(now time.Time) { g.lastContact.Store(&now) }
 
 // Announce makes Run send a change from the store to all hubs immediately. Relays that do not watch
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -82,7 +82,7 @@
 		},
 	})
 	s.gossip = relay.NewGossip(s.relay, s.pool, keepers, string(settings.Location.Instance))
-	s.endpointReader = &platform.EndpointReader{Common: p.Common, Pool: s.pool, NextWatchTimeout: s.gossip.NextWatchTimeout, OnChange: s.gossip.Announce}
+	s.endpointReader = &platform.EndpointReader{Common: p.Common, Pool: s.pool, NextWatchTimeout: s.gossip.EndpointWatchTimeout, OnChange: s.gossip.Announce}
 	s.store = platform.NewStore(platform.StoreConfig{
 		Address: settings.Platform.Address,
 		HTTP:    socket.NewClient(),
@@ -141,9 +141,10 @@
 
 // startWatchers starts the tasks that keep routes and endpoints up to date.
 func (s *relayServer) startWatchers() {
-	configs := store.NewWatcher(s.Common, s.store, platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.gossip.NextWatchTimeout})
+	configs := store.NewWatcher(s.Common, s.store, platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.gossip.TableWatchTimeout})
 	endpoints := store.NewWatcher(s.Common, s.store, platform.EndpointKind, s.endpointReader)
-	configs.Freshness, endpoints.Freshness = s.relay.TablesKnown(), s.relay.EndpointsKnown()
+	configs.Freshness, configs.MaxAge = s.relay.TablesKnown(), relay.MaxAge
+	endpoints.Freshness, endpoints.MaxAge = s.relay.EndpointsKnown(), relay.MaxAge
 	s.tasks.Go(func() { configs.Run(s.ctx) })
 	s.tasks.Go(func() { endpoints.Run(s.ctx) })
 	s.tasks.Go(func() { s.gossip.Run(s.ctx) })
--- a/store/freshness.go
+++ b/store/freshness.go
@@ -1,9 +1,12 @@
 package store
 
 import (
+	"context"
 	"math"
 	"sync"
 	"time"
+
+	"crocusstep/common"
 )
 
 // Freshness is how recent a process's knowledge of a kind is. The zero value knows nothing. It is
@@ -41,6 +44,18 @@
 	return max(now.Sub(asOf), wallTime(now).Sub(wallTime(asOf)))
 }
 
+// awaitAge waits until the age has reached a limit. It reports false if the context has ended before.
+func (f *Freshness) awaitAge(ctx context.Context, limit time.Duration) bool {
+	for ctx.Err() == nil {
+		left := limit - f.Age(time.Now())
+		if left <= 0 {
+			return true
+		}
+		common.Sleep(ctx, left)
+	}
+	return false
+}
+
 // Lead returns by how much the knowledge is more recent than a moment, negative if it is older. It is a lower
 // bound. It reports false if nothing is known.
 func (f *Freshness) Lead(moment time.Time) (lead time.Duration, known bool) {
--- a/store/watcher.go
+++ b/store/watcher.go
@@ -50,8 +50,10 @@
 	store  ListWatcher
 	kind   Kind
 	reader Reader
-	// Freshness is told how recent what the reader knows is. It may be nil.
+	// Freshness is told how recent what the reader knows is, which others may confirm, too. A watch is given up once
+	// that is older than MaxAge: its connection may have gone silent. It may be nil.
 	Freshness *Freshness
+	MaxAge    time.Duration
 	// version is that of the newest response; zero until the first listing.
 	version Version
 	loaded  bool
@@ -84,6 +86,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errOverdue) {
+			w.Log.Info("a watch was given up, as changes may be unknown for too long", "kind", w.kind, "version", w.version, "age", w.Freshness.Age(time.Now()))
+			continue
+		}
 		// A single failure may be a stale connection, so the first retry is
 		// immediate, over a new connection.
 		if repeated := w.recordResult(err); repeated {
@@ -123,12 +129,14 @@
 	}
 	timeout := w.reader.WatchTimeout(ctx)
 	requestedAt := time.Now()
-	batch, err := w.store.Watch(ctx, w.kind, w.version, timeout)
+	batch, err := w.watch(ctx, timeout)
 	switch {
 	case errors.Is(err, ErrRestored):
 		w.recordRestore()
 		common.Sleep(ctx, rand.N(maxRelistDelay))
 		return w.list(ctx)
+	case errors.Is(err, ErrBehind):
+		return w.list(ctx)
 	case errors.Is(err, ErrCompacted), errors.Is(err, ErrUnreadable):
 		if errors.Is(err, ErrUnreadable) {
 			// The same events would be sent again, for as long as the store keeps them.
@@ -150,6 +158,28 @@
 	return nil
 }
 
+// errOverdue means that a watch was given up, since nothing else has confirmed what is known for MaxAge.
+var errOverdue = errors.New("what is known is too old")
+
+// watch watches until what is known is older than MaxAge. A call that begins later must end soon by itself.
+func (w *Watcher) watch(ctx context.Context, timeout time.Duration) (batch Batch, err error) {
+	if w.Freshness == nil || w.Freshness.Age(time.Now()) >= w.MaxAge {
+		return w.store.Watch(ctx, w.kind, w.version, timeout)
+	}
+	watching, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		if w.Freshness.awaitAge(watching, w.MaxAge) {
+			cancel(errOverdue)
+		}
+	}()
+	batch, err = w.store.Watch(watching, w.kind, w.version, timeout)
+	if err != nil && context.Cause(watching) == errOverdue {
+		err = errOverdue
+	}
+	return batch, err
+}
+
 // confirmedAt returns a moment at which the response to a watch was complete. A watch that ends by its
 // timeout without an event confirms all of it, others their request only: responses may be late.
 func confirmedAt(batch *Batch, requestedAt time.Time, timeout time.Duration) time.Time {
