An old table refuses nothing for good

Callers got 404 for routes that had been added: a relay that could not confirm its table sent final refusals from it as if it were new, which callers do not repeat. Beyond table.max-age (the platform's configApplyMs) unknown routes and keys are now refused with 503 document-doubtful and a Retry-After, as by a relay that knows no table yet; the same holds for one that has just started and heard of a table from a keeper only.

--- a/conf/relay.go
+++ b/conf/relay.go
@@ -41,6 +41,12 @@
 	Slack float64 `yaml:"slack"`
 }
 
+// TableBounds is how recent the routing table of a relay must be.
+type TableBounds struct {
+	// Longest time from the acknowledgement of a routing table until all relays use it. A relay that has not been able to confirm its own for longer refuses unknown routes and keys for the moment only.
+	MaxAge parser.Duration `yaml:"max-age"`
+}
+
 // Routing is how relays choose the endpoint of a request.
 type Routing struct {
 	// Send requests where they are likely to cost least, by what was learned of outputs and of the engines' speed.
@@ -82,6 +88,8 @@
 	// Tolerances of quotas.
 	Quotas   QuotaBounds   `yaml:"quotas"`
 	Shutdown RelayShutdown `yaml:"stop"`
+	// Age of the routing table.
+	Table TableBounds `yaml:"table"`
 	// Choice of endpoints.
 	Routing Routing `yaml:"routing"`
 	Callers Callers `yaml:"callers"`
@@ -111,6 +119,7 @@
 		Retries:     RetryLimits{Ratio: 0.1, Slack: 10, Window: parser.Duration(10 * time.Second)},
 		Quotas:      QuotaBounds{Window: parser.Duration(8 * time.Second), Excess: 0.1},
 		Shutdown:    RelayShutdown{ShutdownDelay: parser.Duration(2400 * time.Millisecond), GracePeriod: parser.Duration(8 * time.Second)},
+		Table:       TableBounds{MaxAge: parser.Duration(4 * time.Second)},
 		Callers:     Callers{Transit: parser.Duration(250 * time.Millisecond)},
 		Memory:      128 * parser.MiB,
 	}
@@ -136,6 +145,7 @@
 	checkPositive(source, "quotas.window", settings.Quotas.Window)
 	checkPositive(source, "stop.grace", settings.Shutdown.GracePeriod)
 	checkPositive(source, "callers.transit", settings.Callers.Transit)
+	checkPositive(source, "table.max-age", settings.Table.MaxAge)
 	checkPositive(source, "memory", settings.Memory)
 	checkPort(source, "metrics-port", settings.MetricsPort)
 	checkPort(source, "peers.keeper-port", settings.Peers.KeeperPort)
--- a/relay/caller.go
+++ b/relay/caller.go
@@ -21,6 +21,19 @@
 	return route, workspace, refuseWithoutKey(t, request, workspace, route.Open)
 }
 
+// doubt replaces a refusal for want of a route or a key by one that promises nothing, if a newer table that has it
+// may have been acknowledged for longer than relays may take to know it.
+func (r *Relay) doubt(refusal *fault.Refusal) *fault.Refusal {
+	if refusal == nil || r.config.MaxTableAge == 0 || refusal.Code != fault.UnknownRoute && refusal.Code != fault.UnknownCaller {
+		return refusal
+	}
+	age := r.TableAge()
+	if age <= r.config.MaxTableAge {
+		return refusal
+	}
+	return fault.New(fault.DocumentUnconfirmed, "%s, and a newer one may be unknown for %s", refusal.Detail, age).WithRetryAfter(r.retryAfterJitter(minRetryAfter))
+}
+
 // refuseWithoutKey refuses a caller without a workspace, unless the route is open.
 func refuseWithoutKey(t *table.Table, request *Request, workspace *table.Workspace, isOpen bool) *fault.Refusal {
 	switch {
@@ -49,7 +62,7 @@
 		return nil
 	}
 	if _, _, refusal := match(t, request); refusal != nil && refusal.Code == fault.UnknownCaller {
-		return refusal
+		return r.doubt(refusal)
 	}
 	return nil
 }
@@ -71,7 +84,7 @@
 		isOpen = route.Open
 	}
 	if refusal := refuseWithoutKey(t, e.request, workspace, isOpen); refusal != nil {
-		return refusal
+		return e.doubt(refusal)
 	}
 	e.keysVersion = t.Version
 	e.request.setWorkspace(t, workspace)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,9 @@
 	Transit time.Duration
 	// Quotas holds what is tolerated beyond the quotas of workspaces.
 	Quotas quota.Bounds
+	// MaxTableAge is how long after its acknowledgement a relay may not know a table. Beyond it a
+	// missing route or key is no reason for a final refusal; zero means that it always is.
+	MaxTableAge time.Duration
 	// RelayCount returns how many relays share the retry limits and the quotas.
 	RelayCount func() int
 	// LearnedCosts sends requests where they are likely to cost least, by what was learned of
@@ -181,7 +184,7 @@
 	}
 	route, workspace, refusal := match(t, request)
 	if refusal != nil {
-		return r.RecordRefusal(request.Attempt, refusal)
+		return r.RecordRefusal(request.Attempt, r.doubt(refusal))
 	}
 	request.setWorkspace(t, workspace)
 	service := route.Pick(rand.Float64())
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -74,6 +74,7 @@
 		Quotas:     quotaBounds(settings),
 		RelayCount: func() int { return s.gossip.RelayCount() },
 
+		MaxTableAge:  settings.Table.MaxAge.Std(),
 		LearnedCosts: settings.Routing.LearnedCosts,
 		Refresh:      func(ctx context.Context) bool { return s.gossip.Refresh(ctx) },
 		Acknowledge:  func(ctx context.Context) { s.gossip.Acknowledge(ctx) },
