--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -33,6 +33,8 @@
 	// watchTimeout is the longest wait of a watch in a relay that watches the store
 	// continuously. Each of these watches confirms what all relays know.
 	watchTimeout = 1600 * time.Millisecond
+	// loneWatchTimeout is that of relays that no hub confirms, which watch for themselves only.
+	loneWatchTimeout = 2400 * time.Millisecond
 	// MaxAge is how old what a relay knows of the store may be before it calls the store over a
 	// new connection. With the call itself (0.8 s until the response begins, and about 0.8 s for the largest
 	// configuration over 10 Mbit/s), that is less than the 4 s after which a relay must be up to date again
@@ -110,8 +112,12 @@
 func (g *Gossip) IsWatcher() bool { return g.isWatcherAt(time.Now()) }
 
 func (g *Gossip) isWatcherAt(now time.Time) bool {
+	return g.rank.Load() < watcherCount || g.isWithoutHubs(now)
+}
+
+func (g *Gossip) isWithoutHubs(now time.Time) bool {
 	contact := g.lastContact.Load()
-	return g.rank.Load() < watcherCount || contact == nil || now.Sub(*contact) > keeperContactTTL
+	return contact == nil || now.Sub(*contact) > keeperContactTTL
 }
 
 // TableWatchTimeout returns the wait for the next watch of the routing table. It may block to delay it.
@@ -131,7 +137,11 @@
 func (g *Gossip) nextWatchTimeout(ctx context.Context, known *store.Freshness) time.Duration {
 	left := func() time.Duration { return max(0, MaxAge-known.Age(time.Now())) }
 	if g.IsWatcher() {
-		return min(randomWait(watchTimeout), max(0, left()-watchMargin))
+		limit := watchTimeout
+		if g.isWithoutHubs(time.Now()) {
+			limit = loneWatchTimeout
+		}
+		return min(randomWait(limit), max(0, left()-watchMargin))
 	}
 	common.Sleep(ctx, min(relaxedWatchPause, left()))
 	if left() == 0 {
