A process that is behind lists the configuration instead of reading all versions

A watch returns each version since as a whole. Over 10 Mbit/s, with a large configuration that changes in quick succession, each watch took longer than the one before, as more versions had been written meanwhile: the process fell behind without bound and its callers were served, or refused, as an old version says. A watch of the configuration is now given up if it is clearly longer than a list, which has one version, and a list follows.

--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -142,7 +142,7 @@
 
 // startWatchers starts the tasks that keep routes and endpoints up to date.
 func (s *relayServer) startWatchers() {
-	configs := store.NewWatcher(s.Common, s.store, platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.gossip.TableWatchTimeout})
+	configs := store.NewWatcher(s.Common, platform.NewNewestStore(s.store), platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.gossip.TableWatchTimeout})
 	endpoints := store.NewWatcher(s.Common, s.store, platform.EndpointKind, s.endpointReader)
 	configs.Freshness, configs.MaxAge = s.relay.TablesKnown(), relay.MaxAge
 	endpoints.Freshness, endpoints.MaxAge = s.relay.EndpointsKnown(), relay.MaxAge
--- a/store/store.go
+++ b/store/store.go
@@ -101,6 +101,8 @@
 	// ErrRestored means that the store was restored from a copy since the version that the
 	// call names, so that later changes may be lost and revisions are assigned again.
 	ErrRestored = errors.New("the store was restored from a copy since that version")
+	// ErrBehind means that the events since a version are more than a list of the kind.
+	ErrBehind = errors.New("a list is shorter than the events since that version")
 	// ErrUnavailable means that the call failed and had no effect.
 	ErrUnavailable = errors.New("the platform is unavailable")
 	// ErrUnreadable means that a response cannot be understood as a whole. An object that
--- a/store/watcher.go
+++ b/store/watcher.go
@@ -135,6 +135,8 @@
 		w.recordRestore()
 		common.Sleep(ctx, rand.N(maxRelistDelay))
 		return w.list(ctx)
+	case errors.Is(err, ErrBehind):
+		return w.list(ctx)
 	case errors.Is(err, ErrCompacted), errors.Is(err, ErrUnreadable):
 		if errors.Is(err, ErrUnreadable) {
 			// The same events would be sent again, for as long as the store keeps them.
