A silent hub does not delay the exchanges with the others

Relays called their hubs one after the other and waited 1 s for each that was silent, so that relays which the store turns away learned a table after up to 5.85 s. Calls to different hubs now run at the same time, one to each hub.

--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -177,6 +177,8 @@
 
 // Run exchanges state with the hubs until the context ends.
 func (g *Gossip) Run(ctx context.Context) {
+	calls := newHubCalls(func(hub pool.Endpoint) { _, _ = g.exchange(ctx, hub) })
+	defer calls.wait()
 	for round := rand.IntN(hubCount); ctx.Err() == nil; round++ {
 		timer := time.NewTimer(gossipInterval/2 + rand.N(gossipInterval))
 		everyone := false
@@ -201,7 +203,7 @@
 		}
 		for _, hub := range targets {
 			if ctx.Err() == nil {
-				_, _ = g.exchange(ctx, hub)
+				calls.start(hub, everyone)
 			}
 		}
 	}
