--- a/wire/client.go
+++ b/wire/client.go
@@ -20,6 +20,9 @@
 const (
 	// MaxFrameBytes is the size limit of a frame.
 	MaxFrameBytes = 1 << 20
+	// maxResponseBytes is the size limit of a response other than a stream. The response of a plain service
+	// may have 4 MiB, which are sent in base64.
+	maxResponseBytes = 8 << 20
 	// headerBytes is the approximate size of the request and response headers.
 	headerBytes = 500
 	// StreamIdleTimeout is the longest time without a frame after which a stream
@@ -38,6 +41,9 @@
 // rather than crashed.
 var ErrSilent = errors.New("the agent sent nothing for too long")
 
+// errTooLong means that a response is longer than any sound one.
+var errTooLong = errors.New("the agent's answer is too long")
+
 // Client sends signed requests to agents.
 type Client struct {
 	http    *http.Client
@@ -65,7 +71,10 @@
 		return result, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errTooLong
+	}
 	if err != nil {
 		return result, errors.Join(ErrResponseLost, err)
 	}
