A burn report reads a limited part of an entry's series

An entry that sends series without end made the process that collects them run out of memory. TestEndlessSeries: stopped by the test after 32 MiB before, 8 MiB now.

--- a/burn/collector.go
+++ b/burn/collector.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 
@@ -11,6 +12,9 @@
 	"crocusstep/ident"
 )
 
+// maxSeriesBytes limits the series of one entry.
+const maxSeriesBytes = 8 << 20
+
 // Collector reads the series of several entries over HTTP.
 type Collector struct {
 	http  *http.Client
@@ -51,5 +55,5 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("status %d", response.StatusCode)
 	}
-	return series, json.NewDecoder(response.Body).Decode(&series)
+	return series, json.NewDecoder(io.LimitReader(response.Body, maxSeriesBytes)).Decode(&series)
 }
