Responses that a relay keeps share a limit of its memory

Each response has a limit of its own (4 MiB, an event 256 KiB), but nothing limited them together: 30 bodies without end at the same time take more than the 112 MB of the smallest relays, which end then with the requests of all their callers. What responses have beyond 64 KiB each now comes out of a sixth of the memory; a response for which none is left counts as lost.

TestManyEndlessBodies: with a limit that never binds 125,541,441 bytes are kept at the same time (30 bodies); with it at most a sixth of 112 MiB and 64 KiB for each, buffers that grow included.

--- a/relay/call.go
+++ b/relay/call.go
@@ -144,7 +144,7 @@
 	}
 	e.executions++
 	e.framing = response.Framing
-	body, err := readBody(response.Body)
+	body, err := e.readBody(response.Body)
 	if err != nil {
 		outcome = outcomeOf(ctx, err)
 		e.Log.Info("a response was not complete", "request", e.request.Attempt, "endpoint", m.Name, "error", err)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -100,6 +100,8 @@
 	// leftSilent is set while the request is at no endpoint because the relay has left one that was
 	// silent.
 	leftSilent bool
+	// releases return the memory of the responses that were read.
+	releases []func()
 	// ending is empty if the response is complete.
 	ending ending
 }
@@ -107,6 +109,7 @@
 func (e *exchange) serve(ctx context.Context) (refusal *fault.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
+	defer e.releaseBodies()
 	ctx, stop := e.giveUpInTime(ctx)
 	defer stop()
 	defer func() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,9 @@
 	Transit time.Duration
 	// Quotas holds what is tolerated beyond the quotas of workspaces.
 	Quotas quota.Bounds
+	// ResponseMemory is the memory for the responses that are kept until they are complete; zero means that
+	// each has its own limit only.
+	ResponseMemory ident.ByteCount
 	// MaxTableAge is how long after its acknowledgement a relay may not know a table. Beyond it a
 	// missing route or key is no reason for a final refusal; zero means that it always is.
 	MaxTableAge time.Duration
@@ -89,6 +92,8 @@
 	learned       *learnedCosts
 	// stop is when the process stops, nil while it is not stopping.
 	stop atomic.Pointer[Stop]
+	// responses limits the memory of the responses that are kept.
+	responses *responseMemory
 	// listed is set once the load balancer has heard that the relay is ready.
 	listed atomic.Bool
 	// alone is set if no other relay of the zone takes requests, as far as the hubs know.
@@ -118,6 +123,7 @@
 	return &Relay{
 		Common:           c,
 		config:           config,
+		responses:        newResponseMemory(config.ResponseMemory),
 		tablesKnown:      &store.Freshness{},
 		endpointsKnown:   &store.Freshness{},
 		crashes:          crash.NewTracker(),
--- a/relay/response_body.go
+++ b/relay/response_body.go
@@ -1,11 +1,8 @@
 package relay
 
 import (
-	"errors"
 	"io"
 	"time"
-
-	"crocusstep/client"
 )
 
 const (
@@ -17,17 +14,17 @@
 	maxDiscardTime    = 50 * time.Millisecond
 )
 
-// readBody reads a response body completely. An incomplete or too long one joins
-// client.ErrResponseLost.
-func readBody(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
-	if err == nil && len(data) > maxResponseBytes {
-		err = errors.New("the response is too long")
-	}
-	if err != nil {
-		return nil, errors.Join(client.ErrResponseLost, err)
+// readBody reads a response body completely. Its memory is kept until the exchange ends.
+func (e *exchange) readBody(body io.Reader) (data []byte, err error) {
+	data, release, err := e.responses.readBody(body)
+	e.releases = append(e.releases, release)
+	return data, err
+}
+
+func (e *exchange) releaseBodies() {
+	for _, release := range e.releases {
+		release()
 	}
-	return data, nil
 }
 
 // discardBody closes the body of a rejection. It reads a short body first, so that its
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -67,6 +67,8 @@
 	var splitter event.Splitter
 	defer func() { s.hasMore = s.hasMore || splitter.Unfinished() }()
 	began := false
+	kept := keptBytes{memory: s.responses}
+	defer kept.release()
 	buffer := make([]byte, readBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -88,6 +90,9 @@
 		case len(splitter.Pending()) > maxEventBytes:
 			return errors.New("an event is too large")
 		}
+		if err := kept.cover(int64(len(splitter.Pending()))); err != nil {
+			return err
+		}
 	}
 }
 
@@ -233,7 +238,7 @@
 // forwardWhole forwards a response without events after reading it completely, since
 // nothing else shows where a part of it ends.
 func (s *stream) forwardWhole(response *Response) error {
-	body, err := readBody(response.Body)
+	body, err := s.readBody(response.Body)
 	if err != nil {
 		return err
 	}
@@ -251,7 +256,7 @@
 
 // forwardFailure forwards an endpoint's error response after reading it completely.
 func (s *stream) forwardFailure(response *Response) error {
-	body, err := readBody(response.Body)
+	body, err := s.readBody(response.Body)
 	if err != nil {
 		return err
 	}
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -36,6 +36,8 @@
 	// settingsPollInterval is the time between two reads of the settings file; SIGHUP
 	// reloads it immediately.
 	settingsPollInterval = 5 * time.Second
+	// responseMemoryPart is the part of the memory that responses may take until they are complete.
+	responseMemoryPart = 6
 	// responseFlushTime is the end of the grace period that is kept for writing the
 	// last responses.
 	responseFlushTime = 700 * time.Millisecond
@@ -74,10 +76,11 @@
 		Quotas:     quotaBounds(settings),
 		RelayCount: func() int { return s.gossip.RelayCount() },
 
-		MaxTableAge:  settings.Table.MaxAge.Std(),
-		LearnedCosts: settings.Routing.LearnedCosts,
-		Refresh:      func(ctx context.Context) bool { return s.gossip.Refresh(ctx) },
-		Acknowledge:  func(ctx context.Context) { s.gossip.Acknowledge(ctx) },
+		ResponseMemory: ident.ByteCount(settings.Memory) / responseMemoryPart,
+		MaxTableAge:    settings.Table.MaxAge.Std(),
+		LearnedCosts:   settings.Routing.LearnedCosts,
+		Refresh:        func(ctx context.Context) bool { return s.gossip.Refresh(ctx) },
+		Acknowledge:    func(ctx context.Context) { s.gossip.Acknowledge(ctx) },
 		EndpointChanges: func(ctx context.Context, since pool.Revision) ([]pool.Change, pool.Revision, error) {
 			return s.endpointReader.ChangesSince(ctx, s.store, since)
 		},
