Responses of keepers other than gossip are short

A process at a keeper's address that sent a body without end made each call of a relay keep up to 8 MiB, and many run at the same time. Only gossip may be as long as a routing table; the others are limited to 64 KiB.

TestEndlessResponse: 8,421,403 bytes of a stage change and of a reservation were read before, at most 1 MiB now.

--- a/keeper/client.go
+++ b/keeper/client.go
@@ -130,5 +130,9 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("the keeper answered with status %d", response.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxMessageBytes)).Decode(target)
+	limit := int64(maxReplyBytes)
+	if path == GossipPath {
+		limit = maxMessageBytes
+	}
+	return json.NewDecoder(io.LimitReader(response.Body, limit)).Decode(target)
 }
--- a/keeper/endless_test.go
+++ b/keeper/endless_test.go
@@ -51,21 +51,50 @@
 }
 
 // TestEndlessResponse lets a process at a keeper's address respond without end. In virtual
-// time the response is cut off by its size, however slow the machine is.
+// time the response is cut off by its size, however slow the machine is. Many calls run at the same time, so that
+// only gossip may be as long as a routing table.
 func TestEndlessResponse(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		call     func(ctx context.Context, c *Client) error
+		maxBytes int
+	}{
+		{testName: "a stage change", maxBytes: 1 << 20, call: func(ctx context.Context, c *Client) error {
+			_, err := c.ChangeStage(ctx, "10.0.0.1:1", StageRequest{})
+			return err
+		}},
+		{testName: "a reservation", maxBytes: 1 << 20, call: func(ctx context.Context, c *Client) error {
+			_, err := c.Reserve(ctx, "10.0.0.1:1", ReserveRequest{})
+			return err
+		}},
+		{testName: "gossip", maxBytes: 2 * maxMessageBytes, call: func(ctx context.Context, c *Client) error {
+			_, err := c.Exchange(ctx, "10.0.0.1:1", &gossip.Message{})
+			return err
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) { checkEndlessResponse(t, s.maxBytes, s.call) })
+	}
+}
+
+func checkEndlessResponse(t *testing.T, maxBytes int, call func(ctx context.Context, c *Client) error) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
+		body := &countingReader{prefix: strings.NewReader("HTTP/1.1 200 OK\r\n\r\n" + `{"why":"`)}
 		clientSide, serverSide := net.Pipe()
 		go func() {
 			defer func() { _ = serverSide.Close() }()
 			if _, err := http.ReadRequest(bufio.NewReader(serverSide)); err != nil {
 				return
 			}
-			_, _ = io.Copy(serverSide, &countingReader{prefix: strings.NewReader("HTTP/1.1 200 OK\r\n\r\n" + `{"why":"`)})
+			_, _ = io.Copy(serverSide, body)
 		}()
 		transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return clientSide, nil }}
 		defer transport.CloseIdleConnections()
 		c := NewClient(&http.Client{Transport: transport}, 1)
-		_, err := c.ChangeStage(t.Context(), "10.0.0.1:1", StageRequest{})
+		err := call(t.Context(), c)
 		assert.ErrorContains(t, err, "unexpected EOF")
+		synctest.Wait()
+		assert.Assert(t, body.read <= maxBytes, "%d bytes", body.read)
 	})
 }
--- a/keeper/messages.go
+++ b/keeper/messages.go
@@ -31,6 +31,10 @@
 // gossip sends it with all endpoints.
 const maxMessageBytes = 8 << 20
 
+// maxReplyBytes limits a response of a keeper other than to gossip: many calls run at the same time, and sound
+// responses have less than 1 kB.
+const maxReplyBytes = 64 << 10
+
 // ReserveRequest requests memory for one request at a decode engine.
 type ReserveRequest struct {
 	Attempt ident.AttemptID `json:"attempt"`
