The call after a given-up watch uses a new connection in any case

A relay whose pause between two watches ended beyond the age limit made its next call over a connection that was idle meanwhile; if that had gone silent, too, 0.8 s more passed, which the bound for the largest configuration does not have (found in review, by reading). Such calls now never use a connection that is open already.

TestFreshness, TestConfirmedAt and TestLateMessageConfirmsNothing check the ages on which the bound rests: suspensions, steps of the wall clock, hubs that read messages late, stamps of another incarnation.

--- a/store/watcher.go
+++ b/store/watcher.go
@@ -161,9 +161,19 @@
 // errOverdue means that a watch was given up, since nothing else has confirmed what is known for MaxAge.
 var errOverdue = errors.New("what is known is too old")
 
-// watch watches until what is known is older than MaxAge. A call that begins later must end soon by itself.
+// reconnecter is a store whose next call can be made over a new connection.
+type reconnecter interface{ Reconnect() }
+
+// watch watches until what is known is older than MaxAge. A call that begins later must end soon by itself; it is
+// made over a new connection, as those in use may have gone silent.
 func (w *Watcher) watch(ctx context.Context, timeout time.Duration) (batch Batch, err error) {
-	if w.Freshness == nil || w.Freshness.Age(time.Now()) >= w.MaxAge {
+	if w.Freshness == nil {
+		return w.store.Watch(ctx, w.kind, w.version, timeout)
+	}
+	if w.Freshness.Age(time.Now()) >= w.MaxAge {
+		if s, ok := w.store.(reconnecter); ok {
+			s.Reconnect()
+		}
 		return w.store.Watch(ctx, w.kind, w.version, timeout)
 	}
 	watching, cancel := context.WithCancelCause(ctx)
