--- /dev/null
+++ b/mutant/config.go
@@ -0,0 +1,111 @@
+package main
+
+// configMutants holds one mutant for each mechanism that bounds the age of a configuration and the bytes that a faulty
+// peer may send.
+var configMutants = []mutant{
+	{
+		guarantee: "a watch is given up once what is known is too old",
+		file:      "store/watcher.go",
+		original:  "\t\tif w.Freshness.awaitAge(watching, w.MaxAge) {\n",
+		mutated:   "\t\tif w.Freshness.awaitAge(watching, 1000*w.MaxAge) {\n",
+		pkg:       "platform", test: "TestSilentConnectionsDelayNoConfig",
+	},
+	{
+		guarantee: "ages count the time in which an instance was suspended",
+		file:      "store/freshness.go",
+		original:  "\treturn max(now.Sub(asOf), wallTime(now).Sub(wallTime(asOf)))\n",
+		mutated:   "\treturn now.Sub(asOf)\n",
+		pkg:       "store", test: "TestFreshness",
+	},
+	{
+		guarantee: "a response with events confirms its request only",
+		file:      "store/watcher.go",
+		original:  "len(batch.Events) == 0 && !time.Now()",
+		mutated:   "!time.Now()",
+		pkg:       "store", test: "TestConfirmedAt",
+	},
+	{
+		guarantee: "a hub without a sender's table confirms nothing",
+		file:      "gossip/hub.go",
+		original:  "h.table != nil && h.table.Version() >= in.Digest.Table",
+		mutated:   "h.table != nil",
+		pkg:       "gossip", test: "TestLateMessageConfirmsNothing",
+	},
+	{
+		guarantee: "stamps of an earlier hub count for nothing",
+		file:      "gossip/confirmation.go",
+		original:  "if stamp.Hub != s.hub || ",
+		mutated:   "if ",
+		pkg:       "gossip", test: "TestLateMessageConfirmsNothing",
+	},
+	{
+		guarantee: "an old table refuses nothing for good",
+		file:      "relay/caller.go",
+		original:  "\tif age <= r.config.MaxTableAge {\n",
+		mutated:   "\tif true {\n",
+		pkg:       "relay", test: "TestOldTableRefusesNothingForGood",
+	},
+	{
+		guarantee: "a process that is behind lists",
+		file:      "platform/newest_store.go",
+		original:  "maxBody: max(minNewestBytes, s.listed.Load()*3/2)",
+		mutated:   "maxBody: 0",
+		pkg:       "platform", test: "TestQuickVersionsOverSlowLink",
+	},
+	{
+		guarantee: "a body may take as long as its bytes keep coming",
+		file:      "platform/store.go",
+		original:  "onProgress: func() { timer.Reset(s.timeout) }",
+		mutated:   "onProgress: func() {}",
+		pkg:       "platform", test: "TestLargestConfigOverSlowLink",
+	},
+	{
+		guarantee: "a silent hub does not delay the others",
+		file:      "relay/gossip.go",
+		original:  "\t\t\t\tcalls.start(hub, everyone)\n",
+		mutated:   "\t\t\t\tcalls.start(hub, everyone)\n\t\t\t\tcalls.wait()\n",
+		pkg:       "relay", test: "TestSilentHubsDelayNoOther",
+	},
+	{
+		guarantee: "an agent's response is limited",
+		file:      "wire/client.go",
+		original:  "io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))",
+		mutated:   "io.ReadAll(response.Body)",
+		pkg:       "wire", test: "TestEndlessAgent",
+	},
+	{
+		guarantee: "an entry's series are limited",
+		file:      "burn/collector.go",
+		original:  "io.LimitReader(response.Body, maxSeriesBytes)",
+		mutated:   "io.LimitReader(response.Body, 100*maxSeriesBytes)",
+		pkg:       "burn", test: "TestEndlessSeries",
+	},
+	{
+		guarantee: "responses of keepers other than gossip are short",
+		file:      "keeper/client.go",
+		original:  "limit := int64(maxReplyBytes)",
+		mutated:   "limit := int64(maxMessageBytes)",
+		pkg:       "keeper", test: "TestEndlessResponse",
+	},
+	{
+		guarantee: "the response to a prefill is short",
+		file:      "platform/endpoint_client.go",
+		original:  "io.LimitReader(stream, maxPrefillBytes)",
+		mutated:   "io.LimitReader(stream, maxControlBytes)",
+		pkg:       "platform", test: "TestEndlessPrefillResponse",
+	},
+	{
+		guarantee: "responses that are kept share a limit",
+		file:      "relay/kept_bytes.go",
+		original:  "\tif !k.memory.free.TryAcquire(need) {\n",
+		mutated:   "\tif false {\n",
+		pkg:       "relay", test: "TestManyEndlessBodies",
+	},
+	{
+		guarantee: "the memory of responses is taken back",
+		file:      "relay/exchange.go",
+		original:  "\tdefer e.releaseBodies()\n",
+		mutated:   "",
+		pkg:       "relay", test: "TestLargeResponseReturnsMemory",
+	},
+}
--- a/mutant/main.go
+++ b/mutant/main.go
@@ -45,6 +45,7 @@
 		ownInterfaceMutants,
 		usersPlatformMutants,
 		admitMutants,
+		configMutants,
 		costMutants,
 		crashMutants,
 		entryMutants,
--- a/relay/kept_bytes_test.go
+++ b/relay/kept_bytes_test.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"context"
 	"io"
+	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"crocusstep/ident"
+	"crocusstep/pool"
 )
 
 // slowEndless is a body without end, of which a part arrives each millisecond.
@@ -67,9 +71,28 @@
 	return n, err
 }
 
-// TestManyEndlessResponses lets all endpoints send responses and events without end, and guards against memory that a relay does
-// not take back when they have ended.
-func TestManyEndlessResponses(t *testing.T) {
+// largeResponses has endpoints that respond to calls with large bodies.
+type largeResponses struct{ *fakeBackend }
+
+// Call implements Endpoints.
+func (largeResponses) Call(context.Context, pool.Endpoint, *Request, time.Duration) (*Response, error) {
+	return &Response{Status: http.StatusOK, Signed: true, Body: io.NopCloser(strings.NewReader(strings.Repeat("x", 4*freeBytes)))}, nil
+}
+
+// TestLargeResponseReturnsMemory guards against memory that a relay does not take back once a large response has been written.
+func TestLargeResponseReturnsMemory(t *testing.T) {
+	const memory = 1 << 20
+	r := newTestRelay(t, &fakeBackend{})
+	r.config.Endpoints, r.responses = largeResponses{&fakeBackend{}}, newResponseMemory(memory)
+	w, refusal := send(t.Context(), r, "/lookup/x")
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, w.Body.Len(), 4*freeBytes)
+	assert.Assert(t, r.responses.free.TryAcquire(memory), "all memory has been returned")
+}
+
+// TestEndlessResponsesReturnMemory lets all endpoints send responses and events without end, and guards against memory that a
+// relay does not take back when they have ended.
+func TestEndlessResponsesReturnMemory(t *testing.T) {
 	for _, path := range []string{"/action/x", "/lookup/x", "/read/x"} {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
