A watch that begins too late does not wait

A watch whose knowledge became too old between the choice of its timeout and its call was not watched over and could wait 8 s over a silent connection (found in review; a process that gets no processor time for a moment suffices). It now does not wait in any case.

TestOverdueWatchDoesNotWait: waited 8 s before, 0 s now.

--- a/store/watcher.go
+++ b/store/watcher.go
@@ -164,7 +164,7 @@
 // reconnecter is a store whose next call can be made over a new connection.
 type reconnecter interface{ Reconnect() }
 
-// watch watches until what is known is older than MaxAge. A call that begins later must end soon by itself; it is
+// watch watches until what is known is older than MaxAge. A call that begins later does not wait, and is
 // made over a new connection, as those in use may have gone silent.
 func (w *Watcher) watch(ctx context.Context, timeout time.Duration) (batch Batch, err error) {
 	if w.Freshness == nil {
@@ -174,7 +174,7 @@
 		if s, ok := w.store.(reconnecter); ok {
 			s.Reconnect()
 		}
-		return w.store.Watch(ctx, w.kind, w.version, timeout)
+		return w.store.Watch(ctx, w.kind, w.version, 0)
 	}
 	watching, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/store/watcher_test.go
+++ b/store/watcher_test.go
@@ -63,6 +63,44 @@
 	})
 }
 
+// patientStore records how long its watches may wait, and answers them at once.
+type patientStore struct{ waits []time.Duration }
+
+func (*patientStore) List(context.Context, Kind) (Listing, error) { return Listing{Version: 1}, nil }
+
+func (s *patientStore) Watch(ctx context.Context, _ Kind, since Version, wait time.Duration) (Batch, error) {
+	s.waits = append(s.waits, wait)
+	common.Sleep(ctx, wait)
+	return Batch{Version: since}, ctx.Err()
+}
+
+// lateReader takes long to decide how long a watch may wait.
+type lateReader struct{ testReader }
+
+func (*lateReader) WatchTimeout(ctx context.Context) time.Duration {
+	common.Sleep(ctx, 3*time.Second)
+	return 8 * time.Second
+}
+
+// TestOverdueWatchDoesNotWait guards against a watch that nothing ends, as what is known became too old between the choice of its
+// timeout and its call.
+func TestOverdueWatchDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, err := common.NewDiscard()
+		assert.NilError(t, err)
+		s := &patientStore{}
+		w := NewWatcher(c, s, "kind", &lateReader{})
+		w.Freshness, w.MaxAge = &Freshness{}, 2400*time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, s.waits, []time.Duration{0, 0, 0})
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // compactedStore keeps no history at all: every watch needs a new list.
 type compactedStore struct{ lists int }
 
