--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -20,9 +20,9 @@
 	endpoints *pool.Pool
 
 	mutex sync.Mutex
-	// tablesKnown and endpointsKnown are how recent the table and the endpoints are.
-	tablesKnown, endpointsKnown store.Freshness
-	stamps                      *stamps
+	// tableFreshness and endpointFreshness are how recent the table and the endpoints are.
+	tableFreshness, endpointFreshness store.Freshness
+	stamps                            *stamps
 	// table is one that can be read, or nil.
 	table *SharedTable
 	// peers holds what is known of each sender.
@@ -67,7 +67,7 @@
 		}
 	}
 	out.AddEndpoints(h.endpoints, in.Digest.Endpoints)
-	out.Confirmation = Confirm(h.stamps.issue(now), now, &h.tablesKnown, &h.endpointsKnown)
+	out.Confirmation = Confirm(h.stamps.issue(now), now, &h.tableFreshness, &h.endpointFreshness)
 	heardAt := time.Time{}
 	if in.HeardAge > 0 {
 		heardAt = now.Add(-in.HeardAge)
@@ -88,10 +88,10 @@
 	}
 	var tables, endpoints *store.Freshness
 	if h.table != nil && h.table.Version() >= in.Digest.Table {
-		tables = &h.tablesKnown
+		tables = &h.tableFreshness
 	}
 	if h.endpoints.Revision() >= in.Digest.Endpoints {
-		endpoints = &h.endpointsKnown
+		endpoints = &h.endpointFreshness
 	}
 	in.Confirmation.Apply(moment, tables, endpoints)
 }
--- a/relay/confirm.go
+++ b/relay/confirm.go
@@ -45,7 +45,7 @@
 	if !known {
 		return nil
 	}
-	return gossip.Confirm(received.stamp, received.at, g.relay.tablesKnown, g.relay.endpointsKnown)
+	return gossip.Confirm(received.stamp, received.at, g.relay.tableFreshness, g.relay.endpointFreshness)
 }
 
 // confirm records how recent the state is that a hub returned to a message sent at a given time, which is not
@@ -57,10 +57,10 @@
 	g.stamps.record(hub.Address, in.Confirmation.Stamp, time.Now())
 	var tables, endpoints *store.Freshness
 	if t := g.relay.Table(); t != nil && t.Version >= in.Digest.Table {
-		tables = g.relay.tablesKnown
+		tables = g.relay.tableFreshness
 	}
 	if g.pool.Revision() >= in.Digest.Endpoints {
-		endpoints = g.relay.endpointsKnown
+		endpoints = g.relay.endpointFreshness
 	}
 	in.Confirmation.Apply(sentAt, tables, endpoints)
 }
--- a/relay/doubt_test.go
+++ b/relay/doubt_test.go
@@ -44,7 +44,7 @@
 					path = "/lookup/x"
 				}
 				if s.confirmed {
-					r.tablesKnown.Confirm(time.Now())
+					r.tableFreshness.Confirm(time.Now())
 				}
 				time.Sleep(s.age)
 				_, refusal := send(t.Context(), r, path)
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -122,12 +122,12 @@
 
 // TableWatchTimeout returns the wait for the next watch of the routing table. It may block to delay it.
 func (g *Gossip) TableWatchTimeout(ctx context.Context) time.Duration {
-	return g.nextWatchTimeout(ctx, g.relay.tablesKnown)
+	return g.nextWatchTimeout(ctx, g.relay.tableFreshness)
 }
 
 // EndpointWatchTimeout returns the wait for the next watch of the endpoints. It may block to delay it.
 func (g *Gossip) EndpointWatchTimeout(ctx context.Context) time.Duration {
-	return g.nextWatchTimeout(ctx, g.relay.endpointsKnown)
+	return g.nextWatchTimeout(ctx, g.relay.endpointFreshness)
 }
 
 // nextWatchTimeout returns a random wait for the next watch of the store, so that the watches
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -79,9 +79,9 @@
 	*common.Common
 	config Config
 	table  atomic.Pointer[table.Table]
-	// tablesKnown and endpointsKnown are how recent the table and the endpoints are.
-	tablesKnown, endpointsKnown *store.Freshness
-	crashes                     *crash.Tracker
+	// tableFreshness and endpointFreshness are how recent the table and the endpoints are.
+	tableFreshness, endpointFreshness *store.Freshness
+	crashes                           *crash.Tracker
 	// crashed holds one entry if a crash is to be sent to all hubs: of a prompt with parts, or of
 	// a blocked request.
 	crashed chan struct{}
@@ -121,23 +121,23 @@
 // NewRelay returns a relay that refuses all requests until it has a table.
 func NewRelay(c *common.Common, config Config) *Relay {
 	return &Relay{
-		Common:           c,
-		config:           config,
-		responses:        newResponseMemory(config.ResponseMemory),
-		tablesKnown:      &store.Freshness{},
-		endpointsKnown:   &store.Freshness{},
-		crashes:          crash.NewTracker(),
-		crashed:          make(chan struct{}, 1),
-		origins:          newOriginLog(),
-		quotas:           newQuotas(config.Quotas),
-		retryLimiters:    map[ident.ServiceName]*retry.Limiter{},
-		waitEstimator:    retry.NewWaitEstimator(),
-		learned:          newLearnedCosts(),
-		unreachableUntil: map[ident.EndpointName]time.Time{},
-		loads:            map[ident.ServiceName]*serviceLoad{},
-		prefillTimings:   map[ident.EndpointName]keeper.PrefillTiming{},
-		lengthEstimators: map[ident.ServiceName]*memory.LengthEstimator{},
-		longestWaits:     map[ident.ServiceName]*recentMaximum{},
+		Common:            c,
+		config:            config,
+		responses:         newResponseMemory(config.ResponseMemory),
+		tableFreshness:    &store.Freshness{},
+		endpointFreshness: &store.Freshness{},
+		crashes:           crash.NewTracker(),
+		crashed:           make(chan struct{}, 1),
+		origins:           newOriginLog(),
+		quotas:            newQuotas(config.Quotas),
+		retryLimiters:     map[ident.ServiceName]*retry.Limiter{},
+		waitEstimator:     retry.NewWaitEstimator(),
+		learned:           newLearnedCosts(),
+		unreachableUntil:  map[ident.EndpointName]time.Time{},
+		loads:             map[ident.ServiceName]*serviceLoad{},
+		prefillTimings:    map[ident.EndpointName]keeper.PrefillTiming{},
+		lengthEstimators:  map[ident.ServiceName]*memory.LengthEstimator{},
+		longestWaits:      map[ident.ServiceName]*recentMaximum{},
 	}
 }
 
@@ -160,14 +160,14 @@
 // Table returns the current routing table, or nil.
 func (r *Relay) Table() *table.Table { return r.table.Load() }
 
-// TablesKnown returns how recent the routing table is, for a watcher of the store.
-func (r *Relay) TablesKnown() *store.Freshness { return r.tablesKnown }
+// TableFreshness returns how recent the routing table is, for a watcher of the store.
+func (r *Relay) TableFreshness() *store.Freshness { return r.tableFreshness }
 
-// EndpointsKnown returns how recent the endpoints are, for a watcher of the store.
-func (r *Relay) EndpointsKnown() *store.Freshness { return r.endpointsKnown }
+// EndpointFreshness returns how recent the endpoints are, for a watcher of the store.
+func (r *Relay) EndpointFreshness() *store.Freshness { return r.endpointFreshness }
 
 // TableAge returns how long ago a table may have been acknowledged that this relay does not have.
-func (r *Relay) TableAge() time.Duration { return r.tablesKnown.Age(time.Now()) }
+func (r *Relay) TableAge() time.Duration { return r.tableFreshness.Age(time.Now()) }
 
 // SetRetries changes the retry limits.
 func (r *Relay) SetRetries(limits retry.Limits) {
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -147,8 +147,8 @@
 func (s *relayServer) startWatchers() {
 	configs := store.NewWatcher(s.Common, platform.NewNewestStore(s.store), platform.ConfigKind, &platform.ConfigReader{Common: s.Common, OnConfig: s.applyTable, NextWatchTimeout: s.gossip.TableWatchTimeout})
 	endpoints := store.NewWatcher(s.Common, s.store, platform.EndpointKind, s.endpointReader)
-	configs.Freshness, configs.MaxAge = s.relay.TablesKnown(), relay.MaxAge
-	endpoints.Freshness, endpoints.MaxAge = s.relay.EndpointsKnown(), relay.MaxAge
+	configs.Freshness, configs.MaxAge = s.relay.TableFreshness(), relay.MaxAge
+	endpoints.Freshness, endpoints.MaxAge = s.relay.EndpointFreshness(), relay.MaxAge
 	s.tasks.Go(func() { configs.Run(s.ctx) })
 	s.tasks.Go(func() { endpoints.Run(s.ctx) })
 	s.tasks.Go(func() { s.gossip.Run(s.ctx) })
@@ -174,7 +174,7 @@
 		s.endpoints.Client().CloseExpired(now)
 		s.limitConns()
 		s.Meter.RecordKnowledgeAge("table", s.relay.TableAge())
-		s.Meter.RecordKnowledgeAge("endpoints", s.relay.EndpointsKnown().Age(now))
+		s.Meter.RecordKnowledgeAge("endpoints", s.relay.EndpointFreshness().Age(now))
 		for _, name := range s.pool.RemoveLapsed(now, watcher.LastFailure()) {
 			s.Log.Info("removed an endpoint whose record has lapsed", "endpoint", name)
 		}
