An entry that was suspended knows that its documents are old

The age of an entry's documents was that of the steady clock, which stands still while an instance is suspended: it served a document that a change had replaced for up to 8 s more after it woke. The same class as the relays' tables, found by looking for it elsewhere; the age is now the longest that either clock shows.

docset.TestView, case of a suspended entry: active before, unconfirmed now.

--- a/docset/view.go
+++ b/docset/view.go
@@ -71,7 +71,7 @@
 		return ActiveDocument{}, NotFound
 	}
 	found := ActiveDocument{Document: s.document, Number: s.revision.Number}
-	if s.mayBeAcked && now.Sub(v.confirmedAt) > MaxStaleness {
+	if s.mayBeAcked && store.Elapsed(v.confirmedAt, now) > MaxStaleness {
 		return found, Unconfirmed
 	}
 	return found, Active
--- a/docset/view_test.go
+++ b/docset/view_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"crocusstep/clock"
 	"crocusstep/store"
 )
 
@@ -91,6 +92,19 @@
 				assert.Equal(t, status, Active)
 			},
 		},
+		{
+			testName: "an entry that was suspended, so that its steady clock stood still, cannot confirm its document",
+			run: func(t *testing.T, v *View) {
+				// It has readings of both clocks, and is after modelStart.
+				now := clock.Step(time.Now(), 20*365*24*time.Hour)
+				v.ApplyEvents(store.Batch{Version: 5, Events: []store.Object{newObject(t, 5, Record{Current: Revision{Number: 1, Text: documentText(1)}, Staged: &second, Proposal: "p"})}}, now)
+				v.Acknowledge(v.Pending())
+				_, status := v.Find("s", now.Add(time.Second))
+				assert.Equal(t, status, Active)
+				_, status = v.Find("s", clock.Step(now.Add(time.Second), MaxStaleness))
+				assert.Equal(t, status, Unconfirmed)
+			},
+		},
 		{
 			testName: "a service with an unparsable document is not found",
 			run: func(t *testing.T, v *View) {
--- a/mutant/config.go
+++ b/mutant/config.go
@@ -13,8 +13,8 @@
 	{
 		guarantee: "ages count the time in which an instance was suspended",
 		file:      "store/freshness.go",
-		original:  "\treturn max(now.Sub(asOf), wallTime(now).Sub(wallTime(asOf)))\n",
-		mutated:   "\treturn now.Sub(asOf)\n",
+		original:  "\treturn max(to.Sub(from), wallTime(to).Sub(wallTime(from)))\n",
+		mutated:   "\treturn to.Sub(from)\n",
 		pkg:       "store", test: "TestFreshness",
 	},
 	{
--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -111,7 +111,7 @@
 	{
 		guarantee: "an entry that acknowledged a change and is partitioned stops serving the old document",
 		file:      "docset/view.go",
-		original:  "if s.mayBeAcked && now.Sub(v.confirmedAt) > MaxStaleness {",
+		original:  "if s.mayBeAcked && store.Elapsed(v.confirmedAt, now) > MaxStaleness {",
 		mutated:   "if false {",
 		pkg:       "docset", test: "TestModel",
 	},
--- a/store/freshness.go
+++ b/store/freshness.go
@@ -41,7 +41,12 @@
 	if asOf.IsZero() {
 		return math.MaxInt64
 	}
-	return max(now.Sub(asOf), wallTime(now).Sub(wallTime(asOf)))
+	return Elapsed(asOf, now)
+}
+
+// Elapsed returns the longest time that may have passed between two readings of this process's clocks.
+func Elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), wallTime(to).Sub(wallTime(from)))
 }
 
 // awaitAge waits until the age has reached a limit. It reports false if the context has ended before.
