The requests that a process holds share a part of its memory

What callers saw: many large bodies of legal size ended a process, which ran out of memory, with the requests of all others on it. It was the same for whole bodies, for such that stop just short of their end, and for chunked ones.

Cause: each body had a limit of its own (4 MiB at an entry, what the operators state at a relay, 8 MiB at agents and keepers), and heads had, but nothing bounded them together. io.ReadAll holds up to 1.25 times a body, more while it grows, and an entry made 23 MiB of a chat of 4.

Change: intake.Budget is the memory that all requests which a process holds take together, in every role, at every port: heads by their size and number of fields, bodies with the buffer that they grow into (intake.ReadBody), and what is made of them (intake.Hold). When it is used up, the incomplete request with the largest product of size and age is dropped with a 503 that is true, as a request that was not read never runs. A complete request is never dropped; if only such are left, a new one is refused. Requests above 64 KiB have three quarters of the budget, so small ones always find room. A body whose length is stated above what there ever is gets 413 at once. A body that a handler does not bound may take 30 s. Relays have an eighth of their memory for requests, the other roles, which decode them, a quarter. Entries and agents have a setting for their memory, 240 MiB. The count of words of a prompt makes no list of them any more.

Why it works: the sum is held by one account, not by the limits of its parts. What a crowd leaves unfinished gets older and yields; an ordinary request arrives and ends within milliseconds, so it outweighs nothing that stays.

--- a/agent/controller.go
+++ b/agent/controller.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -13,12 +12,17 @@
 	"github.com/sourcegraph/conc"
 
 	"crocusstep/fault"
+	"crocusstep/intake"
 	"crocusstep/wire"
 )
 
 // maxRequestBytes is the size limit of a request body.
 const maxRequestBytes = 8 << 20
 
+// decodedFactor is how much memory a byte of a request takes once it is decoded, beside that of the
+// body.
+const decodedFactor = 2
+
 // Handler returns the agent's peer API. It rejects requests that are not signed
 // by a process of the router.
 func (a *Agent) Handler() http.Handler {
@@ -36,9 +40,9 @@
 // authenticated verifies and decodes a request before it is served.
 func authenticated[Request any](a *Agent, serve func(http.ResponseWriter, *http.Request, Request)) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+		body, err := intake.ReadBody(w, r, maxRequestBytes)
 		if err != nil {
-			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			w.WriteHeader(statusOfBody(err))
 			return
 		}
 		if err := a.config.Keyring.Verify(r, body, time.Now()); err != nil {
@@ -46,6 +50,10 @@
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
+		if err := intake.Hold(r, decodedFactor*int64(len(body))); err != nil {
+			w.WriteHeader(statusOfBody(err))
+			return
+		}
 		var request Request
 		if err := json.Unmarshal(body, &request); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
@@ -55,6 +63,14 @@
 	}
 }
 
+// statusOfBody returns the status of a request that is not read or decoded.
+func statusOfBody(err error) int {
+	if errors.Is(err, intake.ErrOverloaded) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusRequestEntityTooLarge
+}
+
 func (a *Agent) serveReservePrefill(w http.ResponseWriter, r *http.Request, request wire.ReservePrefillRequest) {
 	err := a.reservePrefill(r.Context(), request)
 	writeJSON(w, wire.Response{Load: a.load(), Fault: a.chatRefusal(r.Context(), err)})
--- a/conf/check.go
+++ b/conf/check.go
@@ -25,6 +25,7 @@
 	checkPositive(source, "transfer-timeout", settings.TransferTimeout)
 	checkPositive(source, "max-body", settings.MaxBody)
 	checkPositive(source, "max-header", settings.MaxHeader)
+	checkPositive(source, "memory", settings.Memory)
 	return settings, source.Err()
 }
 
@@ -45,6 +46,7 @@
 	checkPositive(source, "lanes", settings.PrefillSlots)
 	checkPositive(source, "max-hold", settings.MaxHoldTimeout)
 	checkPositive(source, "sweep-interval", settings.SweepInterval)
+	checkPositive(source, "memory", settings.Memory)
 	return settings, source.Err()
 }
 
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -75,8 +75,10 @@
 	WriteTimeout parser.Duration `yaml:"write-timeout"`
 	// Longest time for a KV transfer between two endpoints.
 	TransferTimeout parser.Duration `yaml:"transfer-timeout"`
-	Log             Log             `yaml:"log"`
-	Shutdown        Shutdown        `yaml:"shutdown"`
+	// Memory limit of the process. A quarter of it is for requests.
+	Memory   parser.Size `yaml:"memory"`
+	Log      Log         `yaml:"log"`
+	Shutdown Shutdown    `yaml:"shutdown"`
 }
 
 // Agent is the settings of the process that serves one endpoint.
@@ -106,8 +108,10 @@
 	MaxHoldTimeout parser.Duration `yaml:"max-hold"`
 	// Interval of comparisons with the engine's list of requests.
 	SweepInterval parser.Duration `yaml:"sweep-interval"`
-	Log           Log             `yaml:"log"`
-	Shutdown      Shutdown        `yaml:"shutdown"`
+	// Memory limit of the process. A quarter of it is for requests.
+	Memory   parser.Size `yaml:"memory"`
+	Log      Log         `yaml:"log"`
+	Shutdown Shutdown    `yaml:"shutdown"`
 }
 
 // NewEntry returns the default settings of an entry.
@@ -120,6 +124,7 @@
 		BodyTimeout:     parser.Duration(10 * time.Second),
 		WriteTimeout:    parser.Duration(10 * time.Second),
 		TransferTimeout: parser.Duration(2 * time.Second),
+		Memory:          defaultMemory,
 		Log:             defaultLog(),
 		Shutdown:        defaultShutdown(),
 	}
@@ -133,11 +138,15 @@
 		PrefillSlots:   1,
 		MaxHoldTimeout: parser.Duration(10 * time.Second),
 		SweepInterval:  parser.Duration(2 * time.Second),
+		Memory:         defaultMemory,
 		Log:            defaultLog(),
 		Shutdown:       defaultShutdown(),
 	}
 }
 
+// defaultMemory is a little less than the 256 MB that control may have on an instance.
+const defaultMemory = 240 * parser.MiB
+
 func defaultPlatform() Platform { return Platform{Timeout: parser.Duration(2 * time.Second)} }
 
 func defaultLog() Log { return Log{Level: "info", Format: "text"} }
--- a/entry/chat_controller.go
+++ b/entry/chat_controller.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"crocusstep/fault"
 	"crocusstep/ident"
+	"crocusstep/intake"
 	"crocusstep/spec"
 )
 
@@ -32,6 +34,10 @@
 		e.writeRefusal(w, request, refusal)
 		return
 	}
+	if err := intake.Hold(r, decodedSize(body)); err != nil {
+		e.writeRefusal(w, request, e.refuseDecoding(err, len(body)))
+		return
+	}
 	chat, refusal := parseChatRequest(body)
 	if refusal != nil {
 		e.writeRefusal(w, request, refusal)
@@ -46,6 +52,14 @@
 	exchange.serve(r.Context())
 }
 
+// refuseDecoding refuses a chat for which there is no memory once it is decoded.
+func (e *Entry) refuseDecoding(err error, size int) *fault.Refusal {
+	if errors.Is(err, intake.ErrOverloaded) {
+		return e.refuseForMemory()
+	}
+	return fault.New(fault.BodyTooLarge, "the entry has too little memory for the messages of a body of %d bytes", size)
+}
+
 func (e *Entry) newChatWriter(w http.ResponseWriter, exchange *chatExchange, stream bool) chatWriter {
 	if !stream {
 		return &jsonWriter{w: w, request: exchange.request, model: exchange.document.Service, created: exchange.arrived}
--- a/entry/chat_messages.go
+++ b/entry/chat_messages.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
 
@@ -23,6 +24,19 @@
 	MaxTokens ident.TokenCount  `json:"max_tokens"`
 }
 
+const (
+	// decodedFactor is how much memory a byte of a chat takes beside the body: as its messages, as the
+	// prompt, and in the requests to the agents of one attempt.
+	decodedFactor = 5
+	// objectBytes is the memory of an object of the body, which may be a message.
+	objectBytes = 64
+)
+
+// decodedSize returns the memory that a chat takes beside its body.
+func decodedSize(body []byte) int64 {
+	return int64(decodedFactor*len(body) + objectBytes*bytes.Count(body, []byte{'{'}))
+}
+
 // parseChatRequest decodes and validates a chat completion request.
 func parseChatRequest(body []byte) (chat chatRequest, refusal *fault.Refusal) {
 	if err := json.Unmarshal(body, &chat); err != nil {
@@ -53,7 +67,11 @@
 
 // estimateTokens counts words; the prefill returns the engine's exact count.
 func estimateTokens(prompt string) ident.TokenCount {
-	return ident.TokenCount(max(1, len(strings.Fields(prompt))))
+	count := 0
+	for range strings.FieldsSeq(prompt) {
+		count++
+	}
+	return ident.TokenCount(max(1, count))
 }
 
 // chatUsage counts tokens. Callers also use CompletionTokens to check that a
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -14,6 +13,7 @@
 	"crocusstep/docset"
 	"crocusstep/fault"
 	"crocusstep/ident"
+	"crocusstep/intake"
 )
 
 // unconfirmedRetryAfter is the retry delay while a change of the service's
@@ -56,14 +56,16 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(e.config.BodyTimeout))
 	defer context.AfterFunc(r.Context(), func() { _ = controller.SetReadDeadline(time.Now()) })()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := intake.ReadBody(w, r, limit)
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
-		return nil, fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", limit)
+		return nil, fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", tooLarge.Limit)
+	case errors.Is(err, intake.ErrOverloaded):
+		return nil, e.refuseForMemory()
 	case errors.Is(context.Cause(r.Context()), fault.ErrGraceEnded):
 		return nil, fault.New(fault.Draining, "the entry stopped before it had the body").WithRetryAfter(e.withJitter(0))
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -72,6 +74,11 @@
 	return nil, fault.New(fault.BadRequest, "the body could not be read: %v", err)
 }
 
+// refuseForMemory refuses a request for which there is no memory beside the others.
+func (e *Entry) refuseForMemory() *fault.Refusal {
+	return fault.New(fault.Overloaded, "%v", intake.ErrOverloaded).WithRetryAfter(e.withJitter(0))
+}
+
 // findDocument returns the service's current document.
 func (e *Entry) findDocument(service ident.ServiceName) (docset.ActiveDocument, *fault.Refusal) {
 	if !e.docs.Loaded() {
--- a/intake/close.go
+++ b/intake/close.go
@@ -27,8 +27,8 @@
 
 // closeState is what Close does beside closing the connection.
 type closeState struct {
-	// refuses is set if the caller owes a request or the rest of one and gets closingResponse.
-	refuses bool
+	// refusal is the response to a request that the caller owes or owes the rest of, or empty.
+	refusal string
 	// lingers is set if the connection is read after its sending side was closed.
 	lingers bool
 	// isBoundary is set if what is read after the close begins with a request.
@@ -40,10 +40,11 @@
 // under way.
 func (c *conn) Close() error {
 	state := c.beginClose()
-	if state.refuses && c.server.RefusesAtClose {
+	c.endRequest()
+	if state.refusal != "" {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(closingWriteTime))
 		// If it fails, the caller has left or reads nothing.
-		_, _ = io.WriteString(c.Conn, closingResponse)
+		_, _ = io.WriteString(c.Conn, state.refusal)
 	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && state.lingers && tcp.CloseWrite() == nil {
 		c.linger(state.isBoundary)
@@ -61,7 +62,14 @@
 		return closeState{}
 	}
 	c.closed = true
-	return closeState{refuses: !c.handled && !c.written, lingers: !isFinal, isBoundary: c.waits}
+	state := closeState{lingers: !isFinal, isBoundary: c.waits}
+	if !c.handled && !c.written {
+		state.refusal = c.refusal
+		if state.refusal == "" && c.server.RefusesAtClose {
+			state.refusal = closingResponse
+		}
+	}
+	return state
 }
 
 // linger reads until the caller has closed the connection, for lingerTime at most.
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -41,6 +41,14 @@
 	// expired is set once the wait for a request or the rest of its head was too long: nothing is
 	// read any more, as net/http takes the part of a line before an error for a whole one.
 	expired bool
+	// refusal, if not empty, is the response to a request whose head is read no further.
+	refusal string
+	// bodyEnded is set once the body of the request that was handled has been read.
+	bodyEnded bool
+	// since is when the request began that is being read or handled.
+	since time.Time
+	// share is the memory of the request that is being read or handled, nil while there is none.
+	share *share
 	// callerEnded is set once nothing can be read any more.
 	callerEnded bool
 	// resets is set while Close resets the connection.
@@ -51,7 +59,7 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.isExpired() {
+	if c.isUnread() {
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := c.Conn.Read(p)
@@ -60,11 +68,13 @@
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime))
 		n, err = c.Conn.Read(p)
 	}
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.isHandled() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.isHandled() && !c.isUnread() {
 		n, err = c.readArrived(p, err)
 	}
 	if n > 0 {
-		c.receive()
+		if receiveErr := c.receive(p[:n]); receiveErr != nil {
+			return 0, receiveErr
+		}
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.endReading()
@@ -74,9 +84,9 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.isExpired() {
+	if response := c.unreadResponse(); response != "" {
 		// net/http takes an incomplete head for a malformed one.
-		_, err := io.WriteString(c.Conn, closingResponse)
+		_, err := io.WriteString(c.Conn, response)
 		c.begin()
 		return len(p), err
 	}
@@ -120,20 +130,73 @@
 }
 
 // handle is called when a request reaches the handler. It returns false if the connection is
-// closed, and the request must not be served.
+// closed, or the request was dropped, and it must not be served.
 func (c *conn) handle() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.closed {
+	if c.closed || c.refusal != "" {
 		return false
 	}
-	c.waits, c.handled = false, true
-	if c.bodyEnds {
-		_ = c.applyDeadline()
+	if c.waits {
+		// All of its head had come with the request before.
+		c.beginRequest()
 	}
+	c.handled = true
+	_ = c.applyDeadline()
 	return true
 }
 
+// beginRequest must be called with the lock held.
+func (c *conn) beginRequest() {
+	c.waits = false
+	c.since = time.Now()
+	c.share = c.server.Budget.newShare(c.drop)
+}
+
+// drop ends the reading of a request that has yielded to others.
+func (c *conn) drop() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.handled {
+		c.bodyEnds = true
+	} else {
+		c.refusal = overloadedResponse
+	}
+	// If it fails, the connection is closed already.
+	_ = c.applyDeadline()
+}
+
+// endOfBody is called when the body of a request was read. It returns an error if the request was
+// dropped.
+func (c *conn) endOfBody() error {
+	c.mutex.Lock()
+	c.bodyEnded = true
+	_ = c.applyDeadline()
+	share := c.share
+	c.mutex.Unlock()
+	return share.finish()
+}
+
+// endRequest is called when the handler of a request has returned.
+func (c *conn) endRequest() {
+	c.mutex.Lock()
+	share := c.share
+	c.share = nil
+	c.mutex.Unlock()
+	share.end()
+}
+
+// requestShare returns the memory of the request that is being read or handled. It may be called on
+// nil.
+func (c *conn) requestShare() *share {
+	if c == nil {
+		return nil
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.share
+}
+
 // isPartlyRead reports whether a part of a request was read that has neither reached the
 // handler nor been refused.
 func (c *conn) isPartlyRead() bool {
@@ -183,20 +246,35 @@
 func (c *conn) await() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.waits, c.handled, c.written = true, false, false
+	c.waits, c.handled, c.written, c.bodyEnded = true, false, false, false
 }
 
-// receive is called when a part of a request was read.
-func (c *conn) receive() {
+// receive is called when a part of a request was read. After an error nothing of it must be used.
+func (c *conn) receive(part []byte) error {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if !c.waits {
-		return
+	if c.handled {
+		c.mutex.Unlock()
+		return nil
 	}
-	c.waits = false
-	if c.ends {
+	if c.waits {
+		c.beginRequest()
 		_ = c.applyDeadline()
 	}
+	share := c.share
+	c.mutex.Unlock()
+	if share.take(headWeight(part)) != nil {
+		return c.refuse(overloadedResponse)
+	}
+	return nil
+}
+
+// refuse records the response to a request whose head is read no further. It returns the error of a
+// read, with which net/http closes the connection.
+func (c *conn) refuse(response string) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.refusal = response
+	return os.ErrDeadlineExceeded
 }
 
 // endReading is called when the caller has closed the connection, or it is broken.
@@ -206,10 +284,21 @@
 	c.callerEnded = true
 }
 
-func (c *conn) isExpired() bool {
+// isUnread reports whether nothing is read any more of a request whose head has not come.
+func (c *conn) isUnread() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.expired || c.refusal != ""
+}
+
+// unreadResponse returns the response to a request of which nothing is read any more, or nothing.
+func (c *conn) unreadResponse() string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.expired
+	if c.refusal == "" && c.expired {
+		return closingResponse
+	}
+	return c.refusal
 }
 
 func (c *conn) isWritten() bool {
@@ -232,8 +321,25 @@
 
 // applyDeadline must be called with the lock held.
 func (c *conn) applyDeadline() error {
-	if c.ends && c.waits || c.bodyEnds && c.handled {
+	if c.refusal != "" || c.ends && c.waits || c.bodyEnds && c.handled {
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
-	return c.Conn.SetReadDeadline(c.deadline)
+	deadline := c.deadline
+	if own := c.ownDeadline(); !own.IsZero() && (deadline.IsZero() || own.Before(deadline)) {
+		deadline = own
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// ownDeadline returns the end of the time that the caller has for a body, or zero. It must be called
+// with the lock held.
+func (c *conn) ownDeadline() time.Time {
+	limit := time.Duration(0)
+	if c.handled && !c.bodyEnded {
+		limit = bodyTimeout
+	}
+	if limit <= 0 {
+		return time.Time{}
+	}
+	return c.since.Add(limit)
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -32,6 +32,9 @@
 	// OnCrossing, if set, is called for each request that came after its connection was closed,
 	// with its header, or nil if its head is incomplete. It must be set before Serve.
 	OnCrossing func(http.Header)
+	// Budget is the memory of the requests that are read or handled; nil is no bound. It must be set
+	// before Serve.
+	Budget *Budget
 	// cancel ends the contexts of all requests.
 	cancel context.CancelCauseFunc
 	// serving counts the calls of Serve.
@@ -74,7 +77,9 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
+		defer c.endRequest()
 		defer s.answerPanic(w, r, c)
+		r = withBody(r, c)
 		if !r.ProtoAtLeast(1, 1) {
 			c.serveUnframed(handler, w, r)
 			return
@@ -260,3 +265,9 @@
 		close(s.empty)
 	}
 }
+
+// DropReason is why a request yields to others.
+type DropReason string
+
+// DropRequest means that the requests had used up their memory.
+const DropRequest DropReason = "memory"
--- a/keeper/server.go
+++ b/keeper/server.go
@@ -3,15 +3,21 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 
 	"crocusstep/gossip"
+	"crocusstep/intake"
 	"crocusstep/quota"
 )
 
+// decodedFactor is how much memory a byte of a message takes once it is decoded, beside that of the
+// body.
+const decodedFactor = 2
+
 // NewHandler returns the handler of the keeper's calls.
 func NewHandler(k *Keeper, h *gossip.Hub) http.Handler {
 	router := httprouter.New()
@@ -65,8 +71,19 @@
 // handle adapts a function from request to response to an HTTP handler of JSON bodies.
 func handle[Request, Response any](do func(context.Context, Request) Response) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := intake.ReadBody(w, r, maxMessageBytes)
+		if err == nil {
+			err = intake.Hold(r, decodedFactor*int64(len(body)))
+		}
+		if errors.Is(err, intake.ErrOverloaded) {
+			http.Error(w, "other messages have used up the memory", http.StatusServiceUnavailable)
+			return
+		}
 		var request Request
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(&request); err != nil {
+		if err == nil {
+			err = json.Unmarshal(body, &request)
+		}
+		if err != nil {
 			http.Error(w, "the message cannot be read", http.StatusBadRequest)
 			return
 		}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -52,6 +52,7 @@
 	crossRegionBytes    metric.Int64Counter
 	skippedRecords      metric.Int64Counter
 	crossedRequests     metric.Int64Counter
+	droppedClients      metric.Int64Counter
 }
 
 // NewMeter returns a Meter with its own registry.
@@ -83,6 +84,7 @@
 		crossRegionBytes:    b.counter("region.link.bytes", "Bytes sent to another region."),
 		skippedRecords:      b.counter("skipped.records", "Revisions of stored records that cannot be used, by kind of record."),
 		crossedRequests:     b.counter("requests.crossed", "Requests that came after their connection was closed, and were not handled."),
+		droppedClients:      b.counter("clients.dropped", "Connections and requests that were dropped for others, by what was used up."),
 	}
 	return m, b.err
 }
@@ -169,6 +171,11 @@
 // CountCrossedRequest counts a request that came after its connection was closed.
 func (m *Meter) CountCrossedRequest() { m.crossedRequests.Add(context.Background(), 1) }
 
+// CountDroppedClient counts a connection or a request that was dropped for others, by what was used up.
+func (m *Meter) CountDroppedClient(resource string) {
+	m.droppedClients.Add(context.Background(), 1, metric.WithAttributes(attribute.String("resource", resource)))
+}
+
 // CountCrossRegionBytes counts bytes sent to another region.
 func (m *Meter) CountCrossRegionBytes(service ident.ServiceName, size ident.ByteCount) {
 	m.crossRegionBytes.Add(context.Background(), int64(size), m.serviceOption(service))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -219,6 +219,11 @@
 	return refusal
 }
 
+// RefuseForMemory refuses a request for which there is no memory beside the others.
+func (r *Relay) RefuseForMemory() *fault.Refusal {
+	return fault.New(fault.Overloaded, "other requests have used up the memory for requests").WithRetryAfter(r.retryAfterJitter(minRetryAfter))
+}
+
 // RecordRefusal counts and logs a refusal that precedes routing, and returns it.
 func (r *Relay) RecordRefusal(attempt ident.AttemptID, refusal *fault.Refusal) *fault.Refusal {
 	r.Meter.CountRequest("", string(refusal.Code), false)
--- a/start/agent_command.go
+++ b/start/agent_command.go
@@ -23,14 +23,14 @@
 	if err != nil {
 		return err
 	}
-	p, ring, err := c.startProcess(settings.Log, settings.Location, settings.PeerKeysFile)
+	p, ring, err := c.startProcess(settings.Log, settings.Location, settings.Memory, settings.PeerKeysFile)
 	if err != nil {
 		return err
 	}
 	defer p.close()
 	a := newAgent(p, settings, ring)
 	p.tasks.Go(a.Run)
-	peers := newServer(a.Handler(), peerHeaderTimeout)
+	peers := p.guard.newServer(a.Handler(), peerHeaderTimeout)
 	if err := p.serve(settings.Listen, peers); err != nil {
 		return err
 	}
--- a/start/entry_command.go
+++ b/start/entry_command.go
@@ -22,14 +22,14 @@
 	if err != nil {
 		return err
 	}
-	p, ring, err := c.startProcess(settings.Log, settings.Location, settings.PeerKeysFile)
+	p, ring, err := c.startProcess(settings.Log, settings.Location, settings.Memory, settings.PeerKeysFile)
 	if err != nil {
 		return err
 	}
 	defer p.close()
 	e := newEntry(p, settings, ring)
 	p.tasks.Go(func() { e.Run(p.ctx) })
-	callers := newServer(e.Handler(), settings.HeaderTimeout.Std())
+	callers := p.guard.newServer(e.Handler(), settings.HeaderTimeout.Std())
 	callers.MaxHeaderBytes = int(settings.MaxHeader)
 	callers.RefusesAtClose = true
 	if err := p.serve(settings.Listen, callers); err != nil {
--- a/start/keeper_command.go
+++ b/start/keeper_command.go
@@ -25,6 +25,8 @@
 			parse:     conf.ParseKeeper,
 			placement: func(s conf.Keeper) (conf.Location, parser.Size) { return s.Location, s.Memory },
 			run:       c.runKeeper,
+
+			requestParts: requestParts,
 		})
 	})
 }
@@ -35,7 +37,7 @@
 	})
 	k := keeper.NewKeeper(p.Common, engine)
 	p.tasks.Go(func() { k.Run(p.ctx) })
-	server := newServer(keeper.NewHandler(k, gossip.NewHub()), adminHeaderTimeout)
+	server := p.guard.newServer(keeper.NewHandler(k, gossip.NewHub()), adminHeaderTimeout)
 	listen := net.JoinHostPort(settings.Address, strconv.Itoa(settings.Peers.KeeperPort))
 	if err := p.serve(listen, server); err != nil {
 		return err
--- a/start/platform_process.go
+++ b/start/platform_process.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -22,14 +21,11 @@
 	"crocusstep/socket"
 )
 
-// heapPercent is the share of the memory limit for the Go heap; stacks, kernel
-// buffers and the program itself take the rest.
-const heapPercent = 60
-
 // platformProcess is a process that the platform starts, such as a relay.
 // It logs JSON to the standard output and has no administration listener.
 type platformProcess struct {
 	*common.Common
+	guard     *guard
 	ctx       context.Context
 	cancel    context.CancelFunc
 	logWriter *logs.Writer
@@ -47,6 +43,8 @@
 	parse func(file string, data []byte) (Settings, error)
 	// placement returns where the process runs and its memory limit.
 	placement func(Settings) (conf.Location, parser.Size)
+	// requestParts is the part of the memory for requests.
+	requestParts int
 	// run serves until a signal to stop arrives.
 	run func(*platformProcess, Settings) error
 }
@@ -57,16 +55,18 @@
 	if err != nil {
 		return err
 	}
-	p, err := c.newPlatformProcess(role.placement(settings))
+	location, memory := role.placement(settings)
+	p, err := c.newPlatformProcess(location)
 	if err != nil {
 		return err
 	}
+	limitHeap(memory)
+	p.guard = newGuard(memory, role.requestParts, p.Meter)
 	defer p.close()
 	return role.run(p, settings)
 }
 
-func (c *cli) newPlatformProcess(location conf.Location, memory parser.Size) (*platformProcess, error) {
-	debug.SetMemoryLimit(int64(memory) * heapPercent / 100)
+func (c *cli) newPlatformProcess(location conf.Location) (*platformProcess, error) {
 	m, err := meter.NewMeter()
 	if err != nil {
 		return nil, err
@@ -138,5 +138,5 @@
 func (p *platformProcess) serveMetrics(host string, port int) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.Meter.Handler())
-	return p.serve(net.JoinHostPort(host, strconv.Itoa(port)), newServer(mux, adminHeaderTimeout))
+	return p.serve(net.JoinHostPort(host, strconv.Itoa(port)), p.guard.newSideServer(mux))
 }
--- a/start/process.go
+++ b/start/process.go
@@ -18,6 +18,7 @@
 	"crocusstep/ident"
 	"crocusstep/intake"
 	"crocusstep/meter"
+	"crocusstep/parser"
 	"crocusstep/platform"
 	"crocusstep/socket"
 )
@@ -28,20 +29,13 @@
 	keysPollInterval = 5 * time.Second
 	// exitForced is the exit code after a second signal: 128 + SIGINT.
 	exitForced = 130
-
-	adminHeaderTimeout = 5 * time.Second
-
-	// maxHeadBytes limits the head of a request; operators' limits are well below.
-	maxHeadBytes = 128 << 10
-
-	// idleTimeout bounds how long a keep-alive connection may be idle.
-	idleTimeout = 2 * time.Minute
 )
 
 // process is the common part of entries and agents: shutdown by signals,
 // listeners, and access to the platform and to peers.
 type process struct {
 	*common.Common
+	guard *guard
 	// ctx is cancelled by cancel, which stops all tasks.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -53,16 +47,18 @@
 	http   *http.Client
 }
 
-func newProcess(settings conf.Log, location conf.Location, stderr io.Writer) (p *process, err error) {
+func newProcess(settings conf.Log, location conf.Location, memory parser.Size, stderr io.Writer) (p *process, err error) {
 	defer fault.Annotate(&err, "set up the process")
 	m, err := meter.NewMeter()
 	if err != nil {
 		return nil, err
 	}
+	limitHeap(memory)
 	log := newLogger(settings, stderr).With("instance", location.Instance)
 	ctx, cancel := context.WithCancel(context.Background())
 	p = &process{
 		Common:        common.NewCommon(log, m),
+		guard:         newGuard(memory, requestParts, m),
 		ctx:           ctx,
 		cancel:        cancel,
 		stopRequested: make(chan struct{}),
@@ -75,8 +71,8 @@
 
 // startProcess returns a process that handles signals and a keyring that follows
 // the peer keys file.
-func (c *cli) startProcess(log conf.Log, location conf.Location, keysFile string) (*process, *auth.Keyring, error) {
-	p, err := newProcess(log, location, c.stderr)
+func (c *cli) startProcess(log conf.Log, location conf.Location, memory parser.Size, keysFile string) (*process, *auth.Keyring, error) {
+	p, err := newProcess(log, location, memory, c.stderr)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -94,10 +90,6 @@
 	p.tasks.Wait()
 }
 
-func newServer(handler http.Handler, headerTimeout time.Duration) *intake.Server {
-	return intake.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes})
-}
-
 func newLogger(settings conf.Log, stderr io.Writer) *slog.Logger {
 	var level slog.Level
 	// The settings parser has checked the level.
@@ -233,7 +225,7 @@
 	for pattern, handler := range routes.authenticated {
 		mux.Handle(pattern, auth.RequireToken(settings.Token, handler))
 	}
-	server := newServer(mux, adminHeaderTimeout)
+	server := p.guard.newSideServer(mux)
 	return server, p.serve(settings.Listen, server)
 }
 
--- a/start/relay_command.go
+++ b/start/relay_command.go
@@ -14,6 +14,8 @@
 			parse:     conf.ParseRelay,
 			placement: func(s conf.Relay) (conf.Location, parser.Size) { return s.Location, s.Memory },
 			run:       func(p *platformProcess, s conf.Relay) error { return c.runRelay(p, s, *file) },
+
+			requestParts: relayRequestParts,
 		})
 	})
 }
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -94,7 +94,7 @@
 		Observe: func(call string, size ident.ByteCount) { s.Meter.CountControlMessage("platform-"+call, size) },
 		OnSkip:  platform.LogSkips(p.Common),
 	})
-	s.callers = newServer(platform.NewCallerHandler(s.relay, s.draining.Load), adminHeaderTimeout)
+	s.callers = p.guard.newServer(platform.NewCallerHandler(s.relay, s.draining.Load), adminHeaderTimeout)
 	s.callers.RefusesAtClose = true
 	s.callers.OnCrossing = platform.LogCrossings(p.Common)
 	return s
@@ -122,7 +122,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadinessPath, s.serveReadiness)
-	if err := s.serve(string(s.settings.Readiness), newServer(mux, adminHeaderTimeout)); err != nil {
+	if err := s.serve(string(s.settings.Readiness), s.guard.newSideServer(mux)); err != nil {
 		return err
 	}
 	return s.serveMetrics(s.settings.Address, s.settings.MetricsPort)
--- a/start/relay_server_test.go
+++ b/start/relay_server_test.go
@@ -21,7 +21,8 @@
 	for _, isReady := range []bool{false, true} {
 		m, err := meter.NewMeter()
 		assert.NilError(t, err)
-		s := newRelayServer(&platformProcess{Common: common.NewCommon(slog.New(slog.NewTextHandler(io.Discard, nil)), m)}, conf.NewRelay())
+		p := &platformProcess{Common: common.NewCommon(slog.New(slog.NewTextHandler(io.Discard, nil)), m), guard: newGuard(conf.NewRelay().Memory, relayRequestParts, m)}
+		s := newRelayServer(p, conf.NewRelay())
 		status := http.StatusServiceUnavailable
 		if isReady {
 			status = http.StatusOK
