Connections of clients leave descriptors and memory for others

What callers saw: 600 idle connections, or heads that did not come, took all descriptors of a process. For as long as they stayed and came back it accepted nobody and opened no connection to an endpoint: an ordinary request waited for 55 s and longer.

Cause: nothing bounded the number of connections. Each has memory of its own, too, beside what is sent over it.

Change: a server has a limit of connections (intake.MaxConns): as many as a tenth of the memory holds, and at most half of the descriptors less those of the side ports. At the limit a new connection replaces the one that has waited for a request, or the rest of one, for longest; one that owes the rest of a request gets a 503, which is true. Connections with complete requests are kept; if there are only such, a new one is closed unread. Ports for readiness, metrics and operators have 32 connections each, apart from those for callers, so neither crowd shuts out the other. crocusstep_clients_dropped_total counts both, by what was used up. With 88 MB, the smallest memory of a site's front instance, there are over 500; a site's zone has 24 clients or fewer.

Why it works: a crowd that stays is what has waited for longest, and yields to whoever comes next.

--- a/intake/close.go
+++ b/intake/close.go
@@ -13,6 +13,8 @@
 	// lingerTime is how long a connection is read after its sending side was closed: callers see
 	// the end within it, and what they had sent before arrives.
 	lingerTime = 500 * time.Millisecond
+	// evictionWriteTime bounds the writing of the response to a connection that yields to another.
+	evictionWriteTime = time.Millisecond
 	// closingWriteTime bounds the writing of the closing response, which the kernel takes at once.
 	closingWriteTime = 50 * time.Millisecond
 	// maxCrossedHeadBytes limits what is kept of a request that crosses the close.
@@ -72,6 +74,22 @@
 	return state
 }
 
+// evict closes the connection at once for another one. Its request, if a part of one was read, never
+// reaches the handler, or was not read completely.
+func (c *conn) evict() {
+	c.mutex.Lock()
+	wasClosed, isHandled, isWritten, waits := c.closed, c.handled, c.written, c.waits
+	c.closed = true
+	c.mutex.Unlock()
+	if !wasClosed && !isHandled && !isWritten && (!waits || c.server.RefusesAtClose) {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(evictionWriteTime))
+		// If it fails, the caller reads nothing.
+		_, _ = io.WriteString(c.Conn, overloadedResponse)
+	}
+	_ = c.Conn.Close()
+	c.endRequest()
+}
+
 // linger reads until the caller has closed the connection, for lingerTime at most.
 func (c *conn) linger(isBoundary bool) {
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -45,7 +45,8 @@
 	refusal string
 	// bodyEnded is set once the body of the request that was handled has been read.
 	bodyEnded bool
-	// since is when the request began that is being read or handled.
+	// since is when the connection began to wait for the next request, or when the request began that
+	// is being read or handled.
 	since time.Time
 	// share is the memory of the request that is being read or handled, nil while there is none.
 	share *share
@@ -247,6 +248,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.waits, c.handled, c.written, c.bodyEnded = true, false, false, false
+	c.since = time.Now()
 }
 
 // receive is called when a part of a request was read. After an error nothing of it must be used.
@@ -301,6 +303,17 @@
 	return c.refusal
 }
 
+// yieldsSince returns since when the connection has waited for a request or the rest of one. It
+// returns false if it has a complete one. A connection that is closed yields first.
+func (c *conn) yieldsSince() (since time.Time, ok bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed {
+		return time.Time{}, true
+	}
+	return c.since, !c.handled || !c.bodyEnded
+}
+
 func (c *conn) isWritten() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -35,6 +35,11 @@
 	// Budget is the memory of the requests that are read or handled; nil is no bound. It must be set
 	// before Serve.
 	Budget *Budget
+	// MaxConns limits the open connections; zero is no limit. It must be set before Serve.
+	MaxConns int
+	// OnDrop, if set, is called for each connection or request that yields to others. It must be set
+	// before Serve.
+	OnDrop func(DropReason)
 	// cancel ends the contexts of all requests.
 	cancel context.CancelCauseFunc
 	// serving counts the calls of Serve.
@@ -236,10 +241,42 @@
 	}
 }
 
-func (s *Server) add(c *conn) {
+// add adds a connection. If there are too many, it evicts one whose request has not been read
+// completely, the one that has been so for longest; it returns false if there is none.
+func (s *Server) add(c *conn) bool {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.conns[c] = true
+	isFull := s.MaxConns > 0 && len(s.conns) >= s.MaxConns
+	var victim *conn
+	if isFull {
+		victim = s.pickVictim()
+	}
+	if !isFull || victim != nil {
+		s.conns[c] = true
+	}
+	s.mutex.Unlock()
+	if !isFull {
+		return true
+	}
+	s.observe(DropConnection)
+	if victim == nil {
+		return false
+	}
+	victim.evict()
+	s.remove(victim)
+	return true
+}
+
+// pickVictim returns the connection that yields to another, or nil if all have complete requests. It
+// must be called with the lock held.
+func (s *Server) pickVictim() (victim *conn) {
+	var since time.Time
+	for c := range s.conns {
+		from, ok := c.yieldsSince()
+		if ok && (victim == nil || from.Before(since)) {
+			victim, since = c, from
+		}
+	}
+	return victim
 }
 
 func (s *Server) remove(c *conn) {
@@ -266,8 +303,18 @@
 	}
 }
 
-// DropReason is why a request yields to others.
+// DropReason is why a connection or a request yields to others.
 type DropReason string
 
-// DropRequest means that the requests had used up their memory.
-const DropRequest DropReason = "memory"
+const (
+	// DropConnection means that there were too many connections.
+	DropConnection DropReason = "connections"
+	// DropRequest means that the requests had used up their memory.
+	DropRequest DropReason = "memory"
+)
+
+func (s *Server) observe(reason DropReason) {
+	if s.OnDrop != nil {
+		s.OnDrop(reason)
+	}
+}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -2,10 +2,27 @@
 
 import (
 	"bytes"
+	"syscall"
 	"time"
+
+	"crocusstep/ident"
 )
 
 const (
+	// connBytes is what a connection takes in the process: goroutines, their stacks and buffers.
+	connBytes = 16 << 10
+	// connParts is the part of the memory for that.
+	connParts = 10
+	// descriptorParts is the part of the descriptors for callers. The others are for files and for
+	// connections that the process opens.
+	descriptorParts = 2
+	// reservedDescriptors are those of them that other servers of the process have.
+	reservedDescriptors = 2 * SideConns
+	// minConns is the least number of connections of callers.
+	minConns = 16
+	// SideConns limits the connections to a port that is not for callers.
+	SideConns = 32
+
 	// headFactor and fieldBytes are the memory that a byte and a field of a head take once they are
 	// decoded and copied for the endpoint.
 	headFactor = 2
@@ -19,6 +36,17 @@
 // a handler.
 const overloadedResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// MaxConns returns how many connections of callers a process may hold with an amount of memory and
+// with the descriptors that it may open.
+func MaxConns(memory ident.ByteCount) int {
+	conns := int(memory) / connParts / connBytes
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil {
+		conns = min(conns, int(min(limit.Cur, 1<<20))/descriptorParts-reservedDescriptors)
+	}
+	return max(conns, minConns)
+}
+
 // headWeight returns the memory that a part of a head takes. What follows the head in the same piece
 // counts by its size only.
 func headWeight(part []byte) int64 {
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -39,18 +39,22 @@
 	}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Connections for which there is no room are closed unread.
 func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) && l.ends.Load() {
-		raw, err = l.acceptArrived()
+	for {
+		raw, err := l.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) && l.ends.Load() {
+			raw, err = l.acceptArrived()
+		}
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: raw, server: l.server, waits: true, since: time.Now()}
+		if l.server.add(c) {
+			return c, nil
+		}
+		_ = raw.Close()
 	}
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: raw, server: l.server, waits: true}
-	l.server.add(c)
-	return c, nil
 }
 
 // acceptArrived accepts a connection that has been opened, or closes the listener.
--- a/start/guard.go
+++ b/start/guard.go
@@ -31,8 +31,9 @@
 
 // guard bounds what a process holds for all of its clients together.
 type guard struct {
-	budget *intake.Budget
-	meter  *meter.Meter
+	budget   *intake.Budget
+	maxConns int
+	meter    *meter.Meter
 }
 
 // limitHeap limits the heap of the process.
@@ -40,7 +41,7 @@
 
 // newGuard divides the memory of a process. Requests have one of the parts.
 func newGuard(memory parser.Size, parts int, m *meter.Meter) *guard {
-	g := &guard{meter: m}
+	g := &guard{maxConns: intake.MaxConns(ident.ByteCount(memory)), meter: m}
 	g.budget = intake.NewBudget(ident.ByteCount(memory)/ident.ByteCount(parts), func() { g.count(intake.DropRequest) })
 	return g
 }
@@ -50,11 +51,13 @@
 // newServer returns a server for the clients that the role is for.
 func (g *guard) newServer(handler http.Handler, headerTimeout time.Duration) *intake.Server {
 	server := intake.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes})
-	server.Budget = g.budget
+	server.Budget, server.MaxConns, server.OnDrop = g.budget, g.maxConns, g.count
 	return server
 }
 
 // newSideServer returns a server for operators, collectors and the load balancer.
 func (g *guard) newSideServer(handler http.Handler) *intake.Server {
-	return g.newServer(handler, adminHeaderTimeout)
+	server := g.newServer(handler, adminHeaderTimeout)
+	server.MaxConns = intake.SideConns
+	return server
 }
