Operators' limits on heads and times hold

What callers saw: a head of 100 KiB was answered where the operators' configuration allows 16 KiB (431 is due). A head could take 5 s where 3 s are allowed, a connection stay idle for 2 minutes where 15 s are.

Cause: maxHeaderBytes, headerTimeoutMs and idleTimeoutMs were decoded and used by nothing. The servers of net/http take such limits once, at their start.

Change: the connections of intake apply limits that the relay reads from its present table: the size of a head, as net/http does up to 4 KiB later, the time from its first byte to its end, and the idle time between two requests. A head over the limit gets 431, one that is too slow 408, and neither reaches a handler. Before a table is known, the program's own limits hold, as before.

Why it works: the limits are looked up as a head is read, so they follow each version of the configuration.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -50,6 +50,10 @@
 	since time.Time
 	// share is the memory of the request that is being read or handled, nil while there is none.
 	share *share
+	// kept is set once a response was sent.
+	kept bool
+	// headBytes counts what was read since the last request was handled.
+	headBytes int64
 	// callerEnded is set once nothing can be read any more.
 	callerEnded bool
 	// resets is set while Close resets the connection.
@@ -142,7 +146,7 @@
 		// All of its head had come with the request before.
 		c.beginRequest()
 	}
-	c.handled = true
+	c.handled, c.headBytes = true, 0
 	_ = c.applyDeadline()
 	return true
 }
@@ -247,7 +251,7 @@
 func (c *conn) await() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.waits, c.handled, c.written, c.bodyEnded = true, false, false, false
+	c.waits, c.handled, c.written, c.bodyEnded, c.kept = true, false, false, false, true
 	c.since = time.Now()
 }
 
@@ -262,8 +266,14 @@
 		c.beginRequest()
 		_ = c.applyDeadline()
 	}
+	c.headBytes += int64(len(part))
+	maxHead := int64(c.server.limits().MaxHead)
+	isTooLarge := maxHead > 0 && c.headBytes > maxHead+headSlop
 	share := c.share
 	c.mutex.Unlock()
+	if isTooLarge {
+		return c.refuse(headTooLargeResponse)
+	}
 	if share.take(headWeight(part)) != nil {
 		return c.refuse(overloadedResponse)
 	}
@@ -344,12 +354,19 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// ownDeadline returns the end of the time that the caller has for a body, or zero. It must be called
-// with the lock held.
+// ownDeadline returns the end of the time that the server's limits leave the caller, or zero. It must
+// be called with the lock held.
 func (c *conn) ownDeadline() time.Time {
+	limits := c.server.limits()
 	limit := time.Duration(0)
-	if c.handled && !c.bodyEnded {
+	switch {
+	case c.handled && !c.bodyEnded:
 		limit = bodyTimeout
+	case c.handled:
+	case !c.waits:
+		limit = limits.HeadTimeout
+	case c.kept:
+		limit = limits.IdleTimeout
 	}
 	if limit <= 0 {
 		return time.Time{}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -37,6 +37,8 @@
 	Budget *Budget
 	// MaxConns limits the open connections; zero is no limit. It must be set before Serve.
 	MaxConns int
+	// Limits, if set, returns what one caller may send at present. It must be set before Serve.
+	Limits func() Limits
 	// OnDrop, if set, is called for each connection or request that yields to others. It must be set
 	// before Serve.
 	OnDrop func(DropReason)
@@ -318,3 +320,10 @@
 		s.OnDrop(reason)
 	}
 }
+
+func (s *Server) limits() Limits {
+	if s.Limits == nil {
+		return Limits{}
+	}
+	return s.Limits()
+}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -23,6 +23,8 @@
 	// SideConns limits the connections to a port that is not for callers.
 	SideConns = 32
 
+	// headSlop is how far a head may exceed its limit, like that of net/http: it is read in pieces.
+	headSlop = 4 << 10
 	// headFactor and fieldBytes are the memory that a byte and a field of a head take once they are
 	// decoded and copied for the endpoint.
 	headFactor = 2
@@ -32,9 +34,21 @@
 	bodyTimeout = 30 * time.Second
 )
 
-// overloadedResponse is the response to a request whose head is not read to its end. It never reaches
-// a handler.
-const overloadedResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// Responses to requests whose heads are not read to their ends. None of them reaches a handler.
+const (
+	overloadedResponse   = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	headTooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+// Limits bounds what one caller may send. Zero is no limit beside those of the http.Server.
+type Limits struct {
+	// MaxHead limits the head of a request.
+	MaxHead ident.ByteCount
+	// HeadTimeout is how long a head may take from its first byte.
+	HeadTimeout time.Duration
+	// IdleTimeout is how long a connection may wait for its next request.
+	IdleTimeout time.Duration
+}
 
 // MaxConns returns how many connections of callers a process may hold with an amount of memory and
 // with the descriptors that it may open.
--- a/start/relay_server.go
+++ b/start/relay_server.go
@@ -95,11 +95,21 @@
 		OnSkip:  platform.LogSkips(p.Common),
 	})
 	s.callers = p.guard.newServer(platform.NewCallerHandler(s.relay, s.draining.Load), adminHeaderTimeout)
+	s.callers.Limits = s.callerLimits
 	s.callers.RefusesAtClose = true
 	s.callers.OnCrossing = platform.LogCrossings(p.Common)
 	return s
 }
 
+// callerLimits returns the operators' limits on heads and times.
+func (s *relayServer) callerLimits() intake.Limits {
+	t := s.relay.Table()
+	if t == nil {
+		return intake.Limits{}
+	}
+	return intake.Limits{MaxHead: t.Limits.MaxHeader, HeadTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout}
+}
+
 func retryLimits(settings conf.Relay) retry.Limits {
 	return retry.Limits{Ratio: settings.Retries.Ratio, Slack: settings.Retries.Slack, Window: settings.Retries.Window.Std()}
 }
