The kernel holds little of what clients send unread

What callers saw: the same end of a process for lack of memory, now by bytes that had arrived and were not read: the platform counts them. Of 200 callers that sent 1 MiB behind a whole request the kernel held 275 MiB for a relay with 100; of bodies that were read no further, up to 234 MiB.

Cause: the receive buffer of a connection grows to several MiB. A connection is not read while its request is handled, waits for memory, or was refused.

Change: sockets that accept have a receive buffer of 16 KiB, of which the kernel makes 32 at most for each connection (package socket). At most one of eight connections may send bytes before it has its response; beyond that, the connection is closed as if its caller had left, as what was read of the next request must not be lost in silence.

--- a/intake/close.go
+++ b/intake/close.go
@@ -61,9 +61,11 @@
 	defer c.mutex.Unlock()
 	if c.closed || c.callerEnded || c.resets {
 		c.closed = true
+		c.setPipelined(false)
 		return closeState{}
 	}
 	c.closed = true
+	c.setPipelined(false)
 	state := closeState{lingers: !isFinal, isBoundary: c.waits}
 	if !c.handled && !c.written {
 		state.refusal = c.refusal
@@ -80,6 +82,7 @@
 	c.mutex.Lock()
 	wasClosed, isHandled, isWritten, waits := c.closed, c.handled, c.written, c.waits
 	c.closed = true
+	c.setPipelined(false)
 	c.mutex.Unlock()
 	if !wasClosed && !isHandled && !isWritten && (!waits || c.server.RefusesAtClose) {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(evictionWriteTime))
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -45,6 +45,8 @@
 	refusal string
 	// bodyEnded is set once the body of the request that was handled has been read.
 	bodyEnded bool
+	// pipelined is set while bytes have arrived behind the request that is handled.
+	pipelined bool
 	// since is when the connection began to wait for the next request, or when the request began that
 	// is being read or handled.
 	since time.Time
@@ -253,13 +255,19 @@
 	defer c.mutex.Unlock()
 	c.waits, c.handled, c.written, c.bodyEnded, c.kept = true, false, false, false, true
 	c.since = time.Now()
+	c.setPipelined(false)
 }
 
 // receive is called when a part of a request was read. After an error nothing of it must be used.
 func (c *conn) receive(part []byte) error {
 	c.mutex.Lock()
 	if c.handled {
-		c.mutex.Unlock()
+		defer c.mutex.Unlock()
+		if c.bodyEnded && !c.setPipelined(true) {
+			// What was read must not be missing from a later request.
+			_ = c.Conn.Close()
+			return net.ErrClosed
+		}
 		return nil
 	}
 	if c.waits {
@@ -289,6 +297,23 @@
 	return os.ErrDeadlineExceeded
 }
 
+// setPipelined records whether bytes have arrived behind the request that is handled. It returns
+// false if too many connections have such bytes. It must be called with the lock held.
+func (c *conn) setPipelined(pipelined bool) bool {
+	switch {
+	case pipelined == c.pipelined:
+		return true
+	case !pipelined:
+		c.server.pipelined.Add(-1)
+	case c.server.pipelined.Add(1) > c.server.maxPipelined():
+		c.server.pipelined.Add(-1)
+		c.server.observe(DropPipelined)
+		return false
+	}
+	c.pipelined = pipelined
+	return true
+}
+
 // endReading is called when the caller has closed the connection, or it is broken.
 func (c *conn) endReading() {
 	c.mutex.Lock()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"crocusstep/fault"
@@ -42,6 +44,8 @@
 	// OnDrop, if set, is called for each connection or request that yields to others. It must be set
 	// before Serve.
 	OnDrop func(DropReason)
+	// pipelined counts the connections that have bytes behind the request that is handled.
+	pipelined atomic.Int64
 	// cancel ends the contexts of all requests.
 	cancel context.CancelCauseFunc
 	// serving counts the calls of Serve.
@@ -311,6 +315,8 @@
 const (
 	// DropConnection means that there were too many connections.
 	DropConnection DropReason = "connections"
+	// DropPipelined means that too many connections had bytes behind a request that is handled.
+	DropPipelined DropReason = "pipelined"
 	// DropRequest means that the requests had used up their memory.
 	DropRequest DropReason = "memory"
 )
@@ -327,3 +333,11 @@
 	}
 	return s.Limits()
 }
+
+// maxPipelined returns how many connections may have bytes behind the request that is handled.
+func (s *Server) maxPipelined() int64 {
+	if s.MaxConns == 0 {
+		return math.MaxInt64
+	}
+	return int64(max(1, s.MaxConns/pipelinedParts))
+}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -11,7 +11,8 @@
 const (
 	// connBytes is what a connection takes in the process: goroutines, their stacks and buffers.
 	connBytes = 16 << 10
-	// connParts is the part of the memory for that.
+	// connParts is the part of the memory for that. What the kernel holds unread of all connections
+	// takes twice as much at most (package socket).
 	connParts = 10
 	// descriptorParts is the part of the descriptors for callers. The others are for files and for
 	// connections that the process opens.
@@ -22,6 +23,9 @@
 	minConns = 16
 	// SideConns limits the connections to a port that is not for callers.
 	SideConns = 32
+	// pipelinedParts is the part of the connections that may send a request before they have the
+	// response to the one before. What they send stays in the kernel.
+	pipelinedParts = 8
 
 	// headSlop is how far a head may exceed its limit, like that of net/http: it is read in pieces.
 	headSlop = 4 << 10
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"syscall"
@@ -20,18 +21,31 @@
 	maxIdleConnsPerHost = 64
 	idleConnTimeout     = 90 * time.Second
 	maxHeadBytes        = 64 << 10
+	// receiveBufferBytes is the size of the kernel's buffer for what an accepted connection receives,
+	// which may hold twice as much. Unread bytes count as memory of the process.
+	receiveBufferBytes = 16 << 10
 )
 
 // keepAlive detects an unreachable idle peer within UserTimeout: 2 s idle, then 3
 // probes at an interval of 1 s.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
-// Listen opens a TCP listener whose connections have the timeouts.
+// Listen opens a TCP listener whose connections have the timeouts and small receive buffers.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: func(network, address string, conn syscall.RawConn) error {
+		return errors.Join(setUserTimeout(network, address, conn), setReceiveBuffer(conn))
+	}}
 	return config.Listen(ctx, "tcp", address)
 }
 
+// setReceiveBuffer limits the receive buffer of a socket. Connections that it accepts inherit the limit.
+func setReceiveBuffer(conn syscall.RawConn) error {
+	return conn.Control(func(fd uintptr) {
+		// A kernel without the option has a limit of its own.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+	})
+}
+
 // Dial opens a connection with the timeouts.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	return newDialer().DialContext(ctx, network, address)
