Callers that read too slowly end their connections

What callers saw: nothing yet; this is the class of the fault on the way out. A relay set no time for its writes. A caller that never reads its response, or a byte of it now and then, held its connection, its response and its request for as long as it liked. The kernel's send buffers grew to several MiB for each.

Cause: only streams of entries had a write timeout, of 10 s a write.

Change: intake bounds writes in every role. A caller may read nothing for 15 s in all, and earns time at 8 KiB a second with what it reads, up to 15 s again; time in which nothing is to be written does not count. The earlier of that and a handler's own deadline holds. The send buffer of an accepted connection is 64 KiB (128 at most in the kernel): with less than two segments of the loopback interface, each waits for a delayed acknowledgement (4 MiB took 1.0 to 2.1 s with 8 to 32 KiB, 0.9 ms with 48 and 64).

Why it works: each connection ends after its response has had 15 s and its size at 8 KiB a second, so neither silence nor a byte now and then holds it. Streams of 10 KiB a second fit in the buffers.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -60,8 +60,11 @@
 	callerEnded bool
 	// resets is set while Close resets the connection.
 	resets bool
-	// deadline is the read deadline that the server has set.
-	deadline time.Time
+	// deadline is the read deadline that the server has set, writeDeadline that for writes.
+	deadline, writeDeadline time.Time
+
+	// writeCredit is how long the caller may still read nothing. Only Write uses it.
+	writeCredit time.Duration
 }
 
 // Read implements net.Conn.
@@ -89,8 +92,8 @@
 	return n, err
 }
 
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
+// Write implements net.Conn. A caller that reads too slowly ends the connection.
+func (c *conn) Write(p []byte) (n int, err error) {
 	if response := c.unreadResponse(); response != "" {
 		// net/http takes an incomplete head for a malformed one.
 		_, err := io.WriteString(c.Conn, response)
@@ -100,7 +103,38 @@
 	if !bytes.HasPrefix(p, []byte(informationalStart)) {
 		c.begin()
 	}
-	return c.Conn.Write(p)
+	for len(p) > 0 && err == nil {
+		piece := p[:min(len(p), writePiece)]
+		var written int
+		written, err = c.writePiece(piece)
+		n += written
+		p = p[len(piece):]
+	}
+	return n, err
+}
+
+// writePiece writes a part of a response within the time that the caller has left to read it.
+func (c *conn) writePiece(piece []byte) (int, error) {
+	began := time.Now()
+	c.mutex.Lock()
+	deadline := began.Add(c.writeCredit)
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+		deadline = c.writeDeadline
+	}
+	c.mutex.Unlock()
+	_ = c.Conn.SetWriteDeadline(deadline)
+	n, err := c.Conn.Write(piece)
+	earned := time.Duration(n) * time.Second / writeRate
+	c.writeCredit = min(c.writeCredit-time.Since(began)+earned, writeTimeout)
+	return n, err
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.writeDeadline = t
+	return c.Conn.SetWriteDeadline(t)
 }
 
 // begin is called when a response begins.
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -34,6 +34,12 @@
 	headFactor = 2
 	fieldBytes = 320
 
+	// writeTimeout is how long a caller may read nothing, and writeRate how many bytes a second it
+	// must read beyond that.
+	writeTimeout = 15 * time.Second
+	writeRate    = 8 << 10
+	// writePiece is the size of the pieces in which responses are written.
+	writePiece = 16 << 10
 	// bodyTimeout bounds the reading of a body that the handler of its request does not bound.
 	bodyTimeout = 30 * time.Second
 )
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: raw, server: l.server, waits: true, since: time.Now()}
+		c := &conn{Conn: raw, server: l.server, waits: true, since: time.Now(), writeCredit: writeTimeout}
 		if l.server.add(c) {
 			return c, nil
 		}
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -21,28 +21,32 @@
 	maxIdleConnsPerHost = 64
 	idleConnTimeout     = 90 * time.Second
 	maxHeadBytes        = 64 << 10
-	// receiveBufferBytes is the size of the kernel's buffer for what an accepted connection receives,
-	// which may hold twice as much. Unread bytes count as memory of the process.
+	// receiveBufferBytes and sendBufferBytes are the sizes of the kernel's buffers for an accepted
+	// connection, which may hold twice as much. Unread bytes count as memory of the process. With a
+	// smaller send buffer than two segments of the loopback interface, each waits for a delayed
+	// acknowledgement.
 	receiveBufferBytes = 16 << 10
+	sendBufferBytes    = 64 << 10
 )
 
 // keepAlive detects an unreachable idle peer within UserTimeout: 2 s idle, then 3
 // probes at an interval of 1 s.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
-// Listen opens a TCP listener whose connections have the timeouts and small receive buffers.
+// Listen opens a TCP listener whose connections have the timeouts and small buffers.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: func(network, address string, conn syscall.RawConn) error {
-		return errors.Join(setUserTimeout(network, address, conn), setReceiveBuffer(conn))
+		return errors.Join(setUserTimeout(network, address, conn), setBuffers(conn))
 	}}
 	return config.Listen(ctx, "tcp", address)
 }
 
-// setReceiveBuffer limits the receive buffer of a socket. Connections that it accepts inherit the limit.
-func setReceiveBuffer(conn syscall.RawConn) error {
+// setBuffers limits the buffers of a socket. Connections that it accepts inherit the limits.
+func setBuffers(conn syscall.RawConn) error {
 	return conn.Control(func(fd uintptr) {
-		// A kernel without the option has a limit of its own.
+		// A kernel without the options has limits of its own.
 		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBufferBytes)
 	})
 }
 
