Test: callers that read no response of medium size

Cause: responses of up to 64 KiB take no share of a relay's memory for responses. A crowd of callers that read nothing might hold as many of them as there are connections.

Change: a crowd of 600 such callers at a relay with 100 MiB, kept as a guard.

--- a/crowd/relay_test.go
+++ b/crowd/relay_test.go
@@ -22,14 +22,17 @@
 	// relayBody is the largest body that the operators' configuration allows.
 	relayBody = 1 << 20
 	// heldService is a service of its own, so that a crowd takes no endpoint from ordinary callers.
-	// Its endpoint holds its response until the caller leaves, and at largePath sends a large one.
+	// Its endpoint holds its response until the caller leaves, and at largePath and mediumPath sends
+	// one of some size.
 	heldService = "held"
 	heldPath    = "/held/"
 	largePath   = heldPath + "large"
+	mediumPath  = heldPath + "medium"
 	// heldConns is above the size of the crowds.
 	heldConns = 1000
-	// largeResponseBytes is the size of a large response.
-	largeResponseBytes = 1 << 20
+	// largeResponseBytes and mediumResponseBytes are the sizes of the responses there.
+	largeResponseBytes  = 1 << 20
+	mediumResponseBytes = 60 << 10
 )
 
 var attempts atomic.Int64
@@ -52,16 +55,20 @@
 	configuration["services"] = append(configuration["services"].([]any), map[string]any{"name": heldService, "maxConns": heldConns})
 	assert.NilError(t, store.Put("config", "main", configuration))
 	endpoint := &double.Endpoint{Name: "i-1", Service: double.PlainService, StartMillis: 1, Version: "v1", Recorder: double.NewRecorder()}
-	large := bytes.Repeat([]byte("l"), largeResponseBytes)
+	responses := map[string][]byte{
+		largePath:  bytes.Repeat([]byte("l"), largeResponseBytes),
+		mediumPath: bytes.Repeat([]byte("m"), mediumResponseBytes),
+	}
 	holding := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		if r.URL.Path != largePath {
+		response, found := responses[r.URL.Path]
+		if !found {
 			<-r.Context().Done()
 			return
 		}
 		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 		w.Header().Set("X-Server-Seal", "seal")
-		_, _ = w.Write(large)
+		_, _ = w.Write(response)
 	})
 	assert.NilError(t, store.Register(endpoint, serve(t, endpoint), "zone-a", false))
 	held := endpoint.Registration(serve(t, holding), "zone-a", false)
@@ -125,7 +132,11 @@
 	held := relayTarget(heldPath)
 	request := []byte(relayTarget(largePath).head + "\r\n")
 	crowds := append(held.heads(), held.bodies(200)...)
-	crowds = append(crowds, crowd{testName: "callers that read no response", size: 200, deaf: true, send: once(bytes.Repeat(request, 8))})
+	medium := []byte(relayTarget(mediumPath).head + "\r\n")
+	crowds = append(crowds,
+		crowd{testName: "callers that read no response", size: 200, deaf: true, send: once(bytes.Repeat(request, 8))},
+		crowd{testName: "callers that read no response of medium size", size: 600, deaf: true, descriptors: 4096, send: once(bytes.Repeat(medium, 8))},
+	)
 	for _, c := range crowds {
 		t.Run(c.testName, func(t *testing.T) {
 			s := startRelay(t, c.descriptors)
