A complete request is not dropped as it reaches its handler

Cause, found in a review of the budget: between the end of a head and its handler, a request without a body still counted as incomplete. Dropped just then, its connection looked as if the caller had left, and the request ended without a response. A body that was dropped as its last byte arrived left a mark on its connection that ended the next body there. And the 30 s for bodies also cut those whose handler allows more, such as an entry with a longer body-timeout.

Change: a request without a body is complete before it reaches the handler; from then on a drop refuses it with a 503 or does not come. The mark is the request's own. The 30 s hold only where the handler has set no deadline.

Measured: TestSlowBodies for the last of the three. The first two were argued from the order of the calls; no run has shown them before or after.

--- a/intake/body.go
+++ b/intake/body.go
@@ -30,10 +30,12 @@
 	return n, err
 }
 
+func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
+
 // withBody returns the request that the handler of a connection gets.
 func withBody(r *http.Request, c *conn) *http.Request {
-	if r.Body == nil || r.Body == http.NoBody {
-		// No body is read, so nothing can have been dropped since the head.
+	if !hasBody(r) {
+		// It is complete already, or holds nothing, so it cannot have been dropped.
 		_ = c.endOfBody()
 		return r
 	}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -45,6 +45,8 @@
 	refusal string
 	// bodyEnded is set once the body of the request that was handled has been read.
 	bodyEnded bool
+	// dropped is set once the body of the request is read no further, as it has yielded to others.
+	dropped bool
 	// pipelined is set while bytes have arrived behind the request that is handled.
 	pipelined bool
 	// since is when the connection began to wait for the next request, or when the request began that
@@ -189,7 +191,7 @@
 
 // beginRequest must be called with the lock held.
 func (c *conn) beginRequest() {
-	c.waits = false
+	c.waits, c.dropped = false, false
 	c.since = time.Now()
 	c.share = c.server.Budget.newShare(c.drop)
 }
@@ -199,7 +201,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.handled {
-		c.bodyEnds = true
+		c.dropped = true
 	} else {
 		c.refusal = overloadedResponse
 	}
@@ -403,7 +405,7 @@
 
 // applyDeadline must be called with the lock held.
 func (c *conn) applyDeadline() error {
-	if c.refusal != "" || c.ends && c.waits || c.bodyEnds && c.handled {
+	if c.refusal != "" || c.ends && c.waits || (c.bodyEnds || c.dropped) && c.handled {
 		return c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	deadline := c.deadline
@@ -419,7 +421,7 @@
 	limits := c.server.limits()
 	limit := time.Duration(0)
 	switch {
-	case c.handled && !c.bodyEnded:
+	case c.handled && !c.bodyEnded && c.deadline.IsZero():
 		limit = bodyTimeout
 	case c.handled:
 	case !c.waits:
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -81,6 +81,10 @@
 			w.Header().Set("Connection", "close")
 		}
 		c, ok := r.Context().Value(connKey{}).(*conn)
+		if ok && !hasBody(r) {
+			// If the request was dropped before, it is not handled.
+			_ = c.requestShare().finish()
+		}
 		if ok && !c.handle() {
 			panic(http.ErrAbortHandler)
 		}
--- a/intake/limits_test.go
+++ b/intake/limits_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -63,3 +64,35 @@
 		})
 	}
 }
+
+// TestSlowBodies checks that a body whose handler sets no deadline ends in time, and that the deadline
+// of a handler that sets one holds.
+func TestSlowBodies(t *testing.T) {
+	for _, ownTimeout := range []time.Duration{0, 2 * bodyTimeout} {
+		synctest.Test(t, func(t *testing.T) {
+			network := memnet.NewNetwork()
+			ended := make(chan error, 1)
+			server := NewServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if ownTimeout > 0 {
+					_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(ownTimeout))
+				}
+				_, err := ReadBody(w, r, 8)
+				ended <- err
+			})})
+			go func(l net.Listener) { _ = server.Serve(l) }(network.Listen("relay", address))
+			c, err := network.Dialer("caller")(t.Context(), "tcp", address)
+			assert.NilError(t, err)
+			_, err = io.WriteString(c, request[:len(request)-1])
+			assert.NilError(t, err)
+			time.Sleep(bodyTimeout + time.Second)
+			go func() { _, _ = io.WriteString(c, request[len(request)-1:]) }()
+			if ownTimeout > 0 {
+				assert.NilError(t, <-ended)
+			} else {
+				assert.ErrorIs(t, <-ended, os.ErrDeadlineExceeded)
+			}
+			_ = c.Close()
+			assert.NilError(t, server.Close())
+		})
+	}
+}
