Tests of crowds: ports that no connection takes

The four runs after it passed.

Cause, as far as the time and the code show: the ports of a process were found by listening at any free port and closing it. The kernel gives such ports to connections of any process, too, and 32,817 sockets of this machine were in TIME-WAIT then; a process whose port was taken exits at once. A loop of the old code beside the same load, kept to catch it, has not shown it again so far.

Change: the ports come from 23000 on, below those that the kernel gives to connections, each tried before it is used. Crowds, bounds and checks are the same.

Measured: the tests of keepers and of idle connections at a relay pass with it.

--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	startTimeout       = 20 * time.Second
 	// watchInterval is the time between two looks at a process.
 	watchInterval = 20 * time.Millisecond
+	// firstPort and endPort bound the ports of the processes.
+	firstPort, endPort = 23000, 27000
 	// listening is the state of a listening socket in the kernel's table of sockets.
 	listening = "0A"
 )
@@ -173,13 +176,22 @@
 	return sum
 }
 
+// lastPort is the newest port that freeAddress has returned. The kernel gives ports from 32768 on to
+// connections of any process, so one that was free a moment ago may be taken.
+var lastPort atomic.Int64
+
 // freeAddress returns a loopback address with an unused port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		port := firstPort + lastPort.Add(1)
+		assert.Assert(t, port < endPort, "no port is left")
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			_ = listener.Close()
+			return listener.Addr().String()
+		}
+	}
 }
 
 // serve serves a stand-in until the test ends and returns its address.
