Mutants of what bounds the clients of a process

Cause: the mechanisms of the last commits had tests, but no proof that each fails without its mechanism. Four older mutants named text that has changed.

--- a/mutant/intake.go
+++ b/mutant/intake.go
@@ -13,8 +13,8 @@
 	{
 		guarantee: "a request that arrives as its connection ends is read to its end",
 		file:      "intake/conn.go",
-		original:  "\tif c.ends {\n\t\t_ = c.applyDeadline()\n\t}\n",
-		mutated:   "",
+		original:  "\t\tc.beginRequest()\n\t\t_ = c.applyDeadline()\n",
+		mutated:   "\t\tc.beginRequest()\n",
 		pkg:       "intake", test: "TestShutdownAnswersWhatItHasRead",
 	},
 	{
@@ -83,7 +83,7 @@
 	{
 		guarantee: "a request that crosses the close of its connection is refused",
 		file:      "intake/close.go",
-		original:  "state.refuses && c.server.RefusesAtClose",
+		original:  "state.refusal == \"\" && c.server.RefusesAtClose",
 		mutated:   "false",
 		pkg:       "intake", test: "TestCrossingRequests",
 	},
@@ -104,15 +104,15 @@
 	{
 		guarantee: "a response that is under way is no second one",
 		file:      "intake/close.go",
-		original:  "refuses: !c.handled && !c.written",
-		mutated:   "refuses: true",
+		original:  "if !c.handled && !c.written {",
+		mutated:   "if true {",
 		pkg:       "intake", test: "TestEndsOfRequests",
 	},
 	{
 		guarantee: "a head that does not come is not refused as malformed",
 		file:      "intake/conn.go",
-		original:  "\tif c.isExpired() {\n\t\t// net/http",
-		mutated:   "\tif false {\n\t\t// net/http",
+		original:  "response := c.unreadResponse(); response != \"\"",
+		mutated:   "response := \"\"; response != \"\"",
 		pkg:       "intake", test: "TestEndsOfRequests",
 	},
 	{
--- a/mutant/main.go
+++ b/mutant/main.go
@@ -45,6 +45,7 @@
 		ownInterfaceMutants,
 		usersPlatformMutants,
 		admitMutants,
+		clientMutants,
 		configMutants,
 		costMutants,
 		crashMutants,
