A connection that has just got its complete request is not evicted

Cause, found in a second review: a connection was chosen to yield to a new one under one lock and closed under another. A request that became complete in between was handled, perhaps run, and had no response, as its connection was closed.

Change: the eviction looks again under the connection's lock and keeps a connection whose request is complete, so the limit may be exceeded by one for a moment. A request without a body is complete in the same step in which it reaches its handler, and the end of a body on an evicted connection is an error, so its request never runs.

Why it works: eviction and completion exclude each other by one lock.

Measured: TestEvictionAndCompletion, in both orders. No run has shown the loss itself; it needs two events within microseconds.

--- a/intake/body.go
+++ b/intake/body.go
@@ -35,8 +35,9 @@
 // withBody returns the request that the handler of a connection gets.
 func withBody(r *http.Request, c *conn) *http.Request {
 	if !hasBody(r) {
-		// It is complete already, or holds nothing, so it cannot have been dropped.
-		_ = c.endOfBody()
+		// A request whose head had come with the one before has its share only now. It holds nothing, so
+		// it cannot have been dropped.
+		_ = c.requestShare().finish()
 		return r
 	}
 	// net/http looks at the type of the body of its own request.
--- a/intake/close.go
+++ b/intake/close.go
@@ -77,9 +77,13 @@
 }
 
 // evict closes the connection at once for another one. Its request, if a part of one was read, never
-// reaches the handler, or was not read completely.
+// reaches the handler, or never has its whole body. One that has just become complete is kept.
 func (c *conn) evict() {
 	c.mutex.Lock()
+	if c.handled && c.bodyEnded && !c.closed {
+		c.mutex.Unlock()
+		return
+	}
 	wasClosed, isHandled, isWritten, waits := c.closed, c.handled, c.written, c.waits
 	c.closed = true
 	c.setPipelined(false)
@@ -91,6 +95,7 @@
 	}
 	_ = c.Conn.Close()
 	c.endRequest()
+	c.server.remove(c)
 }
 
 // linger reads until the caller has closed the connection, for lingerTime at most.
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -172,9 +172,9 @@
 	return c.applyDeadline()
 }
 
-// handle is called when a request reaches the handler. It returns false if the connection is
-// closed, or the request was dropped, and it must not be served.
-func (c *conn) handle() bool {
+// handle is called when a request reaches the handler, complete or with a body to be read. It returns
+// false if the connection is closed, or the request was dropped, and it must not be served.
+func (c *conn) handle(complete bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closed || c.refusal != "" {
@@ -184,7 +184,7 @@
 		// All of its head had come with the request before.
 		c.beginRequest()
 	}
-	c.handled, c.headBytes = true, 0
+	c.handled, c.bodyEnded, c.headBytes = true, complete, 0
 	_ = c.applyDeadline()
 	return true
 }
@@ -210,9 +210,13 @@
 }
 
 // endOfBody is called when the body of a request was read. It returns an error if the request was
-// dropped.
+// dropped, or its connection was evicted.
 func (c *conn) endOfBody() error {
 	c.mutex.Lock()
+	if c.closed {
+		c.mutex.Unlock()
+		return ErrOverloaded
+	}
 	c.bodyEnded = true
 	_ = c.applyDeadline()
 	share := c.share
--- a/intake/conns_test.go
+++ b/intake/conns_test.go
@@ -61,3 +61,30 @@
 	assert.NilError(t, err)
 	return response.StatusCode
 }
+
+// TestEvictionAndCompletion checks that of an eviction and the end of a request just one happens, so that no
+// request is handled whose connection was closed for another.
+func TestEvictionAndCompletion(t *testing.T) {
+	for _, evictsFirst := range []bool{false, true} {
+		caller, raw := net.Pipe()
+		s := NewServer(&http.Server{})
+		c := &conn{Conn: raw, server: s, waits: true}
+		s.conns[c] = true
+		assert.Assert(t, c.handle(false))
+		if evictsFirst {
+			c.evict()
+		}
+		err := c.endOfBody()
+		if evictsFirst {
+			assert.ErrorIs(t, err, ErrOverloaded)
+		} else {
+			assert.NilError(t, err)
+			c.evict()
+		}
+		assert.Equal(t, s.conns[c], !evictsFirst)
+		_, ok := c.yieldsSince()
+		assert.Equal(t, ok, evictsFirst)
+		_ = caller.Close()
+		_ = raw.Close()
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -85,7 +85,7 @@
 			// If the request was dropped before, it is not handled.
 			_ = c.requestShare().finish()
 		}
-		if ok && !c.handle() {
+		if ok && !c.handle(!hasBody(r)) {
 			panic(http.ErrAbortHandler)
 		}
 		if !ok {
@@ -272,7 +272,6 @@
 		return false
 	}
 	victim.evict()
-	s.remove(victim)
 	return true
 }
 
