--- a/crowd/relay_test.go
+++ b/crowd/relay_test.go
@@ -10,9 +10,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"crocusstep/platform"
 	"crocusstep/platform/double"
 )
 
@@ -28,6 +30,8 @@
 	heldPath    = "/held/"
 	largePath   = heldPath + "large"
 	mediumPath  = heldPath + "medium"
+	// callTimeout is how long an ordinary caller waits.
+	callTimeout = 5 * time.Second
 	// heldConns is above the size of the crowds.
 	heldConns = 1000
 	// largeResponseBytes and mediumResponseBytes are the sizes of the responses there.
@@ -48,11 +52,7 @@
 	t.Helper()
 	store := double.NewStore()
 	configuration := double.Configuration(1)
-	configuration["routes"] = append(configuration["routes"].([]any), map[string]any{
-		"name": heldPath, "host": double.Host, "pathPrefix": heldPath, "kind": "idempotent", "timeoutMs": 60000, "targetLatencyMs": 900,
-		"priority": 1, "service": heldService, "maxAttempts": 1,
-	})
-	configuration["services"] = append(configuration["services"].([]any), map[string]any{"name": heldService, "maxConns": heldConns})
+	double.AddLookupRoute(configuration, heldPath, heldService, heldConns)
 	assert.NilError(t, store.Put("config", "main", configuration))
 	endpoint := &double.Endpoint{Name: "i-1", Service: double.PlainService, StartMillis: 1, Version: "v1", Recorder: double.NewRecorder()}
 	responses := map[string][]byte{
@@ -66,9 +66,7 @@
 			<-r.Context().Done()
 			return
 		}
-		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-		w.Header().Set("X-Server-Seal", "seal")
-		_, _ = w.Write(response)
+		double.WriteResponse(w, r, response)
 	})
 	assert.NilError(t, store.Register(endpoint, serve(t, endpoint), "zone-a", false))
 	held := endpoint.Registration(serve(t, holding), "zone-a", false)
@@ -101,9 +99,7 @@
 		return err
 	}
 	request.Host = double.Host
-	request.Header.Set("Authorization", "Bearer "+double.SteadyKey)
-	request.Header.Set("X-Attempt-Id", fmt.Sprintf("ordinary-%d", attempts.Add(1)))
-	request.Header.Set("X-Deadline-Ms", "5000")
+	request.Header = double.CallHeader(fmt.Sprintf("ordinary-%d", attempts.Add(1)), double.SteadyKey, callTimeout)
 	return expectOK(client.Do(request))
 }
 
@@ -122,8 +118,11 @@
 
 // relayTarget returns requests to a path of a relay.
 func relayTarget(path string) target {
+	var fields strings.Builder
+	// A builder never fails.
+	_ = double.CallHeader("crowd", double.SteadyKey, time.Minute).Write(&fields)
 	return target{
-		head: fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Attempt-Id: crowd\r\nX-Deadline-Ms: 60000\r\n", path, double.Host, double.SteadyKey),
+		head: fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s", path, double.Host, fields.String()),
 		body: bytes.Repeat([]byte("b"), relayBody),
 	}
 }
@@ -151,7 +150,7 @@
 		testName, path string
 		address        func(*relaySubject) string
 	}{
-		{"readiness", "/-/readiness", func(s *relaySubject) string { return s.readiness }},
+		{"readiness", platform.ReadinessPath, func(s *relaySubject) string { return s.readiness }},
 		{"metrics", "/metrics", func(s *relaySubject) string { return s.metrics }},
 	}
 	for _, p := range ports {
