--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -25,7 +25,8 @@
 // cases maps the names of the cases to what plays them. Trouble is unset for the run without the
 // disruption.
 var cases = map[string]func(s *system, trouble bool) error{
-	"split": playSplit,
+	"split":   playSplit,
+	"leaving": playLeaving,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/split.go
+++ b/review/rig2/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"sync"
 	"time"
 )
@@ -13,9 +14,20 @@
 		steady  = 20 * time.Second
 		streams = 32
 	)
-	s.store.put("config", "main", splitConfiguration())
+	// VARIANT is "move" for a route that moves from one service to the other, or "crash" for a crash of
+	// a worker in place of the kill, with a single attempt.
+	variant := os.Getenv("VARIANT")
+	blue, attempts := 90, 2
+	switch variant {
+	case "move":
+		blue = 100
+	case "crash":
+		attempts = 1
+	}
+	s.store.put("config", "main", splitConfiguration(3, blue, attempts))
 	zones := []string{"yard-a", "yard-b", "yard-c"}
 	index := 0
+	var workers []*worker
 	for _, service := range []struct{ name, version string }{{"reader-blue", "1.4"}, {"reader-green", "1.5"}} {
 		for i, stage := range []string{"prefill", "decode", "decode"} {
 			index++
@@ -23,9 +35,11 @@
 				id: fmt.Sprintf("i-%s-%d", service.name, i+1), service: service.name, version: service.version, stage: stage, zone: zones[i],
 				slots: engineSlots, events: 100, interval: 80 * time.Millisecond,
 			}
-			if _, err := s.addWorker(config, index); err != nil {
+			w, err := s.addWorker(config, index)
+			if err != nil {
 				return err
 			}
+			workers = append(workers, w)
 		}
 	}
 	var relays []*node
@@ -54,7 +68,17 @@
 		wait.Go(c.read)
 		time.Sleep(40 * time.Millisecond)
 	}
-	if trouble {
+	if variant == "move" {
+		sleepUntil(began.Add(2 * time.Second))
+		s.store.put("config", "main", splitConfiguration(5, 0, attempts))
+		s.note("a configuration moves the route to the other service")
+	}
+	switch {
+	case trouble && variant == "crash":
+		sleepUntil(began.Add(4 * time.Second))
+		s.note("%s crashes", workers[1].id)
+		workers[1].crash()
+	case trouble:
 		sleepUntil(began.Add(4 * time.Second))
 		s.kill(relays[0])
 		s.note("%s is killed", relays[0].name)
@@ -94,14 +118,15 @@
 	return nil
 }
 
-func splitConfiguration() map[string]any {
+// splitConfiguration returns a configuration that gives one service a share in percent.
+func splitConfiguration(version, blue, attempts int) map[string]any {
 	engine := map[string]any{"slots": engineSlots, "kvTokenCapacity": engineCapacity, "kvHoldS": 0.5, "stride": tokensPerEvent}
 	return map[string]any{
-		"version": 3,
+		"version": version,
 		"routes": []any{map[string]any{
 			"name": "packets", "host": host, "pathPrefix": "/packets/", "kind": "streaming", "timeoutMs": 14000, "targetLatencyMs": 900,
-			"gapTargetMs": 300, "priority": 1, "maxAttempts": 2, "resumable": true, "sticky": true,
-			"trafficSplit": []any{map[string]any{"service": "reader-blue", "weight": 90}, map[string]any{"service": "reader-green", "weight": 10}},
+			"gapTargetMs": 300, "priority": 1, "maxAttempts": attempts, "resumable": true, "sticky": true,
+			"trafficSplit": []any{map[string]any{"service": "reader-blue", "weight": blue}, map[string]any{"service": "reader-green", "weight": 100 - blue}},
 		}},
 		"services": []any{
 			map[string]any{"name": "reader-blue", "maxConns": 370, "engine": engine},
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,6 +22,12 @@
 	history  []storedChange
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// era counts the returns from a copy.
+	era int64
+	// away is set while the store rejects all calls. Cut is closed and replaced when it goes away, which
+	// cuts off the watches that wait.
+	away bool
+	cut  chan struct{}
 }
 
 type storedObject struct {
@@ -42,7 +49,7 @@
 }
 
 func newStore() *store {
-	return &store{revision: 1, kinds: map[string]map[string]storedObject{}, changed: make(chan struct{})}
+	return &store{revision: 1, kinds: map[string]map[string]storedObject{}, changed: make(chan struct{}), cut: make(chan struct{})}
 }
 
 // put creates or replaces an object.
@@ -84,6 +91,14 @@
 
 // ServeHTTP implements http.Handler. Only the calls that relays make are served: lists and watches.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	away, era := s.away, s.era
+	s.mutex.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	kind, isList := strings.CutPrefix(r.URL.Path, "/-/objects/")
 	if !isList || strings.Contains(kind, "/") || r.Method != http.MethodGet {
 		w.WriteHeader(http.StatusNotFound)
@@ -116,6 +131,48 @@
 	sendJSON(w, answer)
 }
 
+// leave makes the store reject all calls.
+func (s *store) leave() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away = true
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+// comeBack ends that.
+func (s *store) comeBack() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away = false
+}
+
+// storeCopy is the content of a store at some revision.
+type storeCopy struct {
+	revision int64
+	kinds    map[string]map[string]storedObject
+}
+
+// copyNow returns the present content.
+func (s *store) copyNow() storeCopy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	c := storeCopy{revision: s.revision, kinds: map[string]map[string]storedObject{}}
+	for kind, objects := range s.kinds {
+		c.kinds[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// restore replaces the content by a copy: later changes are lost, and their revisions are given out again.
+func (s *store) restore(c storeCopy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era++
+	s.revision, s.kinds = c.revision, c.kinds
+	s.history = slices.DeleteFunc(s.history, func(e storedChange) bool { return e.revision > c.revision })
+}
+
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, since int64, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -127,14 +184,21 @@
 				events = append(events, c)
 			}
 		}
-		revision, changed := s.revision, s.changed
+		revision, changed, cut, era := s.revision, s.changed, s.cut, s.era
 		s.mutex.Unlock()
+		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+		if since > revision {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(events) > 0 || expired {
 			sendJSON(w, map[string]any{"events": events, "storeRevision": revision})
 			return
 		}
 		select {
 		case <-changed:
+		case <-cut:
+			panic(http.ErrAbortHandler)
 		case <-timer.C:
 			expired = true
 		case <-r.Context().Done():
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -51,10 +51,20 @@
 	handles map[string]string
 	// runs holds the tokens of each request in the engine.
 	runs map[string]int
+	// leaving is set once the worker says in all its answers that it leaves. It writes no entry any more.
+	leaving bool
+	// arrivals holds the requests that have arrived.
+	arrivals []arrival
 	// ended is closed when the worker has ended.
 	ended chan struct{}
 }
 
+// arrival is a request that has arrived at a worker.
+type arrival struct {
+	id string
+	at time.Time
+}
+
 // startWorker starts a worker and registers it.
 func startWorker(s *system, config workerConfig) (*worker, error) {
 	listener, err := net.Listen("tcp", config.address)
@@ -69,11 +79,25 @@
 	return w, nil
 }
 
+// leave makes the worker leave without a report: it says so in its answers, its entry is removed, and it
+// serves on.
+func (w *worker) leave() {
+	w.mutex.Lock()
+	w.leaving = true
+	w.mutex.Unlock()
+	w.system.store.remove("servers", w.id)
+}
+
 // crash ends the worker at once. The store removes its entry after three heartbeats.
 func (w *worker) crash() {
+	w.end()
+	time.AfterFunc(3*heartbeat, func() { w.system.store.remove("servers", w.id) })
+}
+
+// end ends the worker's process.
+func (w *worker) end() {
 	close(w.ended)
 	_ = w.server.Close()
-	time.AfterFunc(3*heartbeat, func() { w.system.store.remove("servers", w.id) })
 }
 
 func (w *worker) keepRegistered() {
@@ -93,6 +117,9 @@
 func (w *worker) beat() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.leaving {
+		return
+	}
 	w.beats++
 	entry := map[string]any{
 		"service": w.service, "address": w.address, "zone": w.zone, "version": w.version, "slots": w.slots,
@@ -125,20 +152,43 @@
 	case r.Header.Get(attemptIDHeader) == "":
 		w.reject(out, r, http.StatusBadRequest)
 	case w.stage == "":
-		w.system.note("%s runs %s", w.id, r.Header.Get(attemptIDHeader))
-		time.Sleep(w.interval)
-		w.sign(out, r)
-		_, _ = io.WriteString(out, "answer to "+r.URL.Path)
+		w.call(out, r)
 	default:
 		w.serveModel(out, r)
 	}
 }
 
+func (w *worker) isLeaving() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.leaving
+}
+
+// call runs a request of a plain service.
+func (w *worker) call(out http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(attemptIDHeader)
+	w.mutex.Lock()
+	w.arrivals = append(w.arrivals, arrival{id: id, at: time.Now()})
+	w.mutex.Unlock()
+	w.system.note("%s runs %s", w.id, id)
+	select {
+	case <-time.After(w.interval):
+	case <-w.ended:
+		w.system.note("%s ends while it runs %s", w.id, id)
+		panic(http.ErrAbortHandler)
+	}
+	w.sign(out, r)
+	_, _ = io.WriteString(out, "answer to "+id)
+}
+
 // reject responds that the request is not run.
 func (w *worker) reject(out http.ResponseWriter, r *http.Request, status int) {
 	out.Header().Set(attemptIDHeader, r.Header.Get(attemptIDHeader))
 	out.Header().Set("X-Instance-Id", w.id)
 	out.Header().Set("X-Not-Executed", "1")
+	if w.isLeaving() {
+		out.Header().Set("Server-Leaving", "1")
+	}
 	out.WriteHeader(status)
 }
 
@@ -146,6 +196,9 @@
 func (w *worker) sign(out http.ResponseWriter, r *http.Request) {
 	out.Header().Set(attemptIDHeader, r.Header.Get(attemptIDHeader))
 	out.Header().Set("X-Server-Seal", w.id+".seal")
+	if w.isLeaving() {
+		out.Header().Set("Server-Leaving", "1")
+	}
 }
 
 func (w *worker) report(out http.ResponseWriter) {
@@ -271,7 +324,8 @@
 			w.system.note("%s stops %s before event %d", w.id, attempt, id)
 			return
 		case <-w.ended:
-			return
+			// The connection breaks off without the end of the response.
+			panic(http.ErrAbortHandler)
 		case <-time.After(w.interval):
 		}
 		if _, err := io.WriteString(out, eventText(r.URL.Path, w.version, id)); err != nil {
