review: take-ups refused after a new build starts in an outage (case 7), texts joined after restarts in place (case 8)

Case 8, a script: a relay takes an endpoint's version from a record that may be 1 to 2 s old, and a restarted worker keeps its id. Clients of the scripts name the attempt that began their stream.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -25,6 +25,7 @@
 // cases maps the names of the cases to what plays them. Trouble is unset for the run without the
 // disruption.
 var cases = map[string]func(s *system, trouble bool) error{
+	"inplace": playInPlace,
 	"split":   playSplit,
 	"leaving": playLeaving,
 }
--- a/review/rig2/reader.go
+++ b/review/rig2/reader.go
@@ -28,6 +28,8 @@
 	// events holds the data of each complete event by its id.
 	events []string
 	last   int
+	// first is the id of the attempt that brought the first event.
+	first string
 	// complete is set once the stream has ended as complete.
 	complete bool
 	takeUps  int
@@ -66,6 +68,8 @@
 	request.Header.Set("X-Prompt-Prefix", "5c1e07a2:200,"+id+":800")
 	if c.last > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(c.last))
+		// The clients of the users' bench name the attempt that brought the first event.
+		request.Header.Set("Resumes", c.first)
 		c.takeUps++
 	}
 	c.system.note("client sends %s (%s) to %s after event %d", id, c.path, address, c.last)
@@ -85,6 +89,9 @@
 		}
 		return time.Duration(seconds * float64(time.Second)), true
 	}
+	if c.first == "" {
+		c.first = id
+	}
 	if err := c.readEvents(response.Body); err != nil {
 		c.system.note("client: %s breaks off after event %d: %v", id, c.last, err)
 		return 0, true
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -73,8 +73,8 @@
 	}
 	w := &worker{workerConfig: config, system: s, born: time.Now().UnixMilli(), state: "ready", handles: map[string]string{}, runs: map[string]int{}, ended: make(chan struct{})}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
-	go func() { _ = w.server.Serve(listener) }()
 	w.beat()
+	go func() { _ = w.server.Serve(listener) }()
 	go w.keepRegistered()
 	return w, nil
 }
@@ -88,6 +88,22 @@
 	w.system.store.remove("servers", w.id)
 }
 
+// restart ends the worker at once and starts it again after a pause, under its id, with another software.
+func (w *worker) restart(pause time.Duration, version string) (*worker, error) {
+	w.end()
+	time.Sleep(pause)
+	config := w.workerConfig
+	config.version = version
+	next, err := startWorker(w.system, config)
+	if err != nil {
+		return nil, err
+	}
+	w.system.mutex.Lock()
+	defer w.system.mutex.Unlock()
+	w.system.workers[config.address] = next
+	return next, nil
+}
+
 // crash ends the worker at once. The store removes its entry after three heartbeats.
 func (w *worker) crash() {
 	w.end()
@@ -151,6 +167,8 @@
 		w.free(strings.TrimPrefix(r.URL.Path, "/-/kv-handle/"))
 	case r.Header.Get(attemptIDHeader) == "":
 		w.reject(out, r, http.StatusBadRequest)
+	case w.stage == "" && w.events > 0:
+		w.stream(out, r, r.Header.Get(attemptIDHeader), 0)
 	case w.stage == "":
 		w.call(out, r)
 	default:
