--- a/review/rig2/inplace.go
+++ b/review/rig2/inplace.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -70,7 +71,33 @@
 		}
 	}
 	wait.Wait()
-	return judgeStreams(s, clients, false)
+	return judgeStreams(s, clients)
+}
+
+// judgeStreams checks that no stream that has ended as complete is joined from two texts.
+func judgeStreams(s *system, clients []*reader) error {
+	complete, takenUp, joined := 0, 0, 0
+	for _, c := range clients {
+		versions := c.versions()
+		if c.takeUps > 0 {
+			takenUp++
+		}
+		if c.complete {
+			complete++
+		}
+		if c.complete && len(versions) > 1 {
+			joined++
+		}
+		s.note("%s: complete %t, %d events, taken up %d times, software in this order: %v", c.path, c.complete, len(c.events), c.takeUps, versions)
+	}
+	s.note("%d streams, %d taken up, %d complete, %d of these joined from two versions", len(clients), takenUp, complete, joined)
+	switch {
+	case joined > 0:
+		return fmt.Errorf("%w: ORDER: %d complete streams are joined from the texts of two versions", errBroken, joined)
+	case complete == 0:
+		return errors.New("no stream was complete, so that nothing was tested")
+	}
+	return nil
 }
 
 func inPlaceConfiguration() map[string]any {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -26,7 +26,6 @@
 // disruption.
 var cases = map[string]func(s *system, trouble bool) error{
 	"inplace": playInPlace,
-	"split":   playSplit,
 	"leaving": playLeaving,
 }
 
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -104,12 +104,6 @@
 	return next, nil
 }
 
-// crash ends the worker at once. The store removes its entry after three heartbeats.
-func (w *worker) crash() {
-	w.end()
-	time.AfterFunc(3*heartbeat, func() { w.system.store.remove("servers", w.id) })
-}
-
 // end ends the worker's process.
 func (w *worker) end() {
 	close(w.ended)
