--- a/review/rig2/inplace.go
+++ b/review/rig2/inplace.go
@@ -12,14 +12,14 @@
 func playInPlace(s *system, trouble bool) error {
 	const (
 		steady  = 18 * time.Second
-		streams = 36
+		streams = 48
 		pause   = 900 * time.Millisecond
 		gap     = time.Second
 	)
 	s.store.put("config", "main", inPlaceConfiguration())
 	zones := []string{"yard-a", "yard-b", "yard-c"}
 	var workers []*worker
-	for i := range 3 {
+	for i := range 4 {
 		config := workerConfig{
 			id: fmt.Sprintf("i-digest-%d", i+1), service: "digest", version: "1.4", zone: zones[i%len(zones)],
 			slots: engineSlots, events: 100, interval: 80 * time.Millisecond,
@@ -51,7 +51,7 @@
 	for i := range streams {
 		c := &reader{system: s, path: fmt.Sprintf("/packets/%d", i+1)}
 		for j := range relays {
-			c.relays = append(c.relays, fmt.Sprintf("%s:%d", relays[(i+j)%len(relays)].ip, frontPort))
+			c.relays = append(c.relays, fmt.Sprintf("%s:%d", relays[(i+j)%len(relays)].ip, s.ports.front))
 		}
 		clients = append(clients, c)
 		wait.Go(c.read)
--- a/review/rig2/leaving.go
+++ b/review/rig2/leaving.go
@@ -47,7 +47,7 @@
 		c.mutex.Lock()
 		c.calls = append(c.calls, call)
 		c.mutex.Unlock()
-		address := fmt.Sprintf("%s:%d", relays[i%len(relays)].ip, frontPort)
+		address := fmt.Sprintf("%s:%d", relays[i%len(relays)].ip, c.system.ports.front)
 		c.wait.Go(func() { c.send(client, address, call) })
 		time.Sleep(pause)
 	}
@@ -66,6 +66,7 @@
 	request.Host = host
 	request.Header.Set(attemptIDHeader, call.id)
 	request.Header.Set("X-Deadline-Ms", "5000")
+	c.system.note("client sends %s to %s", call.id, call.relay)
 	response, err := client.Do(request)
 	if err != nil {
 		c.system.note("client gets no answer to %s: %v", call.id, err)
@@ -82,9 +83,7 @@
 	if response.Header.Get("Server-Leaving") != "" {
 		call.leaving, call.leavingAt = strings.TrimSuffix(response.Header.Get("X-Server-Seal"), ".seal"), time.Now()
 	}
-	if call.status != http.StatusOK {
-		c.system.note("client gets %d for %s from %s", call.status, call.id, call.relay)
-	}
+	c.system.note("client gets %d for %s from %s, Server-Leaving %q", call.status, call.id, call.relay, response.Header.Get("Server-Leaving"))
 }
 
 // playLeaving plays the case of a worker that leaves without a report, while the store comes back from a
@@ -94,7 +93,7 @@
 	zones := []string{"yard-a", "yard-b", "yard-c"}
 	var workers []*worker
 	for i, zone := range zones {
-		w, err := s.addWorker(workerConfig{id: fmt.Sprintf("i-desk-%d", i+1), service: "renewal-desk", version: "1", zone: zone, slots: 6, interval: callWork}, i+1)
+		w, err := s.addWorker(workerConfig{id: fmt.Sprintf("i-desk-%d", i+1), service: "renewal-desk", version: "1", zone: zone, slots: 16, interval: callWork}, i+1)
 		if err != nil {
 			return err
 		}
--- a/review/rig2/system.go
+++ b/review/rig2/system.go
@@ -18,21 +18,34 @@
 )
 
 const (
-	keeperPort   = 7660
-	frontPort    = 8144
-	readyPort    = 8140
-	workerPort   = 8080
-	storePort    = 8142
 	startTimeout = 10 * time.Second
 	// program is what the deploy file builds and starts, seen from the root of the repository.
 	program = "target/crocusstep"
 )
 
+// ports are the same on all machines.
+type ports struct{ keeper, front, ready, metrics, worker, store int }
+
+// freePorts returns ports at which nothing listens.
+func freePorts() (p ports, err error) {
+	for _, port := range []*int{&p.keeper, &p.front, &p.ready, &p.metrics, &p.worker, &p.store} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return p, err
+		}
+		// It stays open until all are found, so that none is given out twice.
+		defer func() { _ = listener.Close() }()
+		*port = listener.Addr().(*net.TCPAddr).Port
+	}
+	return p, nil
+}
+
 // system is the project's processes with the stand-ins around them.
 type system struct {
 	folder string
 	// network is the second number of all loopback addresses.
 	network int
+	ports   ports
 	store   *store
 	began   time.Time
 
@@ -59,11 +72,15 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{folder: folder, store: newStore(), began: time.Now(), record: record, workers: map[string]*worker{}, nodes: map[string]*node{}}
+	free, err := freePorts()
+	if err != nil {
+		return nil, err
+	}
+	s := &system{folder: folder, ports: free, store: newStore(), began: time.Now(), record: record, workers: map[string]*worker{}, nodes: map[string]*node{}}
 	for range 20 {
 		s.network = 20 + rand.IntN(200)
 		var listener net.Listener
-		if listener, err = net.Listen("tcp", s.address(1, 1, storePort)); err == nil {
+		if listener, err = net.Listen("tcp", s.address(1, 1, s.ports.store)); err == nil {
 			go func() { _ = (&http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
 			return s, nil
 		}
@@ -92,7 +109,7 @@
 	if config.stage == "" {
 		group = 4
 	}
-	config.address = s.address(group, index, workerPort)
+	config.address = s.address(group, index, s.ports.worker)
 	w, err := startWorker(s, config)
 	if err != nil {
 		return nil, err
@@ -125,7 +142,7 @@
 func (s *system) awaitReady(n *node) error {
 	client := &http.Client{Timeout: time.Second}
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		response, err := client.Get(fmt.Sprintf("http://%s:%d/-/readiness", n.ip, readyPort))
+		response, err := client.Get(fmt.Sprintf("http://%s:%d/-/readiness", n.ip, s.ports.ready))
 		if err != nil {
 			continue
 		}
@@ -141,8 +158,8 @@
 	n := &node{name: name, role: role, ip: ip, file: filepath.Join(s.folder, name+".yaml")}
 	fields := map[string]any{
 		"nodeName": name, "region": "west", "zone": zone, "ip": ip, "zones": map[string]string{"yard-a": "west", "yard-b": "west", "yard-c": "west"},
-		"listen.front": fmt.Sprintf("%s:%d", ip, frontPort), "listen.ready": fmt.Sprintf("%s:%d", ip, readyPort),
-		"platform.address": s.address(1, 1, storePort), "internalPorts.0": keeperPort, "app": fmt.Sprintf("%s:%d", ip, workerPort),
+		"listen.front": fmt.Sprintf("%s:%d", ip, s.ports.front), "listen.ready": fmt.Sprintf("%s:%d", ip, s.ports.ready),
+		"platform.address": s.address(1, 1, s.ports.store), "internalPorts.0": s.ports.keeper, "app": fmt.Sprintf("%s:%d", ip, s.ports.worker),
 		"bounds.retryBudgetRatio": 0.2, "bounds.retrySlack": 56, "bounds.budgetWindowS": 10, "bounds.configApplyMs": 2500, "bounds.transitMs": 250,
 		"bounds.graceS": 8, "limits.memoryMb": 134,
 	}
@@ -150,7 +167,9 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(n.file, []byte(fill(string(template), fields)), 0o600); err != nil {
+	// The template leaves the port of the metrics at its default, which may be in use.
+	settings := fill(string(template), fields) + fmt.Sprintf("metrics-port: %d\n", s.ports.metrics)
+	if err := os.WriteFile(n.file, []byte(settings), 0o600); err != nil {
 		return err
 	}
 	s.nodes[name] = n
