A field name that is no token makes a response malformed

What callers saw: a worker sent a field whose name held a blank. The caller got the response with that line passed on by a relay; with "Content-Length : 16" or "Transfer-Encoding : chunked" it got a part of the body, or the chunks with their sizes, as a complete answer. An entry's ledger gave the same answer to the caller that came back.

A line that begins with a blank continues the value before it, also if it is a Content-Length. Trailers are parsed in the same way, and informational heads passed without a check.

Change: CheckFields in package reply asks for tokens (RFC 9110, 5.6.2) in final and informational heads and in trailers, for package client, for all clients over net/http, and for the fields that agents pass on to entries. A value that holds a Content-Length or Transfer-Encoding is the result of a line behind a blank; the response is malformed. Other folded lines stay allowed.

--- a/client/conn.go
+++ b/client/conn.go
@@ -354,7 +354,7 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
+	if err = reply.CheckEnd(b.response, err); errors.Is(err, io.EOF) {
 		b.complete.Store(true)
 	}
 	return n, err
--- a/client/malformed_test.go
+++ b/client/malformed_test.go
@@ -58,6 +58,12 @@
 	checkMalformed(t, fake.MalformedStatusLines("X-Id: mine\r\n", soundBody))
 }
 
+// TestMalformedField guards against a response with a field whose name is no token: what the field
+// says is lost, such as the length of the body.
+func TestMalformedField(t *testing.T) {
+	checkMalformed(t, fake.MalformedFields("X-Id: mine\r\n", soundBody))
+}
+
 func TestUnusualSoundResponse(t *testing.T) {
 	for _, r := range fake.SoundResponses("X-Id: mine\r\n", soundBody) {
 		response, body, err := exchangeRaw(t, r.Text)
--- a/entry/call_helper.go
+++ b/entry/call_helper.go
@@ -193,7 +193,11 @@
 // checkResponse returns an error for a malformed response. An agent of an earlier version does not
 // check those of its endpoint, and ledgers keep them.
 func checkResponse(response wire.CallResponse) error {
-	if err := reply.CheckStatus(response.Status); err != nil {
+	err := reply.CheckStatus(response.Status)
+	if err == nil {
+		err = reply.CheckFields(response.Header)
+	}
+	if err != nil {
 		return errors.Join(wire.ErrResponseLost, err)
 	}
 	return nil
--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -51,11 +51,11 @@
 	return c.refusalFor(err)
 }
 
-// TestMalformedResponseOfAgent guards against callers that get a response with an invalid status, which
-// an agent has passed on or kept in its ledger.
+// TestMalformedResponseOfAgent guards against callers that get a response with an invalid status or
+// field, which an agent has passed on or kept in its ledger.
 func TestMalformedResponseOfAgent(t *testing.T) {
 	for _, class := range []spec.CallClass{spec.Action, spec.Lookup} {
-		for _, response := range []wire.CallResponse{{Status: 0}, {Status: 99}, {Status: 101}, {Status: 199}, {Status: 600}, {Status: -1}} {
+		for _, response := range []wire.CallResponse{{Status: 0}, {Status: 99}, {Status: 101}, {Status: 199}, {Status: 600}, {Status: -1}, {Status: 200, Header: http.Header{"X A": {"b"}}}, {Status: 200, Header: http.Header{"Content-Length ": {"5"}}}, {Status: 200, Header: http.Header{"": {"b"}}}} {
 			response.LedgerChecked = class == spec.Action
 			refusal := callOver(t, class, response)
 			assert.Assert(t, refusal != nil, "%s: %+v", class, response)
@@ -63,7 +63,7 @@
 			assert.Equal(t, refusal.Outcome, fault.Unknown)
 		}
 		for _, status := range []int{200, 204, 299, 304, 418, 503, 599} {
-			assert.Assert(t, callOver(t, class, wire.CallResponse{Status: status}) == nil, "%s: %d", class, status)
+			assert.Assert(t, callOver(t, class, wire.CallResponse{Status: status, Header: http.Header{"x_a~": {"b"}}}) == nil, "%s: %d", class, status)
 		}
 	}
 }
--- a/fake/malformed.go
+++ b/fake/malformed.go
@@ -5,6 +5,8 @@
 // RawResponse is a response as sent.
 type RawResponse struct {
 	Name, Text string
+	// HasTrailer is set if what is malformed comes behind the body.
+	HasTrailer bool
 	// Status is zero for a malformed response.
 	Status int
 }
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -137,5 +137,11 @@
 	if path == GossipPath {
 		limit = maxMessageBytes
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, limit)).Decode(target)
+	body := io.LimitReader(response.Body, limit)
+	if err := json.NewDecoder(body).Decode(target); err != nil {
+		return err
+	}
+	// The end shows whether the response is malformed or cut.
+	_, err = io.Copy(io.Discard, body)
+	return err
 }
--- a/reply/check.go
+++ b/reply/check.go
@@ -22,6 +22,8 @@
 const (
 	// FlawStatusLine means that the status line is invalid.
 	FlawStatusLine Flaw = "status-line"
+	// FlawField means that the name of a field is no token.
+	FlawField Flaw = "field-name"
 	// FlawFraming means that the fields contradict the extent of the message.
 	FlawFraming Flaw = "framing"
 	// FlawSyntax means that the response could not be parsed.
@@ -29,7 +31,7 @@
 )
 
 // Flaws returns all kinds of faults.
-func Flaws() []Flaw { return []Flaw{FlawStatusLine, FlawFraming, FlawSyntax} }
+func Flaws() []Flaw { return []Flaw{FlawStatusLine, FlawField, FlawFraming, FlawSyntax} }
 
 // malformed counts the malformed responses that this process has received.
 var malformed = newCounters()
@@ -83,9 +85,42 @@
 	case r.StatusCode < http.StatusOK:
 		return checkInformational(r.Header, r.TransferEncoding)
 	}
+	return CheckFields(r.Header)
+}
+
+// CheckFields returns an error unless the names of all fields, which may be those of a trailer, are
+// tokens. The parser of net/http keeps a name with a blank as it is, so that a Content-Length with a
+// blank is none.
+func CheckFields(header http.Header) error {
+	for name, values := range header {
+		if name == "" || strings.ContainsFunc(name, isNoToken) {
+			return Malformed(FlawField, fmt.Errorf("a field has the name %s", quote(name)))
+		}
+		for _, value := range values {
+			if hidesFraming(value) {
+				return Malformed(FlawFraming, fmt.Errorf("the line of a field that states the extent of the body begins with a blank: %s", quote(value)))
+			}
+		}
+	}
 	return nil
 }
 
+// isNoToken reports whether a character must not occur in a token (RFC 9110, 5.6.2).
+func isNoToken(c rune) bool {
+	isAlphanumeric := c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+	return !isAlphanumeric && !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+}
+
+// hidesFraming reports whether a value holds a field that states the extent of the body: a line that
+// begins with a blank continues the value of the line before it.
+func hidesFraming(value string) bool {
+	if !strings.Contains(value, ":") {
+		return false
+	}
+	value = strings.ToLower(value)
+	return strings.Contains(value, "content-length:") || strings.Contains(value, "transfer-encoding:")
+}
+
 // CheckStatus returns an error unless a status is valid for the response to a request, which is not
 // informational.
 func CheckStatus(status int) error {
@@ -106,5 +141,5 @@
 	if _, stated := header["Content-Length"]; stated || len(transferEncoding) > 0 {
 		return Malformed(FlawFraming, fmt.Errorf("an informational response states a body"))
 	}
-	return nil
+	return CheckFields(header)
 }
--- a/reply/transport.go
+++ b/reply/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -51,9 +52,36 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &chunkedBody{ReadCloser: response.Body, response: response}
+	}
 	return response, nil
 }
 
+// chunkedBody is the body of a response that may have a trailer.
+type chunkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	return n, CheckEnd(b.response, err)
+}
+
+// CheckEnd returns the error of a read from the body of a response, and another one at its end if the
+// trailer is malformed.
+func CheckEnd(r *http.Response, err error) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	if flaw := CheckFields(r.Trailer); flaw != nil {
+		return flaw
+	}
+	return err
+}
+
 // CloseIdleConnections closes the connections that are not in use.
 func (t *transport) CloseIdleConnections() {
 	if c, ok := t.base.(interface{ CloseIdleConnections() }); ok {
--- a/start/malformed_test.go
+++ b/start/malformed_test.go
@@ -267,6 +267,10 @@
 // an answer.
 func TestMalformedStatusLine(t *testing.T) { checkMalformed(t, fake.MalformedStatusLines) }
 
+// TestMalformedField guards against callers that get a response with an invalid field name as an
+// answer.
+func TestMalformedField(t *testing.T) { checkMalformed(t, fake.MalformedFields) }
+
 // TestUnusualSoundResponse sends responses that are unusual and allowed.
 func TestUnusualSoundResponse(t *testing.T) {
 	w := newRawWorker(t)
