A reset that a write has met first is no end of a response

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still written. The caller got that part as a complete answer, at a relay and at an entry, and a stream ended after the events of that part as if it were whole.

Cause: the kernel reports a reset once (sk_err), to the read or write that comes first. If it was the write of the upload, which runs beside the read of the response, the next read returns the end of the data, as after a FIN. Without a length or chunks that is the end of the body. net/http has the same race; its writer also closes the connection.

Change: socket.ReportResets wraps a connection. A write that fails with another error than EPIPE is remembered. A read that comes to the end asks the kernel for the state (TCP_INFO): still able to send means that the peer has ended in order. If not, all writes fail at once, so the read waits for the one in progress and returns its failure. EPIPE is what writes get for a reset after the peer's FIN, so an early refusal that ends in order stays complete.

--- a/client/conn.go
+++ b/client/conn.go
@@ -19,6 +19,7 @@
 
 	"crocusstep/ident"
 	"crocusstep/reply"
+	"crocusstep/socket"
 )
 
 // maxInlineBodyBytes is the largest body that is written before the response is read.
@@ -119,6 +120,7 @@
 }
 
 func newConn(raw net.Conn) *conn {
+	raw = socket.ReportResets(raw)
 	limited := &limitedReader{reader: raw}
 	return &conn{Conn: raw, limited: limited, reader: bufio.NewReaderSize(limited, 4<<10), seed: maphash.MakeSeed()}
 }
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -17,6 +17,27 @@
 		mutated:   "case false:",
 		pkg:       "platform", test: "TestMalformedStatusLine",
 	},
+	{
+		guarantee: "a reset that a write has met first is no end of a response",
+		file:      "socket/reset.go",
+		original:  "\t\tc.failure = number\n",
+		mutated:   "\t\tc.failure = 0\n",
+		pkg:       "client", test: "TestResetDuringUpload",
+	},
+	{
+		guarantee: "net/http's close after a failed write does not hide a reset",
+		file:      "socket/reset.go",
+		original:  "return err == nil && open",
+		mutated:   "return err != nil || open",
+		pkg:       "socket", test: "TestResetDuringUpload",
+	},
+	{
+		guarantee: "a response that ends in order while the request is still sent is complete",
+		file:      "socket/reset.go",
+		original:  "number != syscall.EPIPE",
+		mutated:   "true",
+		pkg:       "client", test: "TestEarlyResponse",
+	},
 	{
 		guarantee: "a field name with a blank makes a response malformed",
 		file:      "reply/check.go",
