A length behind a blank is found with a blank before its colon, too

What callers saw: with "X-A: b" and then " Content-Length : 16" a part of the body was a complete answer, at both interfaces.

Cause: the check of package reply looked for the name with the colon right behind it.

Change: it takes blanks between them, and only a whole word as the name. Reasons without arguments are plain errors.

Evidence: with the case added and the check as before, TestMalformedField failed in package client and in start (all five kinds of calls). It passes now; so did the other tests of malformed, sound, cut and early responses in reply, client, platform, start and socket.

--- a/fake/malformed_fields.go
+++ b/fake/malformed_fields.go
@@ -28,6 +28,7 @@
 	part := body[:min(5, len(body))]
 	add("length with a blank in its name, a part of the body", line+fields+fmt.Sprintf("Content-Length : %d\r\n\r\n", len(body))+part)
 	add("length behind a blank, a part of the body", line+fields+fmt.Sprintf("X-A: b\r\n Content-Length: %d\r\n\r\n", len(body))+part)
+	add("length between blanks, a part of the body", line+fields+fmt.Sprintf("X-A: b\r\n Content-Length : %d\r\n\r\n", len(body))+part)
 	add("chunks with a blank in their name", line+fields+"Transfer-Encoding : chunked\r\n\r\n5\r\n"+part+"\r\n")
 	add("chunks behind a blank", line+fields+"X-A: b\r\n\ttransfer-encoding: chunked\r\n\r\n5\r\n"+part+"\r\n")
 	return responses
--- a/reply/check.go
+++ b/reply/check.go
@@ -3,8 +3,10 @@
 package reply
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync/atomic"
 )
@@ -81,7 +83,7 @@
 	case strings.ContainsFunc(r.Status, isControl):
 		return Malformed(FlawStatusLine, fmt.Errorf("a control byte in %s", quote(r.Status)))
 	case r.StatusCode == http.StatusSwitchingProtocols:
-		return Malformed(FlawStatusLine, fmt.Errorf("the protocol was switched without a request for it"))
+		return Malformed(FlawStatusLine, errors.New("the protocol was switched without a request for it"))
 	case r.StatusCode < http.StatusOK:
 		return checkInformational(r.Header, r.TransferEncoding)
 	}
@@ -111,14 +113,13 @@
 	return !isAlphanumeric && !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
 }
 
+// framingField matches a field that states the extent of the body.
+var framingField = regexp.MustCompile(`(?i)(^|[ \t])(content-length|transfer-encoding)[ \t]*:`)
+
 // hidesFraming reports whether a value holds a field that states the extent of the body: a line that
 // begins with a blank continues the value of the line before it.
 func hidesFraming(value string) bool {
-	if !strings.Contains(value, ":") {
-		return false
-	}
-	value = strings.ToLower(value)
-	return strings.Contains(value, "content-length:") || strings.Contains(value, "transfer-encoding:")
+	return strings.Contains(value, ":") && framingField.MatchString(value)
 }
 
 // CheckStatus returns an error unless a status is valid for the response to a request, which is not
@@ -132,14 +133,14 @@
 
 func isValid(status int) bool { return status >= minStatus && status <= maxStatus }
 
-// isControl reports whether a byte of a status line or a field must not occur there.
+// isControl reports whether a character must not occur in a status line.
 func isControl(c rune) bool { return c < ' ' && c != '\t' || c == '\x7f' }
 
 // checkInformational returns an error if an informational response states the extent of a body, as
 // it has none: what follows would be read as the next response.
 func checkInformational(header http.Header, transferEncoding []string) error {
 	if _, stated := header["Content-Length"]; stated || len(transferEncoding) > 0 {
-		return Malformed(FlawFraming, fmt.Errorf("an informational response states a body"))
+		return Malformed(FlawFraming, errors.New("an informational response states a body"))
 	}
 	return CheckFields(header)
 }
