Tests of start: the stand-in says that it closes, ports stay free

Cause: the stand-in closed each connection without saying so, and a relay sent the next request on a kept one before the FIN came. The ports came from the range that the kernel gives to connections.

Change: the responses of these tests have Connection: close. freeAddress of package start takes ports below that range, as that of package crowd does. A test that fails shows the logs of its processes.

No check was changed.

--- a/start/malformed_test.go
+++ b/start/malformed_test.go
@@ -1,6 +1,7 @@
 package start
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -33,6 +34,9 @@
 	// readyTimeout bounds the start of the processes.
 	readyTimeout = 20 * time.Second
 	callTimeout  = 5 * time.Second
+	// logDelay is longer than log lines are held, maxLog the size of a log that is shown.
+	logDelay = 300 * time.Millisecond
+	maxLog   = 20_000
 )
 
 // rawWorker is a plain service that sends the responses that it is given.
@@ -46,7 +50,8 @@
 	t.Helper()
 	w := &rawWorker{}
 	server, err := fake.NewRawServer(func(conn *net.TCPConn, r *http.Request) {
-		fields := ""
+		// The server closes the connection after each response.
+		fields := "Connection: close\r\n"
 		if attempt := double.RequestAttempt(r); attempt != "" {
 			fields += double.ResponseFields(attempt)
 		}
@@ -95,10 +100,19 @@
 	assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
 	command := exec.Command(os.Args[0], role, "--settings", file)
 	command.Env = append(os.Environ(), runVariable+"=1", "GORACE=atexit_sleep_ms=0")
+	var output bytes.Buffer
+	command.Stdout, command.Stderr = &output, &output
 	assert.NilError(t, command.Start())
 	t.Cleanup(func() {
+		if t.Failed() {
+			// A relay holds its log lines for a moment.
+			time.Sleep(logDelay)
+		}
 		_ = command.Process.Kill()
 		_ = command.Wait()
+		if t.Failed() {
+			t.Logf("%s:\n%s", role, output.String()[max(0, output.Len()-maxLog):])
+		}
 	})
 }
 
--- a/start/signal_test.go
+++ b/start/signal_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,13 +26,26 @@
 	os.Exit(m.Run())
 }
 
+// firstPort and endPort bound the ports of the processes. The kernel gives ports from 32768 on to
+// connections of any process, so one that was free a moment ago may be taken.
+const firstPort, endPort = 20000, 23000
+
+// lastPort counts the ports that freeAddress has tried.
+var lastPort atomic.Int64
+
 // freeAddress returns a loopback address with an unused port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for range endPort - firstPort {
+		port := firstPort + lastPort.Add(1)%(endPort-firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			_ = listener.Close()
+			return listener.Addr().String()
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 // startEntry runs an entry in a separate process, with an unreachable platform,
