Chunks with HTTP/1.0 are malformed for clients over net/http, too

What callers saw: a plain service before an agent answered with HTTP/1.0 and "Transfer-Encoding: chunked". The caller of the entry got the chunks with their sizes as the body, and again from the ledger.

Cause: net/http ignores the field with HTTP/1.0 and deletes it, so that no reader sees it; package client looks at the head itself.

Change: connections of package socket record what is read until the response is returned (httptrace tells which one carries it), and the transport of package reply looks for the field in the final head.

--- a/fake/malformed.go
+++ b/fake/malformed.go
@@ -1,6 +1,9 @@
 package fake
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // RawResponse is a response as sent.
 type RawResponse struct {
@@ -34,6 +37,16 @@
 	return responses
 }
 
+// MalformedFraming returns responses with HTTP/1.0 that look like successes but for a transfer encoding.
+func MalformedFraming(fields, body string) []RawResponse {
+	text := fmt.Sprintf("HTTP/1.0 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", fields, len(body), body)
+	return []RawResponse{
+		{Name: "chunks in HTTP/1.0", Text: text},
+		{Name: "chunks in HTTP/1.0 after an informational response", Text: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + text},
+		{Name: "chunks in HTTP/1.0, lines end with LF", Text: strings.ReplaceAll(text, "\r\n", "\n")},
+	}
+}
+
 // SoundResponses returns successes that are unusual and allowed.
 func SoundResponses(fields, body string) []RawResponse {
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
--- a/mutant/users_platform.go
+++ b/mutant/users_platform.go
@@ -38,6 +38,13 @@
 		mutated:   "true",
 		pkg:       "client", test: "TestEarlyResponse",
 	},
+	{
+		guarantee: "chunks in HTTP/1.0 are no body of a plain service before an agent",
+		file:      "reply/head.go",
+		original:  "if r.ProtoMinor > 0 ||",
+		mutated:   "if true ||",
+		pkg:       "start", test: "TestMalformedFraming",
+	},
 	{
 		guarantee: "a field name with a blank makes a response malformed",
 		file:      "reply/check.go",
@@ -76,8 +83,8 @@
 	{
 		guarantee: "a malformed response is no success of a call to the store, an engine or a peer",
 		file:      "reply/transport.go",
-		original:  "if err := CheckHead(response); err != nil {",
-		mutated:   "if err := CheckHead(response); err != nil && false {",
+		original:  "err = CheckHead(response)\n",
+		mutated:   "err = nil\n",
 		pkg:       "platform", test: "TestReadersOfMalformedStatusLine",
 	},
 	{
--- a/reply/transport.go
+++ b/reply/transport.go
@@ -33,13 +33,22 @@
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	informational := 0
-	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
-		// The transport limits the size of each head, but not their number.
-		if informational++; informational > maxInformational {
-			return errInformational
-		}
-		return checkInformational(http.Header(header), nil)
-	}}
+	var recorder HeadRecorder
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, records := info.Conn.(HeadRecorder); records {
+				c.RecordHead()
+				recorder = c
+			}
+		},
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			// The transport limits the size of each head, but not their number.
+			if informational++; informational > maxInformational {
+				return errInformational
+			}
+			return checkInformational(http.Header(header), nil)
+		},
+	}
 	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		var syntax textproto.ProtocolError
@@ -48,7 +57,13 @@
 		}
 		return nil, err
 	}
-	if err := CheckHead(response); err != nil {
+	err = CheckHead(response)
+	if recorder != nil {
+		if record := recorder.RecordedHead(); err == nil {
+			err = checkRecord(response, record)
+		}
+	}
+	if err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
--- a/socket/reset.go
+++ b/socket/reset.go
@@ -24,17 +24,18 @@
 
 // ReportResets returns a connection whose reads fail once it was reset. The kernel reports a reset once, to
 // the read or write that comes first. If that was a write, later reads end as if the peer had closed
-// the connection in order, which is also how a response without a length ends.
+// the connection in order, which is also how a response without a length ends. The connection is a
+// reply.HeadRecorder, too.
 func ReportResets(conn net.Conn) net.Conn {
 	kernel, ok := conn.(kernelConn)
-	if _, reports := conn.(*resetConn); reports || !ok {
+	if _, reports := conn.(*checkedConn); reports || !ok {
 		return conn
 	}
-	return &resetConn{Conn: conn, kernel: kernel}
+	return &checkedConn{Conn: conn, kernel: kernel}
 }
 
-// resetConn has no ReadFrom, which would write to the connection without Write.
-type resetConn struct {
+// checkedConn has no ReadFrom, which would write to the connection without Write.
+type checkedConn struct {
 	net.Conn
 	kernel kernelConn
 
@@ -42,10 +43,12 @@
 	writing sync.Mutex
 	// failure is the failure of the connection that a write has met, or zero.
 	failure syscall.Errno
+
+	record record
 }
 
 // Write implements net.Conn.
-func (c *resetConn) Write(p []byte) (n int, err error) {
+func (c *checkedConn) Write(p []byte) (n int, err error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err = c.Conn.Write(p)
@@ -58,8 +61,9 @@
 }
 
 // Read implements net.Conn.
-func (c *resetConn) Read(p []byte) (n int, err error) {
+func (c *checkedConn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
+	c.record.add(p[:n])
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -69,8 +73,14 @@
 	return n, err
 }
 
+// RecordHead implements reply.HeadRecorder.
+func (c *checkedConn) RecordHead() { c.record.begin() }
+
+// RecordedHead implements reply.HeadRecorder.
+func (c *checkedConn) RecordedHead() []byte { return c.record.end() }
+
 // writeFailure returns the failure of the connection that a write has met, or zero.
-func (c *resetConn) writeFailure() syscall.Errno {
+func (c *checkedConn) writeFailure() syscall.Errno {
 	if c.isOpen() {
 		// The peer has only ended its side, and a write may wait until it reads on.
 		return 0
@@ -83,7 +93,7 @@
 
 // isOpen reports whether the connection can still send: it was not reset, nor closed here, which the
 // writer of net/http does after a failed write.
-func (c *resetConn) isOpen() bool {
+func (c *checkedConn) isOpen() bool {
 	raw, err := c.kernel.SyscallConn()
 	if err != nil {
 		return false
@@ -97,7 +107,7 @@
 }
 
 // SyscallConn implements syscall.Conn.
-func (c *resetConn) SyscallConn() (syscall.RawConn, error) { return c.kernel.SyscallConn() }
+func (c *checkedConn) SyscallConn() (syscall.RawConn, error) { return c.kernel.SyscallConn() }
 
 // SetLinger sets how Close treats unsent data, like that of net.TCPConn.
-func (c *resetConn) SetLinger(seconds int) error { return c.kernel.SetLinger(seconds) }
+func (c *checkedConn) SetLinger(seconds int) error { return c.kernel.SetLinger(seconds) }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -55,8 +55,8 @@
 	return newDialer().DialContext(ctx, network, address)
 }
 
-// dialReporting opens a connection with the timeouts whose reads report a reset.
-func dialReporting(ctx context.Context, network, address string) (net.Conn, error) {
+// dialChecked opens a connection with the timeouts whose reads report a reset.
+func dialChecked(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -75,7 +75,7 @@
 // all addresses are IP addresses of the internal network.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         dialReporting,
+		DialContext:         dialChecked,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		// The head of a response is small; a faulty peer may send one without end.
--- a/start/malformed_test.go
+++ b/start/malformed_test.go
@@ -296,6 +296,10 @@
 // answer.
 func TestMalformedField(t *testing.T) { checkMalformed(t, fake.MalformedFields) }
 
+// TestMalformedFraming guards against callers that get the chunks of a response with HTTP/1.0 as its
+// body.
+func TestMalformedFraming(t *testing.T) { checkMalformed(t, fake.MalformedFraming) }
+
 // TestUnusualSoundResponse sends responses that are unusual and allowed.
 func TestUnusualSoundResponse(t *testing.T) {
 	w := newRawWorker(t)
