--- a/mutant/main.go
+++ b/mutant/main.go
@@ -55,6 +55,7 @@
 		originMutants,
 		patienceMutants,
 		quotaMutants,
+		replyMutants,
 		responseMutants,
 		stopMutants,
 		workspaceMutants,
--- a/mutant/own_interface.go
+++ b/mutant/own_interface.go
@@ -311,20 +311,6 @@
 		mutated:   "return true",
 		pkg:       "docset", test: "TestView",
 	},
-	{
-		guarantee: "a malformed response that an agent passes on is no answer",
-		file:      "entry/call_helper.go",
-		original:  "if err == nil && response.Fault == nil {",
-		mutated:   "if false {",
-		pkg:       "entry", test: "TestMalformedResponseOfAgent",
-	},
-	{
-		guarantee: "a field that an agent passes on has a valid name",
-		file:      "entry/call_helper.go",
-		original:  "err = reply.CheckFields(response.Header)",
-		mutated:   "err = nil",
-		pkg:       "entry", test: "TestMalformedResponseOfAgent",
-	},
 	{
 		guarantee: "when not all requests can start in time, as few as possible are shed",
 		file:      "queue/limiter.go",
--- /dev/null
+++ b/mutant/reply.go
@@ -0,0 +1,103 @@
+package main
+
+// replyMutants holds one mutant for each mechanism that keeps malformed and cut responses from callers.
+var replyMutants = []mutant{
+	{
+		guarantee: "a response with an invalid status is no answer",
+		file:      "reply/check.go",
+		original:  "case !isValid(r.StatusCode):",
+		mutated:   "case false:",
+		pkg:       "platform", test: "TestMalformedStatusLine",
+	},
+	{
+		guarantee: "a reset that a write has met first is no end of a response",
+		file:      "socket/reset.go",
+		original:  "\t\tc.failure = number\n",
+		mutated:   "\t\tc.failure = 0\n",
+		pkg:       "client", test: "TestResetDuringUpload",
+	},
+	{
+		guarantee: "net/http's close after a failed write does not hide a reset",
+		file:      "socket/reset.go",
+		original:  "return err == nil && open",
+		mutated:   "return err != nil || open",
+		pkg:       "socket", test: "TestResetDuringUpload",
+	},
+	{
+		guarantee: "a response that ends in order while the request is still sent is complete",
+		file:      "socket/reset.go",
+		original:  "number != syscall.EPIPE",
+		mutated:   "true",
+		pkg:       "client", test: "TestEarlyResponse",
+	},
+	{
+		guarantee: "chunks in HTTP/1.0 are no body of a plain service before an agent",
+		file:      "reply/head.go",
+		original:  "if r.ProtoMinor > 0 ||",
+		mutated:   "if true ||",
+		pkg:       "start", test: "TestMalformedFraming",
+	},
+	{
+		guarantee: "a field name with a blank makes a response malformed",
+		file:      "reply/check.go",
+		original:  "name == \"\" || strings.ContainsFunc(name, isNoToken)",
+		mutated:   "name == \"\"",
+		pkg:       "platform", test: "TestMalformedField",
+	},
+	{
+		guarantee: "a length behind a blank is not passed over",
+		file:      "reply/check.go",
+		original:  "if hidesFraming(value) {",
+		mutated:   "if hidesFraming(value) && false {",
+		pkg:       "client", test: "TestMalformedField",
+	},
+	{
+		guarantee: "a malformed trailer makes a response malformed",
+		file:      "client/conn.go",
+		original:  "if err = reply.CheckEnd(b.response, err); errors",
+		mutated:   "if errors",
+		pkg:       "platform", test: "TestMalformedField",
+	},
+	{
+		guarantee: "a keeper's response is read to its end",
+		file:      "keeper/client.go",
+		original:  "\t_, err = io.Copy(io.Discard, body)\n\treturn err\n",
+		mutated:   "\treturn nil\n",
+		pkg:       "platform", test: "TestReadersOfMalformedField",
+	},
+	{
+		guarantee: "an informational response with a body does not hide another response",
+		file:      "reply/check.go",
+		original:  "stated || len(transferEncoding) > 0",
+		mutated:   "stated && false",
+		pkg:       "platform", test: "TestMalformedStatusLine",
+	},
+	{
+		guarantee: "a malformed response is no success of a call to the store, an engine or a peer",
+		file:      "reply/transport.go",
+		original:  "err = CheckHead(response)\n",
+		mutated:   "err = nil\n",
+		pkg:       "platform", test: "TestReadersOfMalformedStatusLine",
+	},
+	{
+		guarantee: "a malformed response that an agent passes on is no answer",
+		file:      "entry/call_helper.go",
+		original:  "if err == nil && response.Fault == nil {",
+		mutated:   "if false {",
+		pkg:       "entry", test: "TestMalformedResponseOfAgent",
+	},
+	{
+		guarantee: "a field that an agent passes on has a valid name",
+		file:      "entry/call_helper.go",
+		original:  "err = reply.CheckFields(response.Header)",
+		mutated:   "err = nil",
+		pkg:       "entry", test: "TestMalformedResponseOfAgent",
+	},
+	{
+		guarantee: "malformed responses are counted",
+		file:      "reply/check.go",
+		original:  "malformed[f].Add(1)",
+		mutated:   "malformed[f].Add(0)",
+		pkg:       "start", test: "TestMalformedResponsesAreCounted",
+	},
+}
--- a/start/malformed_test.go
+++ b/start/malformed_test.go
@@ -1,6 +1,8 @@
 package start
 
 import (
+	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -32,6 +34,22 @@
 // body.
 func TestMalformedFraming(t *testing.T) { checkMalformed(t, fake.MalformedFraming) }
 
+// TestMalformedResponsesAreCounted guards against malformed responses that the metrics do not show.
+func TestMalformedResponsesAreCounted(t *testing.T) {
+	w := newRawWorker(t)
+	r := relayRoutes(t, w)[0]
+	for _, text := range []string{"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX A: b\r\n\r\n", "HTTP/1.1 103 A\r\nContent-Length: 5\r\n\r\n", "none\r\n\r\n"} {
+		w.send(func(string) string { return text })
+		r.checkRefused(t, w, text, "body")
+	}
+	response, err := http.Get("http://" + w.relayMetrics + "/metrics")
+	got := readAnswer(response, err)
+	assert.NilError(t, got.err)
+	for _, want := range []string{`{flaw="status-line"} 2`, `{flaw="field-name"} 1`, `{flaw="framing"} 1`, `{flaw="syntax"} 1`} {
+		assert.Assert(t, strings.Contains(got.body, "crocusstep_malformed_responses_total"+want+"\n"), "%s: %s", want, got.body)
+	}
+}
+
 // TestUnusualSoundResponse sends responses that are unusual and allowed.
 func TestUnusualSoundResponse(t *testing.T) {
 	w := newRawWorker(t)
--- a/start/raw_worker_test.go
+++ b/start/raw_worker_test.go
@@ -44,6 +44,8 @@
 	*fake.RawServer
 	// respond writes the next response; fields are those of a success.
 	respond atomic.Pointer[func(conn *net.TCPConn, r *http.Request, fields string)]
+	// relayMetrics is where the relay before the worker serves its metrics.
+	relayMetrics string
 }
 
 func newRawWorker(t *testing.T) *rawWorker {
@@ -136,7 +138,8 @@
 	endpoint := &double.Endpoint{Name: "i-1", Service: double.PlainService, StartMillis: 1, Version: "v1", Recorder: double.NewRecorder()}
 	assert.NilError(t, platformStore.Register(endpoint, w.Address(), "zone-a", false))
 	callers, readiness := freeAddress(t), freeAddress(t)
-	_, metricsPort, err := net.SplitHostPort(freeAddress(t))
+	w.relayMetrics = freeAddress(t)
+	_, metricsPort, err := net.SplitHostPort(w.relayMetrics)
 	assert.NilError(t, err)
 	startRole(t, "relay", fmt.Sprintf(`place: {instance: relay-1, region: region-a, availability-zone: zone-a}
 address: 127.0.0.1
