Informational responses are bounded by their size, not their number

What callers would see: a worker that sends 102 while it processes a request was lost after ten of them, at an agent.

Change: they may have 64 KiB together, as before.

Evidence: TestManyInformationalResponses (1,000 of them) failed before and passes now; TestEndlessInformationalResponses passes.

--- a/reply/transport.go
+++ b/reply/transport.go
@@ -8,11 +8,27 @@
 	"net/textproto"
 )
 
-// maxInformational bounds the informational responses before a response.
-const maxInformational = 10
+const (
+	// maxInformationalBytes bounds the informational responses before a response, which may come as
+	// long as the request is processed.
+	maxInformationalBytes = 64 << 10
+	// lineBytes is the size of a status line, or of what a field has besides its name and value.
+	lineBytes = 16
+)
 
 var errInformational = errors.New("too many informational responses")
 
+// headBytes returns the approximate size of a head.
+func headBytes(header http.Header) int {
+	size := lineBytes
+	for name, values := range header {
+		for _, value := range values {
+			size += lineBytes + len(name) + len(value)
+		}
+	}
+	return size
+}
+
 // Client returns an HTTP client like the given one that returns an error for malformed responses.
 func Client(c *http.Client) *http.Client {
 	base := c.Transport
@@ -42,8 +58,8 @@
 			}
 		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
-			// The transport limits the size of each head, but not their number.
-			if informational++; informational > maxInformational {
+			// The transport limits the size of each head, but not that of all.
+			if informational += headBytes(http.Header(header)); informational > maxInformationalBytes {
 				return errInformational
 			}
 			return checkInformational(http.Header(header), nil)
--- a/reply/transport_test.go
+++ b/reply/transport_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,3 +34,19 @@
 	assert.ErrorContains(t, err, "informational")
 	assert.Assert(t, time.Since(began) < 5*time.Second)
 }
+
+// TestManyInformationalResponses guards against a sound response that is refused as many informational
+// ones came before it.
+func TestManyInformationalResponses(t *testing.T) {
+	server, err := fake.NewRawServer(func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = fmt.Fprint(conn, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000)+"HTTP/1.1 204 No Content\r\n\r\n")
+	})
+	assert.NilError(t, err)
+	defer server.Close()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address(), nil)
+	assert.NilError(t, err)
+	response, err := reply.Client(socket.NewClient()).Do(request)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusNoContent)
+}
