--- a/review/rig3/clients.go
+++ b/review/rig3/clients.go
@@ -53,13 +53,14 @@
 func (c *Clients) Repeat(name, path string, pause time.Duration) {
 	c.group.Go(func() {
 		for n := 0; c.ctx.Err() == nil; n++ {
-			c.get(c.rig.Relays[n%len(c.rig.Relays)], fmt.Sprintf("%s-%d", name, n), path)
+			c.Get(c.rig.Relays[n%len(c.rig.Relays)], fmt.Sprintf("%s-%d", name, n), path)
 			time.Sleep(pause)
 		}
 	})
 }
 
-func (c *Clients) get(relay *Process, attempt, path string) {
+// Get sends a request without a body to a relay.
+func (c *Clients) Get(relay *Process, attempt, path string) {
 	request, err := http.NewRequestWithContext(c.ctx, http.MethodGet, "http://"+relay.Callers()+path, nil)
 	if err != nil {
 		c.rig.Record("client %s: %v", attempt, err)
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -39,6 +39,7 @@
 	rig   *Rig
 	mutex sync.Mutex
 	name  string
+	born  int64
 	count int
 	conns map[net.Conn]bool
 	// server is nil while the worker is down.
@@ -66,6 +67,7 @@
 	}
 	w.mutex.Lock()
 	w.count++
+	w.born = time.Now().UnixMilli()
 	w.name = fmt.Sprintf("i-%s-%d", w.Host, w.count)
 	name := w.name
 	w.conns = map[net.Conn]bool{}
@@ -76,7 +78,7 @@
 	w.rig.Record("worker %s started", name)
 	return w.rig.Store.Put("servers", name, map[string]any{
 		"service": double.PlainService, "address": w.Address(), "zone": zoneName, "slots": 6, "state": "ready", "stage": "",
-		"born": time.Now().UnixMilli(), "version": "1", "coldLeftMs": 0, "seqNum": 1,
+		"born": w.born, "version": "1", "coldLeftMs": 0, "seqNum": 1,
 	})
 }
 
