End the processes of a review case on SIGTERM and SIGINT

A trial program that was ended early had left its relays running. Tried once with SIGTERM: exit 2, no process left.

--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"crocusstep/platform/double"
@@ -25,7 +27,9 @@
 	// HeartbeatInterval is heartbeatMs.
 	HeartbeatInterval = 1200 * time.Millisecond
 	readyTimeout      = 15 * time.Second
-	zoneName          = "zone-a"
+	// exitInterrupted is the exit code of a case that could not run to its end.
+	exitInterrupted = 2
+	zoneName        = "zone-a"
 )
 
 // Config configures a Rig.
@@ -83,6 +87,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Rig{Store: double.NewStore(), record: record, began: time.Now(), temp: temp, network: 64 + os.Getpid()%128, ctx: ctx, cancel: cancel}
+	r.endOnSignal()
 	if r.ports, err = freePorts(); err != nil {
 		return r, err
 	}
@@ -97,6 +102,17 @@
 	return r, nil
 }
 
+// endOnSignal ends all processes and the program if the program is to stop.
+func (r *Rig) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		r.Close()
+		os.Exit(exitInterrupted)
+	}()
+}
+
 // freePorts returns ports that are free at the time.
 func freePorts() (p ports, err error) {
 	for _, port := range []*int{&p.callers, &p.readiness, &p.store, &p.worker, &p.keeper, &p.metrics} {
